--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := core transport entry agent bench
+
+.PHONY: setup test demo lint format check-format
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt $(PACKAGES:%=packages/cowslipgate-%/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements.txt
+	$(PYTHON) -m pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=--editable packages/cowslipgate-%)
+	touch $@
+
+test: setup
+	$(PYTHON) -m pytest packages
+
+demo: setup
+	$(PYTHON) -m cowslipgate_bench demo
+
+lint: setup
+	$(PYTHON) -m flake8 packages
+
+format: setup
+	$(PYTHON) -m ruff format packages
+
+check-format: setup
+	$(PYTHON) -m ruff format --check packages
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -0,0 +1,47 @@
+"""Messages between the components of the agent."""
+
+import circuits
+
+
+class target_announced(circuits.Event):
+    """The target announced itself; the argument is an Announcement."""
+
+
+class target_left(circuits.Event):
+    """The target said that it is leaving."""
+
+
+class start_task(circuits.Event):
+    """Asks to call the target; arguments are StartTask and Announcement."""
+
+
+class stop_task(circuits.Event):
+    """Asks to stop a task; arguments are StopTask and Announcement."""
+
+
+class task_ended(circuits.Event):
+    """A call of the target ended; AttemptKey and AttemptReport."""
+
+
+class report_attempts(circuits.Event):
+    """Asks to send outcomes; the argument is a SendReports."""
+
+
+class send_reports(circuits.Event):
+    """Asks to send a heartbeat to every entry."""
+
+
+class entry_heard(circuits.Event):
+    """A message of an entry came; the argument is the message."""
+
+
+class entry_dropped(circuits.Event):
+    """An entry is gone; the argument is its incarnation."""
+
+
+class tick(circuits.Event):
+    """Fired at a regular interval."""
+
+
+class agent_drained(circuits.Event):
+    """Nothing is left to do before the process stops."""
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
@@ -0,0 +1,66 @@
+"""Assembly of the agent's components and its life as a process."""
+
+import circuits
+from circuits.core import pollers
+
+from cowslipgate_agent import _announcements
+from cowslipgate_agent import _events
+from cowslipgate_agent import _links
+from cowslipgate_agent import _runner
+from cowslipgate_agent import _settings
+from cowslipgate_agent import _target_calls
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+
+TICK_SECONDS = 0.1
+
+
+class drain(circuits.Event):
+    """Asks the agent to take no more work."""
+
+
+class AgentProcess(circuits.BaseComponent):
+    """Root component of the agent."""
+
+    channel = "process"
+
+    @circuits.handler("signal", channel="*")
+    def _on_signal(self, event: circuits.Event, *arguments: object) -> None:
+        event.stop()
+        self.fire(drain(), "runner")
+
+    @circuits.handler("agent_drained")
+    def _on_agent_drained(self) -> None:
+        raise SystemExit(0)
+
+
+def build_agent(
+    settings: _settings.AgentSettings, clock: core.Clock
+) -> AgentProcess:
+    """Return the agent, ready to run."""
+    process = AgentProcess()
+    poller = pollers.EPoll().register(process)
+    incarnation = core.make_incarnation(clock)
+    executor = core.Executor(incarnation, settings.queue_limit)
+    bind = (settings.bind_target.host, settings.bind_target.port)
+    transport.HttpServer(
+        bind, _announcements.CHANNEL, clock, transport.ServerLimits()
+    ).register(process)
+    transport.HttpClient(_target_calls.CHANNEL, poller, clock).register(
+        process
+    )
+    transport.HttpClient("discovery", poller, clock).register(process)
+    _announcements.Announcements().register(process)
+    _target_calls.TargetCalls(clock, settings.task_timeout).register(process)
+    _runner.Runner(executor, clock, settings.target_lapse).register(process)
+    _links.Links(settings, executor, incarnation, clock, poller).register(
+        process
+    )
+    circuits.Timer(
+        TICK_SECONDS,
+        _events.tick(),
+        _runner.CHANNEL,
+        _links.CHANNEL,
+        persist=True,
+    ).register(process)
+    return process
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
@@ -0,0 +1,81 @@
+"""Settings of the agent."""
+
+import datetime
+
+import attrs
+
+import cowslipgate_core as core
+
+
+@attrs.frozen
+class AgentSettings:
+    """Settings of ``cowslipgate-agent``."""
+
+    name: str = core.setting(
+        core.parse_name,
+        "1 to 64 letters, digits, dots, dashes or underscores",
+        "name of the agent, stable over restarts",
+    )
+    """Name of the agent, stable over restarts."""
+
+    domain: str = core.setting(
+        core.parse_name,
+        "1 to 64 letters, digits, dots, dashes or underscores",
+        "failure domain that the agent is in",
+    )
+    """Failure domain that the agent is in."""
+
+    balancer: core.Bind = core.setting(
+        core.parse_bind,
+        "an IP number and port such as 10.0.0.1:8080",
+        "address of the balancer in front of the entries",
+    )
+    """Address of the balancer in front of the entries."""
+
+    bind_target: core.Bind = core.setting(
+        core.parse_bind,
+        "a loopback IP number and port such as 127.0.0.1:7070",
+        "where the target announces itself",
+        "127.0.0.1:7070",
+    )
+    """Where the target announces itself."""
+
+    entries: int = core.setting(
+        core.parse_count,
+        "a whole number, 1 or more",
+        "number of entries to connect to",
+        "4",
+    )
+    """Number of entries to connect to."""
+
+    queue_limit: int = core.setting(
+        core.parse_count,
+        "a whole number, 0 or more",
+        "tasks that may queue beyond the target's slots",
+        "2",
+    )
+    """Tasks that may queue beyond the target's slots."""
+
+    heartbeat: datetime.timedelta = core.setting(
+        core.parse_duration,
+        "a duration such as 500ms or 1s",
+        "interval of heartbeats on idle links",
+        "1s",
+    )
+    """Interval of heartbeats on idle links."""
+
+    target_lapse: datetime.timedelta = core.setting(
+        core.parse_duration,
+        "a duration such as 6s",
+        "silence after which the target counts as absent",
+        "6s",
+    )
+    """Silence after which the target counts as absent."""
+
+    task_timeout: datetime.timedelta = core.setting(
+        core.parse_duration,
+        "a duration such as 60s",
+        "longest run time of a task",
+        "60s",
+    )
+    """Longest run time of a task."""
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demonstration and measurements of cowslipgate."""
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -0,0 +1,305 @@
+"""Starts and stops a whole deployment as processes on loopback."""
+
+from collections.abc import Callable
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+import uuid
+
+import attrs
+import cowslipgate_core as core
+
+from cowslipgate_bench import _target
+
+HOST = "127.0.0.1"
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+STOP_SECONDS = 20.0
+OPERATOR_TOKEN = "operator-token"
+
+
+class ClusterError(core.CowslipgateError):
+    """A deployment did not do what was asked."""
+
+
+@attrs.frozen
+class WaitTimeout(ClusterError):
+    """A condition did not come true in time."""
+
+    condition: str
+    """What was waited for."""
+
+    def __str__(self) -> str:
+        return f"{self.condition} did not happen in {WAIT_SECONDS} s"
+
+
+@attrs.frozen
+class Reply:
+    """An HTTP answer."""
+
+    status: int
+    """HTTP status."""
+
+    body: Any
+    """Decoded JSON."""
+
+
+@attrs.define(eq=False)
+class Node:
+    """An entry or an agent with the port that it is known by."""
+
+    name: str
+    """Name for logs."""
+
+    port: int
+    """HTTP port of an entry, announcement port of an agent."""
+
+    process: subprocess.Popen[bytes]
+    """Operating-system process."""
+
+
+class Cluster:
+    """A table service, a balancer, entries, and agents with targets."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._stack = contextlib.ExitStack()
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self.entries: list[Node] = []
+        self.agents: list[Node] = []
+        self.targets: list[Node] = []
+        self.table_port = 0
+        self.balancer_port = 0
+
+    def __enter__(self) -> "Cluster":
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.kill_all()
+
+    def start_table(self) -> None:
+        """Start the table service."""
+        process = self.spawn("table", "table", "--port", "0")
+        self.table_port = read_port(process)
+
+    def start_entries(self, domains: list[str], *flags: str) -> None:
+        """Start a balancer and one entry in each of ``domains``."""
+        ports = choose_ports(len(domains) + 1)
+        self.balancer_port = ports.pop()
+        for number, domain in enumerate(domains):
+            self.start_entry(f"entry-{number}", domain, ports[number], *flags)
+        names = [str(port) for port in ports]
+        process = self.spawn(
+            "balancer", "balancer", str(self.balancer_port), *names
+        )
+        read_port(process)
+
+    def start_entry(
+        self, name: str, domain: str, port: int, *flags: str
+    ) -> Node:
+        """Start one entry on a given HTTP port."""
+        process = self.run(
+            name,
+            [
+                *_find_binary("cowslipgate"),
+                "serve",
+                f"--domain={domain}",
+                f"--platform={HOST}:{self.table_port}",
+                f"--balancer={HOST}:{self.balancer_port}",
+                f"--bind-http={HOST}:{port}",
+                f"--bind-internal={HOST}:{choose_ports(1)[0]}",
+                f"--operator-digest={core.digest_token(OPERATOR_TOKEN)}",
+                *flags,
+            ],
+        )
+        node = Node(name, port, process)
+        self.entries.append(node)
+        return node
+
+    def start_agent(
+        self, domain: str, options: _target.TargetOptions, *flags: str
+    ) -> Node:
+        """Start an agent with a target beside it."""
+        number = len(self.agents)
+        port = choose_ports(1)[0]
+        process = self.run(
+            f"agent-{number}",
+            [
+                *_find_binary("cowslipgate-agent"),
+                f"--name=agent-{number}",
+                f"--domain={domain}",
+                f"--balancer={HOST}:{self.balancer_port}",
+                f"--bind-target={HOST}:{port}",
+                *flags,
+            ],
+        )
+        node = Node(f"agent-{number}", port, process)
+        self.agents.append(node)
+        self.start_target(attrs.evolve(options, agent_port=port))
+        return node
+
+    def start_target(self, options: _target.TargetOptions) -> Node:
+        """Start a target that announces itself to a running agent."""
+        number = len(self.targets)
+        journal = self._folder / f"target-{number}.jsonl"
+        options = attrs.evolve(options, journal=str(journal))
+        text = json.dumps(attrs.asdict(options))
+        process = self.spawn(f"target-{number}", "target", text)
+        node = Node(f"target-{number}", read_port(process), process)
+        self.targets.append(node)
+        return node
+
+    def spawn(
+        self, name: str, command: str, *arguments: str
+    ) -> subprocess.Popen[bytes]:
+        """Start one of this package's stand-ins."""
+        module = [sys.executable, "-m", "cowslipgate_bench", command]
+        return self.run(name, [*module, *arguments])
+
+    def run(self, name: str, command: list[str]) -> subprocess.Popen[bytes]:
+        """Start a process whose errors go to a log file."""
+        log = (self._folder / f"{name}.log").open("ab")
+        self._stack.callback(log.close)
+        process = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=log, env=dict(os.environ)
+        )
+        self._processes.append(process)
+        return process
+
+    def kill_all(self) -> None:
+        """Kill every process that was started."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
+        self._stack.close()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        token: str = OPERATOR_TOKEN,
+        port: int | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Reply:
+        """Make a request through the balancer or to a given port."""
+        return call_http(
+            port or self.balancer_port, method, path, body, token, headers
+        )
+
+    def patch(self, version: int, changes: object) -> Reply:
+        """Send a configuration patch."""
+        headers = {
+            "If-Match": f'"{version}"',
+            "Idempotency-Key": uuid.uuid4().hex,
+        }
+        path = "/v1/configuration"
+        return self.call("PATCH", path, changes, headers=headers)
+
+    def wait_ready(self, agents: int) -> None:
+        """Wait until each entry serves and sees ``agents`` serving."""
+
+        def check() -> bool:
+            return all(
+                self._count_serving(entry.port) == agents
+                for entry in self.entries
+            )
+
+        wait_until(check, f"{agents} agents at each entry")
+
+    def count_jobs(self, entry: Node) -> int:
+        """Return the number of jobs that an entry has in flight."""
+        reply = self.call("GET", "/v1/status", port=entry.port)
+        return reply.body["jobs"]
+
+    def _count_serving(self, port: int) -> int:
+        try:
+            reply = self.call("GET", "/v1/status", port=port)
+        except OSError:
+            return -1
+        if reply.status != http.HTTPStatus.OK:
+            return -1
+        if reply.body["state"] != "serving":
+            return -1
+        if len(reply.body["members"]) != len(self.entries):
+            return -1
+        states = [agent["state"] for agent in reply.body["agents"]]
+        return states.count("serving")
+
+    def read_journal(self) -> list[dict[str, Any]]:
+        """Return every line that the targets wrote."""
+        lines = []
+        for path in sorted(self._folder.glob("target-*.jsonl")):
+            lines.extend(path.read_text().splitlines())
+        return [json.loads(line) for line in lines]
+
+
+def call_http(
+    port: int,
+    method: str,
+    path: str,
+    body: object = None,
+    token: str = OPERATOR_TOKEN,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    """Make one HTTP request on loopback and decode the JSON answer."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=60)
+    data = None if body is None else json.dumps(body).encode()
+    every = {"Authorization": f"Bearer {token}"} | (headers or {})
+    try:
+        connection.request(method, path, data, every)
+        response = connection.getresponse()
+        return Reply(response.status, json.loads(response.read()))
+    finally:
+        connection.close()
+
+
+def choose_ports(count: int) -> list[int]:
+    """Return free loopback ports that the system chose."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((HOST, 0))
+            ports.append(sock.getsockname()[1])
+    return ports
+
+
+def read_port(process: subprocess.Popen[bytes]) -> int:
+    """Return the port that a stand-in prints when it serves."""
+    return int(process.stdout.readline())
+
+
+def wait_until(check: Callable[[], bool], condition: str) -> None:
+    """Poll ``check`` until it is true.
+
+    :raises WaitTimeout: when it stays false
+    """
+    until = time.monotonic() + WAIT_SECONDS
+    while not check():
+        if time.monotonic() > until:
+            raise WaitTimeout(condition)
+        time.sleep(POLL_SECONDS)
+
+
+def stop_gracefully(process: subprocess.Popen[bytes]) -> int:
+    """Send SIGTERM and return the exit status."""
+    process.terminate()
+    return process.wait(STOP_SECONDS)
+
+
+def _find_binary(name: str) -> list[str]:
+    return [str(pathlib.Path(sys.executable).parent / name)]
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_demo.py
@@ -0,0 +1,164 @@
+"""A demonstration that checks each promise as it goes."""
+
+import concurrent.futures
+import http
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+
+import cowslipgate_core as core
+
+from cowslipgate_bench import _cluster
+from cowslipgate_bench import _target
+
+TEAM_TOKEN = "hall-token"
+PRINT_TASKS = 40
+SPEEDS = (0.5, 1.0, 1.5, 2.0)
+DOMAINS = ["kaai-zuid", "dokken-noord", "depot-berchem"]
+
+
+class DemoFailure(core.CowslipgateError):
+    """Something was not as promised."""
+
+
+def run_demo() -> None:
+    """Run every step; exit non-zero at the first that fails."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder)
+        with _cluster.Cluster(path) as cluster:
+            try:
+                _run_steps(cluster, path)
+            except (DemoFailure, _cluster.ClusterError) as error:
+                print(f"FAILED: {error}")
+                sys.exit(1)
+    print("Everything was as promised.")
+
+
+def _run_steps(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
+    _start(cluster)
+    _configure(cluster)
+    cluster.wait_ready(len(SPEEDS))
+    print("All agents are serving at all entries.")
+    _print_run(cluster, folder)
+    _draw(cluster, folder)
+    _leave(cluster)
+    _stop(cluster, folder)
+
+
+def _start(cluster: _cluster.Cluster) -> None:
+    cluster.start_table()
+    cluster.start_entries(DOMAINS)
+    for number, speed in enumerate(SPEEDS):
+        options = _target.TargetOptions("schapkaart", 0, speed=speed)
+        cluster.start_agent(DOMAINS[number % len(DOMAINS)], options)
+    print(f"Started 3 entries and {len(SPEEDS)} agents with targets.")
+
+
+def _configure(cluster: _cluster.Cluster) -> None:
+    changes = {
+        "services": {"schapkaart": {"response_weight": 0.7}},
+        "teams": {"hall": {"token_digests": [core.digest_token(TEAM_TOKEN)]}},
+    }
+    _cluster.wait_until(
+        lambda: cluster.patch(0, changes).status == http.HTTPStatus.OK,
+        "the first configuration",
+    )
+    reply = cluster.patch(1, {"services": {"draw-desk": {}}})
+    _expect(reply.status == http.HTTPStatus.OK, f"patch: {reply}")
+    print(f"Version 2 is in force at {reply.body['in_force']}.")
+    reply = cluster.patch(1, {"services": {"draw-desk": {}}})
+    outdated = reply.status == http.HTTPStatus.PRECONDITION_FAILED
+    _expect(outdated, f"outdated patch: {reply}")
+    print(f"An outdated patch was refused: {reply.body['error']['message']}")
+
+
+def _print_run(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
+    tasks = [
+        {"payload": {"true_ms": 50 + 5 * n, "tag": n}, "size_ms": 50 + 5 * n}
+        for n in range(PRINT_TASKS)
+    ]
+    answer = _submit(cluster, folder, {"tasks": tasks})
+    tags = [result["echo"]["tag"] for result in answer["results"]]
+    _expect(tags == list(range(PRINT_TASKS)), f"print run: {tags}")
+    print(f"A print run of {PRINT_TASKS} tags came back whole, in order.")
+
+
+def _draw(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
+    job = {"tasks": [{"payload": {"draw": "office"}}], "repeatable": False}
+    answer = _submit(cluster, folder, job)
+    drawn = answer["results"][0]["echo"]["draw"]
+    _expect(drawn == "office", f"draw: {answer}")
+    print("A draw that may not be repeated ran once.")
+
+
+def _submit(
+    cluster: _cluster.Cluster, folder: pathlib.Path, job: object
+) -> dict:
+    path = folder / "job.json"
+    path.write_text(json.dumps(job))
+    binary = pathlib.Path(sys.executable).parent / "cowslipgate"
+    address = f"{_cluster.HOST}:{cluster.balancer_port}"
+    command = [
+        str(binary),
+        "submit",
+        "schapkaart",
+        str(path),
+        f"--address={address}",
+        f"--token={TEAM_TOKEN}",
+    ]
+    done = subprocess.run(command, capture_output=True, check=False)
+    _expect(done.returncode == 0, f"submit: {done}")
+    return json.loads(done.stdout)
+
+
+def _leave(cluster: _cluster.Cluster) -> None:
+    agent = cluster.agents[-1]
+    status = _cluster.stop_gracefully(agent.process)
+    _expect(status == 0, f"agent exit status {status}")
+    cluster.wait_ready(len(SPEEDS) - 1)
+    print("An agent left; its target gets no new work.")
+
+
+def _stop(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
+    slow = {"tasks": [{"payload": {"true_ms": 1500}, "size_ms": 1500}] * 8}
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        answers = [
+            pool.submit(
+                cluster.call,
+                "POST",
+                "/v1/services/schapkaart/jobs",
+                slow,
+                TEAM_TOKEN,
+                entry.port,
+            )
+            for entry in cluster.entries
+        ]
+        _cluster.wait_until(
+            lambda: all(map(cluster.count_jobs, cluster.entries)),
+            "a slow job in flight at each entry",
+        )
+        for entry in cluster.entries:
+            entry.process.send_signal(signal.SIGTERM)
+        statuses = [answer.result().status for answer in answers]
+    cut = [s for s in statuses if s != http.HTTPStatus.OK]
+    _expect(not cut, f"answers during the stop: {statuses}")
+    codes = [entry.process.wait() for entry in cluster.entries]
+    _expect(not any(codes), f"entry exit statuses {codes}")
+    for agent in cluster.agents[:-1]:
+        status = _cluster.stop_gracefully(agent.process)
+        _expect(status == 0, f"agent exit status {status}")
+    starts = [
+        line["task"]
+        for line in cluster.read_journal()
+        if line["event"] == "start"
+    ]
+    _expect(len(starts) == len(set(starts)), "a task started twice")
+    print("SIGTERM stopped everything, cut nothing, and nothing ran twice.")
+
+
+def _expect(condition: bool, message: str) -> None:
+    if not condition:
+        raise DemoFailure(message)
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_target.py
@@ -0,0 +1,204 @@
+"""Stand-in for a target: sleeps for the true size of a task.
+
+The payload is ``{"true_ms": 120, "text": "..."}``; other payloads take no
+time. Each start is written down before anything else happens.
+"""
+
+import datetime
+import heapq
+import itertools
+import json
+import pathlib
+
+import attrs
+import circuits
+from circuits.core import pollers
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+import msgspec
+
+CHANNEL = "target"
+CLIENT_CHANNEL = "announcer"
+TICK_SECONDS = 0.005
+ANNOUNCE_SECONDS = 2.0
+HTTP_OK = 200
+HTTP_FAILED = 500
+HTTP_STOPPED = 410
+
+
+@attrs.frozen
+class TargetOptions:
+    """How the target behaves."""
+
+    service: str
+    """Service that it belongs to."""
+
+    agent_port: int
+    """Loopback port of its agent."""
+
+    slots: int = 8
+    """Tasks that may run at once."""
+
+    connections: int = 64
+    """Connections that may be open."""
+
+    speed: float = 1.0
+    """A speed of two halves the run time."""
+
+    failing: bool = False
+    """Whether every task fails at once."""
+
+    memory_mb: int = 128_000
+    """Memory announced, in MB."""
+
+    accelerators: int = 0
+    """Accelerators announced."""
+
+    journal: str = ""
+    """File to which each start is appended, or empty."""
+
+
+class Payload(msgspec.Struct):
+    """What the stand-in reads of a task's payload."""
+
+    true_ms: float = 0.0
+    """Run time at speed one in milliseconds."""
+
+
+class end_due(circuits.Event):
+    """Fired often, to end the tasks whose time has come."""
+
+
+class announce(circuits.Event):
+    """Asks to announce the target to its agent."""
+
+
+class Target(circuits.BaseComponent):
+    """Owns the running tasks."""
+
+    channel = CHANNEL
+
+    def __init__(self, options: TargetOptions, clock: core.Clock) -> None:
+        super().__init__()
+        self._options = options
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._ends: list[tuple[datetime.datetime, int, str]] = []
+        self._running: dict[str, transport.Exchange] = {}
+        self._address = ""
+        self._journal = None
+        if options.journal:
+            self._journal = pathlib.Path(options.journal).open("a")
+
+    def attach(self, port: int) -> None:
+        """Take the port that the target serves on."""
+        self._address = f"http://127.0.0.1:{port}"
+
+    @circuits.handler("http_requested")
+    def _on_http_requested(self, exchange: transport.Exchange) -> None:
+        if exchange.path == "/run" and exchange.method == "POST":
+            self._start(exchange)
+        elif exchange.method == "DELETE":
+            task = exchange.path.removeprefix("/run/")
+            running = self._running.pop(task, None)
+            if running is not None:
+                self._note("stop", task)
+                self._answer(running, task, HTTP_STOPPED, b'"stopped"')
+            self._answer(exchange, task, HTTP_OK, b"{}")
+        else:
+            self._answer(exchange, "", 404, b"{}")
+
+    @circuits.handler("http_abandoned")
+    def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
+        task = exchange.headers.get("task-id", "")
+        if self._running.get(task) is exchange:
+            del self._running[task]
+
+    @circuits.handler("end_due")
+    def _on_end_due(self) -> None:
+        now = self._clock.now()
+        while self._ends and self._ends[0][0] <= now:
+            task = heapq.heappop(self._ends)[2]
+            exchange = self._running.pop(task, None)
+            if exchange is not None:
+                self._note("end", task)
+                payload = msgspec.json.decode(exchange.body)
+                body = json.dumps({"task": task, "echo": payload}).encode()
+                self._answer(exchange, task, HTTP_OK, body)
+
+    @circuits.handler("announce")
+    def _on_announce(self) -> None:
+        options = self._options
+        announcement = core.Announcement(
+            options.service,
+            self._address,
+            options.slots,
+            options.connections,
+            core.Resources(options.memory_mb, options.accelerators),
+        )
+        call = transport.Call(
+            next(self._numbers),
+            transport.Address("127.0.0.1", options.agent_port),
+            "PUT",
+            "/v1/target",
+            body=msgspec.json.encode(announcement),
+        )
+        self.fire(transport.call_http(call), CLIENT_CHANNEL)
+
+    def _start(self, exchange: transport.Exchange) -> None:
+        task = exchange.headers.get("task-id", "")
+        self._note("start", task)
+        if self._options.failing:
+            self._answer(exchange, task, HTTP_FAILED, b'"broken"')
+            return
+        try:
+            payload = msgspec.json.decode(exchange.body, type=Payload)
+        except msgspec.MsgspecError:
+            payload = Payload()
+        self._running[task] = exchange
+        duration = datetime.timedelta(
+            milliseconds=payload.true_ms / self._options.speed
+        )
+        end = self._clock.now() + duration
+        heapq.heappush(self._ends, (end, next(self._numbers), task))
+
+    def _note(self, event: str, task: str) -> None:
+        if self._journal is not None:
+            now = self._clock.now().timestamp()
+            self._journal.write(
+                json.dumps({"event": event, "task": task, "at": now}) + "\n"
+            )
+            self._journal.flush()
+
+    def _answer(
+        self,
+        exchange: transport.Exchange,
+        task: str,
+        status: int,
+        body: bytes,
+    ) -> None:
+        answer = transport.Answer(status, body, {"Task-Id": task})
+        self.fire(transport.answer_http(exchange, answer))
+
+
+def run_target(options: TargetOptions) -> None:
+    """Serve the target on a port that the system chooses and print it."""
+    process = circuits.Component()
+    poller = pollers.EPoll().register(process)
+    clock = core.SystemClock()
+    server = transport.HttpServer(
+        ("127.0.0.1", 0), CHANNEL, clock, transport.ServerLimits()
+    )
+    server.register(process)
+    transport.HttpClient(CLIENT_CHANNEL, poller, clock).register(process)
+    target = Target(options, clock).register(process)
+    target.attach(server.port)
+    target.fire(announce())
+    circuits.Timer(TICK_SECONDS, end_due(), CHANNEL, persist=True).register(
+        process
+    )
+    circuits.Timer(
+        ANNOUNCE_SECONDS, announce(), CHANNEL, persist=True
+    ).register(process)
+    print(server.port, flush=True)
+    process.run()
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -0,0 +1,142 @@
+"""Decisions and wire records of cowslipgate.
+
+Nothing here owns a socket, a thread or a clock.
+"""
+
+from cowslipgate_core import _charts
+from cowslipgate_core import _clock
+from cowslipgate_core import _configuration
+from cowslipgate_core import _estimates
+from cowslipgate_core import _exceptions
+from cowslipgate_core import _executor
+from cowslipgate_core import _health
+from cowslipgate_core import _incarnations
+from cowslipgate_core import _jobs
+from cowslipgate_core import _ledger
+from cowslipgate_core import _membership
+from cowslipgate_core import _messages
+from cowslipgate_core import _placement
+from cowslipgate_core import _quotas
+from cowslipgate_core import _settings
+
+Acknowledge = _messages.Acknowledge
+AGENT_LOST_AFTER = _ledger.AGENT_LOST_AFTER
+AGENT_SUSPECT_AFTER = _ledger.AGENT_SUSPECT_AFTER
+AgentRecord = _ledger.AgentRecord
+Announcement = _executor.Announcement
+AnswerJob = _ledger.AnswerJob
+Assignment = _placement.Assignment
+Attempt = _jobs.Attempt
+AttemptKey = _executor.AttemptKey
+AttemptReport = _messages.AttemptReport
+Beat = _messages.Beat
+Bind = _settings.Bind
+can_run = _placement.can_run
+CancelReply = _messages.CancelReply
+CancelRequest = _messages.CancelRequest
+Chart = _charts.Chart
+ChartError = _exceptions.ChartError
+choose_assignments = _placement.choose_assignments
+choose_entries = _membership.choose_entries
+Clock = _clock.Clock
+Configuration = _configuration.Configuration
+ConfigurationAcknowledge = _messages.ConfigurationAcknowledge
+ConfigurationError = _exceptions.ConfigurationError
+ConfigurationPush = _messages.ConfigurationPush
+ConfigurationRequest = _messages.ConfigurationRequest
+CowslipgateError = _exceptions.CowslipgateError
+decode_message = _messages.decode_message
+digest_members = _membership.digest_members
+digest_token = _configuration.digest_token
+Dispatch = _messages.Dispatch
+Document = _configuration.Document
+encode_identity = _messages.encode_identity
+encode_message = _messages.encode_message
+ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
+Estimates = _estimates.Estimates
+Executor = _executor.Executor
+ExecutorAction = _executor.ExecutorAction
+ExecutorCounters = _executor.ExecutorCounters
+Failure = _jobs.Failure
+FAILURES_TO_QUARANTINE = _health.FAILURES_TO_QUARANTINE
+FailureWindow = _health.FailureWindow
+Fault = _exceptions.Fault
+find_holder = _configuration.find_holder
+FIRST_QUARANTINE = _health.FIRST_QUARANTINE
+fits_resources = _placement.fits_resources
+Gossip = _messages.Gossip
+INQUIRY_INTERVAL = _ledger.INQUIRY_INTERVAL
+Job = _jobs.Job
+JobAnswer = _jobs.JobAnswer
+JobRequest = _jobs.JobRequest
+JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
+LAPSE_AFTER = _membership.LAPSE_AFTER
+LateBinding = _placement.LateBinding
+LEARNING_RATE = _estimates.LEARNING_RATE
+Ledger = _ledger.Ledger
+LedgerAction = _ledger.LedgerAction
+LedgerCounters = _ledger.LedgerCounters
+Load = _messages.Load
+load_chart = _charts.load_chart
+load_settings = _settings.load_settings
+LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
+Machine = _charts.Machine
+make_incarnation = _incarnations.make_incarnation
+ManualClock = _clock.ManualClock
+MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
+MAX_PORT = _settings.MAX_PORT
+MAX_RATIO = _estimates.MAX_RATIO
+MAX_REMEMBERED = _executor.MAX_REMEMBERED
+MAX_SESSIONS = _executor.MAX_SESSIONS
+MAX_SPEEDS = _estimates.MAX_SPEEDS
+MAX_TASKS = _configuration.MAX_TASKS
+MAX_UNACKNOWLEDGED = _executor.MAX_UNACKNOWLEDGED
+Member = _messages.Member
+Membership = _membership.Membership
+merge_patch = _configuration.merge_patch
+merge_withdraws = _ledger.merge_withdraws
+MIN_RATIO = _estimates.MIN_RATIO
+name_flag = _settings.name_flag
+Operator = _configuration.Operator
+Order = _messages.Order
+Outcome = _messages.Outcome
+parse_bind = _settings.parse_bind
+parse_chart = _charts.parse_chart
+parse_choice = _settings.parse_choice
+parse_configuration = _configuration.parse_configuration
+parse_count = _settings.parse_count
+parse_digest = _settings.parse_digest
+parse_duration = _settings.parse_duration
+parse_job = _jobs.parse_job
+parse_name = _settings.parse_name
+Policy = _placement.Policy
+RANDOM_BITS = _incarnations.RANDOM_BITS
+Reason = _messages.Reason
+Report = _messages.Report
+REQUIRED = _settings.REQUIRED
+RESEND_AFTER = _executor.RESEND_AFTER
+Resources = _messages.Resources
+Results = _messages.Results
+RoundRobin = _placement.RoundRobin
+SendOrders = _ledger.SendOrders
+SendReports = _executor.SendReports
+SendWithdraw = _ledger.SendWithdraw
+Sentinel = _settings.Sentinel
+Service = _configuration.Service
+setting = _settings.setting
+SettingFault = _exceptions.SettingFault
+SettingsError = _exceptions.SettingsError
+SETTLE_TIMEOUT = _ledger.SETTLE_TIMEOUT
+share_slots = _quotas.share_slots
+Started = _jobs.Started
+StartTask = _executor.StartTask
+State = _charts.State
+StopTask = _executor.StopTask
+SystemClock = _clock.SystemClock
+TargetView = _placement.TargetView
+TaskRequest = _jobs.TaskRequest
+Team = _configuration.Team
+WaitingJob = _placement.WaitingJob
+WaitingTask = _placement.WaitingTask
+WireError = _exceptions.WireError
+Withdraw = _messages.Withdraw
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_configuration.py
@@ -0,0 +1,180 @@
+"""The operators' configuration: records, checks and merge patches."""
+
+import datetime
+import hashlib
+import hmac
+import json
+from typing import Annotated, Any
+
+import attrs
+import msgspec
+
+from cowslipgate_core import _exceptions
+
+MAX_TASKS = 410
+_Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+_Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_Tasks = Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+_Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+
+
+@attrs.frozen
+class Service:
+    """A pool of targets and how it may be used."""
+
+    response_weight: _Weight = 0.5
+    """How much response time matters, 0 to 1."""
+
+    waste_weight: _Weight = 0.5
+    """How much wasted messages matter, 0 to 1."""
+
+    max_tasks: _Tasks = MAX_TASKS
+    """Largest number of tasks in one job."""
+
+    max_backlog: _Count = 100_000
+    """Largest number of waiting tasks at one entry."""
+
+    default_deadline_ms: _Milliseconds = 30_000
+    """Deadline of jobs that declare none, in milliseconds."""
+
+    @property
+    def default_deadline(self) -> datetime.timedelta:
+        """Deadline of jobs that declare none."""
+        return datetime.timedelta(milliseconds=self.default_deadline_ms)
+
+
+@attrs.frozen
+class Team:
+    """A team of callers and its quota."""
+
+    token_digests: tuple[_Digest, ...] = ()
+    """SHA-256 digests in hexadecimal of the tokens that name the team."""
+
+    slots: _Count = 1_000_000
+    """Slots that the team may use at once, over all entries."""
+
+
+@attrs.frozen
+class Operator:
+    """Somebody who may read and patch the configuration."""
+
+    token_digests: tuple[_Digest, ...] = ()
+    """SHA-256 digests in hexadecimal of the operator's tokens."""
+
+
+@attrs.frozen
+class Document:
+    """The body of a configuration."""
+
+    services: dict[str, Service] = attrs.Factory(dict)
+    """Services by name."""
+
+    teams: dict[str, Team] = attrs.Factory(dict)
+    """Teams by name."""
+
+    operators: dict[str, Operator] = attrs.Factory(dict)
+    """Operators by name."""
+
+
+@attrs.frozen
+class Configuration:
+    """A checked document with its version."""
+
+    version: int
+    """Number that grows by one with each accepted patch."""
+
+    document: Document
+    """The checked document."""
+
+    raw: dict[str, Any]
+    """The document as it is stored, in JSON types."""
+
+    def encode(self) -> bytes:
+        """Return the stored document in JSON."""
+        return json.dumps(self.raw).encode()
+
+
+def parse_configuration(version: int, raw: Any) -> Configuration:
+    """Check the stored document ``raw`` and return the configuration.
+
+    :raises ConfigurationError: with every fault found
+    """
+    faults = list(_find_faults(raw))
+    if faults:
+        raise _exceptions.ConfigurationError(tuple(faults))
+    return Configuration(version, msgspec.convert(raw, Document), raw)
+
+
+def _find_faults(raw: Any) -> "list[_exceptions.Fault]":
+    if not isinstance(raw, dict):
+        return [_exceptions.Fault("$", "must be an object")]
+    sections = {"services": Service, "teams": Team, "operators": Operator}
+    faults = []
+    for name, value in raw.items():
+        if name not in sections:
+            allowed = ", ".join(sections)
+            faults.append(_exceptions.Fault(f"$.{name}", f"one of {allowed}"))
+        elif not isinstance(value, dict):
+            faults.append(_exceptions.Fault(f"$.{name}", "must be an object"))
+        else:
+            faults.extend(_find_section_faults(name, sections[name], value))
+    return faults
+
+
+def _find_section_faults(
+    section: str, cls: type, entries: dict[str, Any]
+) -> "list[_exceptions.Fault]":
+    faults = []
+    for name, value in entries.items():
+        path = f"$.{section}.{name}"
+        if not isinstance(value, dict):
+            faults.append(_exceptions.Fault(path, "must be an object"))
+            continue
+        fields = {field.name: field.type for field in attrs.fields(cls)}
+        for key, item in value.items():
+            if key not in fields:
+                allowed = ", ".join(fields)
+                faults.append(
+                    _exceptions.Fault(f"{path}.{key}", f"one of {allowed}")
+                )
+                continue
+            try:
+                msgspec.convert(item, fields[key])
+            except msgspec.ValidationError as error:
+                faults.append(_exceptions.Fault(f"{path}.{key}", str(error)))
+    return faults
+
+
+def merge_patch(document: Any, patch: Any) -> Any:
+    """Return ``document`` after the RFC 7396 merge patch ``patch``."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(document) if isinstance(document, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = merge_patch(merged.get(key), value)
+    return merged
+
+
+def digest_token(token: str) -> str:
+    """Return the SHA-256 digest of a bearer token in hexadecimal."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def find_holder(
+    holders: "dict[str, Team] | dict[str, Operator]", token: str
+) -> str:
+    """Return the name whose digests include that of ``token``, or ``""``.
+
+    Every digest is compared, each in constant time.
+    """
+    digest = digest_token(token)
+    found = ""
+    for name, holder in holders.items():
+        for known in holder.token_digests:
+            if hmac.compare_digest(known, digest):
+                found = name
+    return found
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -0,0 +1,217 @@
+"""Jobs as callers submit them and the answers that they get."""
+
+import datetime
+import enum
+from typing import Annotated
+
+import attrs
+import msgspec
+
+from cowslipgate_core import _charts
+from cowslipgate_core import _configuration
+from cowslipgate_core import _exceptions
+from cowslipgate_core import _messages
+
+_Size = Annotated[float, msgspec.Meta(gt=0.0, le=3_600_000.0)]
+_Name = Annotated[str, msgspec.Meta(max_length=128)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+_Tasks = Annotated[
+    "tuple[TaskRequest, ...]",
+    msgspec.Meta(min_length=1, max_length=_configuration.MAX_TASKS),
+]
+
+
+class Started(enum.StrEnum):
+    """What is known of the tasks of a failed job."""
+
+    NONE = "none"
+    SOME = "some"
+    UNKNOWN = "unknown"
+
+
+class Failure(enum.StrEnum):
+    """Why a job failed or was refused."""
+
+    MALFORMED = "malformed"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_SERVICE = "unknown_service"
+    TOO_LARGE = "too_large"
+    INFEASIBLE = "infeasible"
+    QUOTA = "quota"
+    OVERLOADED = "overloaded"
+    NO_CONFIGURATION = "no_configuration"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STOPPING = "stopping"
+    ALREADY_CLAIMED = "already_claimed"
+    TASK_FAILED = "task_failed"
+    AGENT_LOST = "agent_lost"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CANCELLED = "cancelled"
+    DEADLINE = "deadline"
+
+
+@attrs.frozen
+class TaskRequest:
+    """One task of a job."""
+
+    payload: msgspec.Raw = msgspec.Raw(b"null")
+    """JSON value that the target gets."""
+
+    kind: _Name = ""
+    """Kind of task; tasks of one kind run about equally fast."""
+
+    size_ms: _Size = 100.0
+    """Declared run time on a target of speed one, in milliseconds."""
+
+    needs: _messages.Resources = _messages.Resources()
+    """What the task needs of its target."""
+
+
+@attrs.frozen
+class JobRequest:
+    """The body of a submission."""
+
+    tasks: _Tasks
+    """One to 410 tasks."""
+
+    deadline_ms: _Milliseconds | None = None
+    """Time until the caller gives up, or the default of the service."""
+
+    label: _Name = ""
+    """Label by which many jobs are cancelled together."""
+
+    repeatable: bool = True
+    """Whether the job may be submitted again."""
+
+
+_DECODER = msgspec.json.Decoder(JobRequest)
+
+
+def parse_job(body: bytes) -> JobRequest:
+    """Decode the body of a submission.
+
+    :raises WireError: naming the path of the first fault
+    """
+    try:
+        return _DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        raise _exceptions.WireError(b"job", str(error)) from error
+
+
+@attrs.frozen
+class JobAnswer:
+    """The one answer to a job: all results, or a failure."""
+
+    job: str
+    """Id of the job."""
+
+    results: tuple[bytes, ...] = ()
+    """JSON results in the order of the tasks, when the job is complete."""
+
+    failure: Failure | None = None
+    """Why the job failed, or None when it is complete."""
+
+    started: Started = Started.NONE
+    """What is known of its tasks, when it failed."""
+
+    message: str = ""
+    """What the caller can do."""
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One try to run a task on one agent."""
+
+    sequence: int
+    """Number that grows with each attempt of the entry."""
+
+    job: "Job"
+    """Job of the task."""
+
+    index: int
+    """Index of the task in the job."""
+
+    agent: str
+    """Agent that the attempt is sent to."""
+
+    incarnation: int
+    """Incarnation of that agent."""
+
+    sent_at: datetime.datetime
+    """When it was sent."""
+
+    machine: _charts.Machine
+    """State, as in ``charts/attempt.toml``."""
+
+    asked_at: datetime.datetime
+    """When the agent was last asked about the attempt."""
+
+    @property
+    def task_id(self) -> str:
+        """Id that the target echoes."""
+        return f"{self.job.id}.{self.index}.{self.sequence}"
+
+
+@attrs.define(eq=False)
+class Job:
+    """A job that an entry owns."""
+
+    id: str
+    """Id, unique over all entries."""
+
+    team: str
+    """Team of the caller."""
+
+    service: str
+    """Service that runs the tasks."""
+
+    request: JobRequest
+    """What was submitted."""
+
+    submitted_at: datetime.datetime
+    """When it was accepted."""
+
+    deadline: datetime.datetime
+    """When it fails if not complete."""
+
+    machine: _charts.Machine
+    """State, as in ``charts/job.toml``."""
+
+    waiting: set[int] = attrs.Factory(set)
+    """Indices of tasks without an attempt under way."""
+
+    results: dict[int, bytes] = attrs.Factory(dict)
+    """JSON results by index."""
+
+    active: dict[int, Attempt] = attrs.Factory(dict)
+    """Attempts that are not final, by sequence number."""
+
+    known_started: bool = False
+    """Whether an attempt is known to have started."""
+
+    maybe_started: bool = False
+    """Whether an attempt ended without knowing if it started."""
+
+    failure: Failure | None = None
+    """First failure."""
+
+    message: str = ""
+    """What the caller is told of the failure."""
+
+    settle_by: datetime.datetime | None = None
+    """When a failed job is answered whatever its attempts' states."""
+
+    traceparent: str = ""
+    """W3C trace context of the caller, or empty."""
+
+    def derive_started(self) -> Started:
+        """Tell from the attempts' charts what may be said of the tasks."""
+        states = {
+            attempt.machine.get_attribute("started")
+            for attempt in self.active.values()
+        }
+        if self.known_started or "yes" in states:
+            return Started.SOME
+        if self.maybe_started or "unknown" in states:
+            return Started.UNKNOWN
+        return Started.NONE
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -0,0 +1,567 @@
+"""The jobs and attempts of one entry, without sockets.
+
+The ledger is told what happened and returns the actions that follow. It never
+sends a task a second time unless the first attempt has definitely not started.
+"""
+
+import collections
+import datetime
+
+import attrs
+
+from cowslipgate_core import _charts
+from cowslipgate_core import _estimates
+from cowslipgate_core import _jobs
+from cowslipgate_core import _messages
+from cowslipgate_core import _placement
+
+SETTLE_TIMEOUT = datetime.timedelta(seconds=1)
+INQUIRY_INTERVAL = datetime.timedelta(seconds=2)
+AGENT_SUSPECT_AFTER = datetime.timedelta(seconds=5)
+AGENT_LOST_AFTER = datetime.timedelta(seconds=20)
+
+
+@attrs.frozen
+class SendOrders:
+    """LedgerAction: dispatch attempts to one agent."""
+
+    agent: str
+    """Name of the agent."""
+
+    incarnation: int
+    """Incarnation of the agent."""
+
+    orders: tuple[_messages.Order, ...]
+    """The attempts."""
+
+
+@attrs.frozen
+class SendWithdraw:
+    """LedgerAction: ask one agent not to start attempts."""
+
+    agent: str
+    """Name of the agent."""
+
+    incarnation: int
+    """Incarnation of the agent."""
+
+    attempts: tuple[int, ...]
+    """Sequence numbers of the attempts."""
+
+    stop: bool
+    """Whether running attempts are stopped too."""
+
+
+@attrs.frozen
+class AnswerJob:
+    """LedgerAction: answer the caller of a job."""
+
+    job: _jobs.Job
+    """The job, in a final state."""
+
+    answer: _jobs.JobAnswer
+    """What the caller gets."""
+
+
+LedgerAction = SendOrders | SendWithdraw | AnswerJob
+
+
+@attrs.define(eq=False)
+class AgentRecord:
+    """What the entry knows of one agent."""
+
+    report: _messages.Report
+    """Its last report."""
+
+    heard_at: datetime.datetime
+    """When it was last heard."""
+
+    load: _messages.Load
+    """Its last load."""
+
+    outstanding: set[int] = attrs.Factory(set)
+    """Sequence numbers of attempts sent and not final."""
+
+
+@attrs.define
+class LedgerCounters:
+    """What the ledger has counted."""
+
+    dispatched: int = 0
+    """Attempts sent."""
+
+    refused: int = 0
+    """Attempts that the agent did not start."""
+
+    unmatched: int = 0
+    """Reports that belong to no attempt."""
+
+    inquiries: int = 0
+    """Attempts that an agent was asked about."""
+
+    complete: int = 0
+    """Jobs complete."""
+
+    failed: int = 0
+    """Jobs failed after they were accepted."""
+
+
+class Ledger:
+    """Jobs, attempts and agents of one entry."""
+
+    def __init__(self, policy: _placement.Policy) -> None:
+        self._policy = policy
+        self._job_chart = _charts.load_chart("job")
+        self._attempt_chart = _charts.load_chart("attempt")
+        self._jobs: dict[str, _jobs.Job] = {}
+        self._attempts: dict[int, _jobs.Attempt] = {}
+        self._agents: dict[str, AgentRecord] = {}
+        self._sequence = 0
+        self.estimates = _estimates.Estimates()
+        self.counters = LedgerCounters()
+
+    @property
+    def jobs(self) -> dict[str, _jobs.Job]:
+        """Jobs not yet answered, by id."""
+        return self._jobs
+
+    @property
+    def agents(self) -> dict[str, AgentRecord]:
+        """Known agents by name."""
+        return self._agents
+
+    def count_demand(self) -> dict[str, int]:
+        """Return the tasks waiting or under way by team."""
+        demand: collections.Counter[str] = collections.Counter()
+        for job in self._jobs.values():
+            demand[job.team] += len(job.waiting) + len(job.active)
+        return dict(demand)
+
+    def count_waiting(self, service: str) -> int:
+        """Return the number of tasks of a service that wait."""
+        return sum(
+            len(job.waiting)
+            for job in self._jobs.values()
+            if job.service == service
+        )
+
+    def make_machine(self) -> _charts.Machine:
+        """Return a machine for a new job."""
+        return _charts.Machine(self._job_chart)
+
+    def submit(self, job: _jobs.Job) -> None:
+        """Take a job into the backlog."""
+        job.waiting = set(range(len(job.request.tasks)))
+        self._jobs[job.id] = job
+
+    def find_infeasible(self, job: _jobs.Job) -> int | None:
+        """Return the index of a task that no known target can run.
+
+        None is returned while no target of the service is known: then nothing
+        is proved.
+        """
+        offers = [
+            record.report.resources
+            for record in self._agents.values()
+            if record.report.service == job.service
+        ]
+        if not offers:
+            return None
+        for index, task in enumerate(job.request.tasks):
+            if not any(
+                _placement.fits_resources(offer, task.needs)
+                for offer in offers
+            ):
+                return index
+        return None
+
+    def hear_report(
+        self, report: _messages.Report, now: datetime.datetime
+    ) -> list[LedgerAction]:
+        """Take in an agent's heartbeat."""
+        record = self._agents.get(report.agent)
+        if record is None:
+            record = AgentRecord(report, now, report.load)
+            self._agents[report.agent] = record
+            return []
+        known = record.report
+        if report.incarnation < known.incarnation:
+            return []
+        actions: list[LedgerAction] = []
+        if report.incarnation > known.incarnation:
+            actions = self._lose_attempts(record, now)
+        reconnected = report.link != known.link
+        record.report = report
+        record.load = report.load
+        record.heard_at = now
+        if reconnected and record.outstanding:
+            actions.extend(self._inquire(record, now, set(record.outstanding)))
+        return actions
+
+    def hear_results(
+        self, results: _messages.Results, now: datetime.datetime
+    ) -> list[LedgerAction]:
+        """Take in the outcomes of attempts."""
+        record = self._agents.get(results.agent)
+        if record is None or (
+            record.report.incarnation != results.incarnation
+        ):
+            self.counters.unmatched += len(results.reports)
+            return []
+        record.heard_at = now
+        actions: list[LedgerAction] = []
+        for report in results.reports:
+            attempt = self._attempts.get(report.attempt)
+            if attempt is None or attempt.agent != results.agent:
+                self.counters.unmatched += 1
+                continue
+            actions.extend(self._apply(attempt, report, now))
+        record.load = results.load
+        return actions
+
+    def hear_unsent(
+        self, agent: str, attempts: tuple[int, ...], now: datetime.datetime
+    ) -> list[LedgerAction]:
+        """Take in that a dispatch was not handed to the network."""
+        actions: list[LedgerAction] = []
+        for sequence in attempts:
+            attempt = self._attempts.get(sequence)
+            if attempt is None:
+                continue
+            report = _messages.AttemptReport(
+                sequence, _messages.Outcome.NOT_STARTED
+            )
+            actions.extend(self._apply(attempt, report, now))
+        record = self._agents.get(agent)
+        if record is not None:
+            record.heard_at = now - AGENT_SUSPECT_AFTER
+        return actions
+
+    def cancel(
+        self, job: _jobs.Job, now: datetime.datetime
+    ) -> list[LedgerAction]:
+        """Fail a job because its caller asked or went away."""
+        return self.fail(
+            job, _jobs.Failure.CANCELLED, "the job was cancelled", now
+        )
+
+    def cancel_all(
+        self, jobs: list[_jobs.Job], now: datetime.datetime
+    ) -> list[LedgerAction]:
+        """Cancel many jobs with one message for each agent."""
+        actions: list[LedgerAction] = []
+        for job in jobs:
+            actions.extend(self.cancel(job, now))
+        return merge_withdraws(actions)
+
+    def fail(
+        self,
+        job: _jobs.Job,
+        failure: _jobs.Failure,
+        message: str,
+        now: datetime.datetime,
+    ) -> list[LedgerAction]:
+        """Fail a job and withdraw its attempts."""
+        if not job.machine.allows("fail"):
+            return []
+        if job.failure is not None:
+            return []
+        job.machine.fire("fail")
+        job.failure = failure
+        job.message = message
+        job.waiting.clear()
+        job.settle_by = now + SETTLE_TIMEOUT
+        actions = self._withdraw(list(job.active.values()), now, stop=True)
+        return actions + self._settle(job, now)
+
+    def tick(self, now: datetime.datetime) -> list[LedgerAction]:
+        """Act on everything that time alone brings about."""
+        actions: list[LedgerAction] = []
+        for job in list(self._jobs.values()):
+            if now >= job.deadline:
+                actions.extend(
+                    self.fail(
+                        job,
+                        _jobs.Failure.DEADLINE,
+                        "the deadline passed; allow more time",
+                        now,
+                    )
+                )
+            actions.extend(self._settle(job, now))
+        for name, record in list(self._agents.items()):
+            actions.extend(self._watch_agent(name, record, now))
+        return merge_withdraws(actions)
+
+    def assign(
+        self, now: datetime.datetime, quotas: dict[str, int]
+    ) -> list[LedgerAction]:
+        """Choose targets for waiting tasks and return the dispatches.
+
+        :param quotas: slots that each team may use at this entry
+        """
+        by_service: dict[str, list[_jobs.Job]] = {}
+        for job in self._jobs.values():
+            if job.waiting:
+                by_service.setdefault(job.service, []).append(job)
+        allowances = dict(quotas)
+        for job in self._jobs.values():
+            if job.team in allowances:
+                allowances[job.team] -= len(job.active)
+        actions: list[LedgerAction] = []
+        for service, jobs in by_service.items():
+            targets = self._view_targets(service, now)
+            chosen = _placement.choose_assignments(
+                self._policy,
+                [self._view_job(job) for job in jobs],
+                targets,
+                allowances,
+                now,
+            )
+            actions.extend(self._send(chosen, now))
+        return actions
+
+    def _view_targets(
+        self, service: str, now: datetime.datetime
+    ) -> list[_placement.TargetView]:
+        return [
+            _placement.TargetView(
+                name,
+                record.report.resources,
+                record.load.slots,
+                record.load.others + len(record.outstanding),
+                self.estimates.get_speed(name),
+            )
+            for name, record in self._agents.items()
+            if record.report.service == service
+            and now - record.heard_at < AGENT_SUSPECT_AFTER
+        ]
+
+    def _view_job(self, job: _jobs.Job) -> _placement.WaitingJob:
+        tasks = [self._view_task(job, index) for index in job.waiting]
+        tasks.sort(key=lambda task: -task.seconds)
+        remaining = sum(task.seconds for task in tasks)
+        return _placement.WaitingJob(
+            job.id, job.team, job.submitted_at, remaining, tuple(tasks)
+        )
+
+    def _view_task(self, job: _jobs.Job, index: int) -> _placement.WaitingTask:
+        request = job.request.tasks[index]
+        seconds = self.estimates.estimate_seconds(
+            request.kind, request.size_ms
+        )
+        return _placement.WaitingTask(job.id, index, seconds, request.needs)
+
+    def _send(
+        self, chosen: list[_placement.Assignment], now: datetime.datetime
+    ) -> list[LedgerAction]:
+        by_agent: dict[str, list[_messages.Order]] = {}
+        for assignment in chosen:
+            order = self._start_attempt(assignment, now)
+            by_agent.setdefault(assignment.agent, []).append(order)
+        return [
+            SendOrders(
+                agent, self._agents[agent].report.incarnation, tuple(orders)
+            )
+            for agent, orders in by_agent.items()
+        ]
+
+    def _start_attempt(
+        self, assignment: _placement.Assignment, now: datetime.datetime
+    ) -> _messages.Order:
+        job = self._jobs[assignment.job]
+        record = self._agents[assignment.agent]
+        self._sequence += 1
+        attempt = _jobs.Attempt(
+            self._sequence,
+            job,
+            assignment.index,
+            assignment.agent,
+            record.report.incarnation,
+            now,
+            _charts.Machine(self._attempt_chart),
+            now,
+        )
+        attempt.machine.fire("send")
+        job.machine.fire("dispatch")
+        job.waiting.remove(assignment.index)
+        job.active[attempt.sequence] = attempt
+        self._attempts[attempt.sequence] = attempt
+        record.outstanding.add(attempt.sequence)
+        self.counters.dispatched += 1
+        request = job.request.tasks[assignment.index]
+        return _messages.Order(
+            attempt.sequence,
+            attempt.task_id,
+            request.kind,
+            bytes(request.payload),
+            job.traceparent,
+        )
+
+    def _apply(
+        self,
+        attempt: _jobs.Attempt,
+        report: _messages.AttemptReport,
+        now: datetime.datetime,
+    ) -> list[LedgerAction]:
+        if attempt.machine.final:
+            return []
+        _advance_attempt(attempt.machine, report.outcome)
+        if not attempt.machine.final:
+            return []
+        self._close_attempt(attempt)
+        actions = self._follow_outcome(attempt, report, now)
+        return actions + self._settle(attempt.job, now)
+
+    def _close_attempt(self, attempt: _jobs.Attempt) -> None:
+        job = attempt.job
+        del self._attempts[attempt.sequence]
+        job.active.pop(attempt.sequence, None)
+        record = self._agents.get(attempt.agent)
+        if record is not None:
+            record.outstanding.discard(attempt.sequence)
+        started = attempt.machine.get_attribute("started")
+        job.known_started |= started == "yes"
+        job.maybe_started |= started == "unknown"
+
+    def _follow_outcome(
+        self,
+        attempt: _jobs.Attempt,
+        report: _messages.AttemptReport,
+        now: datetime.datetime,
+    ) -> list[LedgerAction]:
+        job = attempt.job
+        match report.outcome:
+            case _messages.Outcome.FINISHED:
+                return self._finish_task(attempt, report)
+            case _messages.Outcome.NOT_STARTED:
+                self.counters.refused += 1
+                if job.failure is None:
+                    job.waiting.add(attempt.index)
+                return []
+            case _messages.Outcome.FAILED:
+                detail = report.result.decode(errors="replace")[:200]
+                message = f"task {attempt.index} failed: {detail}"
+                return self.fail(job, _jobs.Failure.TASK_FAILED, message, now)
+        message = f"what became of task {attempt.index} is not known"
+        return self.fail(job, _jobs.Failure.OUTCOME_UNKNOWN, message, now)
+
+    def _finish_task(
+        self, attempt: _jobs.Attempt, report: _messages.AttemptReport
+    ) -> list[LedgerAction]:
+        job = attempt.job
+        request = job.request.tasks[attempt.index]
+        self.estimates.observe(
+            attempt.agent, request.kind, request.size_ms, report.run_ms
+        )
+        if job.failure is not None:
+            return []
+        job.results[attempt.index] = report.result
+        if len(job.results) < len(job.request.tasks):
+            return []
+        job.machine.fire("finish")
+        self.counters.complete += 1
+        del self._jobs[job.id]
+        results = tuple(job.results[i] for i in range(len(job.results)))
+        return [AnswerJob(job, _jobs.JobAnswer(job.id, results))]
+
+    def _settle(
+        self, job: _jobs.Job, now: datetime.datetime
+    ) -> list[LedgerAction]:
+        if job.failure is None or job.id not in self._jobs:
+            return []
+        if job.active and now < job.settle_by:
+            return []
+        started = job.derive_started()
+        job.machine.fire("settle")
+        self.counters.failed += 1
+        del self._jobs[job.id]
+        answer = _jobs.JobAnswer(job.id, (), job.failure, started, job.message)
+        return [AnswerJob(job, answer)]
+
+    def _withdraw(
+        self,
+        attempts: list[_jobs.Attempt],
+        now: datetime.datetime,
+        stop: bool,
+    ) -> list[LedgerAction]:
+        by_agent: dict[tuple[str, int], list[int]] = {}
+        for attempt in attempts:
+            attempt.asked_at = now
+            key = (attempt.agent, attempt.incarnation)
+            by_agent.setdefault(key, []).append(attempt.sequence)
+        return [
+            SendWithdraw(agent, incarnation, tuple(sequences), stop)
+            for (agent, incarnation), sequences in by_agent.items()
+        ]
+
+    def _watch_agent(
+        self, name: str, record: AgentRecord, now: datetime.datetime
+    ) -> list[LedgerAction]:
+        if now - record.heard_at > AGENT_LOST_AFTER:
+            del self._agents[name]
+            return self._lose_attempts(record, now)
+        overdue = {
+            sequence
+            for sequence in record.outstanding
+            if now - self._attempts[sequence].asked_at > INQUIRY_INTERVAL
+        }
+        return self._inquire(record, now, overdue)
+
+    def _inquire(
+        self, record: AgentRecord, now: datetime.datetime, overdue: set[int]
+    ) -> list[LedgerAction]:
+        self.counters.inquiries += len(overdue)
+        attempts = [self._attempts[sequence] for sequence in sorted(overdue)]
+        kept = [a for a in attempts if a.job.failure is None]
+        ended = [a for a in attempts if a.job.failure is not None]
+        actions = self._withdraw(kept, now, stop=False)
+        return actions + self._withdraw(ended, now, stop=True)
+
+    def _lose_attempts(
+        self, record: AgentRecord, now: datetime.datetime
+    ) -> list[LedgerAction]:
+        actions: list[LedgerAction] = []
+        for sequence in sorted(record.outstanding):
+            attempt = self._attempts[sequence]
+            attempt.machine.fire("lose")
+            self._close_attempt(attempt)
+            message = f"the agent that held task {attempt.index} was lost"
+            actions.extend(
+                self.fail(attempt.job, _jobs.Failure.AGENT_LOST, message, now)
+            )
+            actions.extend(self._settle(attempt.job, now))
+        return actions
+
+
+_EVENTS = {
+    _messages.Outcome.FINISHED: "finish",
+    _messages.Outcome.FAILED: "break",
+    _messages.Outcome.NOT_STARTED: "refuse",
+    _messages.Outcome.STOPPED: "stop",
+    _messages.Outcome.RUNNING: "run",
+    _messages.Outcome.UNKNOWN: "lose",
+}
+
+
+def _advance_attempt(
+    machine: _charts.Machine, outcome: _messages.Outcome
+) -> None:
+    event = _EVENTS[outcome]
+    # A repeated or crossed report may tell less than is known already.
+    if machine.allows(event):
+        machine.fire(event)
+
+
+def merge_withdraws(actions: list[LedgerAction]) -> list[LedgerAction]:
+    """Return the actions with one withdrawal for each agent."""
+    merged: list[LedgerAction] = []
+    attempts: dict[tuple[str, int, bool], list[int]] = {}
+    for action in actions:
+        if not isinstance(action, SendWithdraw):
+            merged.append(action)
+            continue
+        key = (action.agent, action.incarnation, action.stop)
+        attempts.setdefault(key, []).extend(action.attempts)
+    for (agent, incarnation, stop), sequences in attempts.items():
+        merged.append(SendWithdraw(agent, incarnation, tuple(sequences), stop))
+    return merged
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -0,0 +1,382 @@
+"""Typed messages between entries and agents, and their wire format.
+
+A message travels as two frames: its kind (the class name) and its body in
+MessagePack.
+"""
+
+import enum
+from typing import Any
+
+import attrs
+import msgspec
+
+from cowslipgate_core import _exceptions
+
+
+class Outcome(enum.StrEnum):
+    """What became of an attempt, as its agent tells it."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    NOT_STARTED = "not_started"
+    STOPPED = "stopped"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why an outcome is not ``finished``."""
+
+    NONE = ""
+    BUSY = "busy"
+    WITHDRAWN = "withdrawn"
+    NOT_SERVING = "not_serving"
+    STALE_CONFIGURATION = "stale_configuration"
+    OTHER_INCARNATION = "other_incarnation"
+    FORGOTTEN = "forgotten"
+    TARGET_UNREACHABLE = "target_unreachable"
+    TARGET_STATUS = "target_status"
+    TARGET_LOST = "target_lost"
+    WRONG_TASK = "wrong_task"
+
+
+@attrs.frozen
+class Resources:
+    """What a target offers or a task needs."""
+
+    memory_mb: int = 0
+    """Memory in MB."""
+
+    accelerators: int = 0
+    """Number of accelerators."""
+
+
+@attrs.frozen
+class Load:
+    """How busy an agent's target is."""
+
+    slots: int
+    """Slots open to work now, after quarantine and leaving."""
+
+    own: int
+    """Tasks running or queued for the entry that is addressed."""
+
+    others: int
+    """Tasks running or queued for all other entries."""
+
+
+@attrs.frozen
+class Report:
+    """Heartbeat of an agent, sent on idle links and on changes."""
+
+    agent: str
+    """Name of the agent, stable over restarts."""
+
+    incarnation: int
+    """Incarnation of the agent process."""
+
+    service: str
+    """Service that its target belongs to, empty when there is none."""
+
+    domain: str
+    """Failure domain of the agent."""
+
+    state: str
+    """State of the target, as in ``charts/target.toml``."""
+
+    resources: Resources
+    """What one task may use on the target."""
+
+    load: Load
+    """How busy the target is."""
+
+    configuration_version: int
+    """Highest configuration version that the agent knows."""
+
+    members_digest: str
+    """Digest of the entries that the agent knows."""
+
+    link: int = 0
+    """Number of times that the agent has connected to the entry."""
+
+
+@attrs.frozen
+class AttemptReport:
+    """What an agent tells of one attempt."""
+
+    attempt: int
+    """Sequence number of the attempt at its entry."""
+
+    outcome: Outcome
+    """What became of it."""
+
+    reason: Reason = Reason.NONE
+    """Why, when it did not finish."""
+
+    result: bytes = b"null"
+    """JSON result of the task, or the target's error."""
+
+    wait_ms: float = 0.0
+    """Time in the agent's queue in milliseconds."""
+
+    run_ms: float = 0.0
+    """Time at the target in milliseconds."""
+
+
+@attrs.frozen
+class Results:
+    """Outcomes of attempts, kept by the agent until acknowledged."""
+
+    agent: str
+    """Name of the agent."""
+
+    incarnation: int
+    """Incarnation of the agent process."""
+
+    load: Load
+    """How busy the target is."""
+
+    reports: tuple[AttemptReport, ...]
+    """One report an attempt."""
+
+
+@attrs.frozen
+class Order:
+    """One attempt to run a task."""
+
+    attempt: int
+    """Sequence number, growing in the order of dispatch at the entry."""
+
+    task: str
+    """Id of the task: job, index and attempt."""
+
+    kind: str
+    """Kind of the task."""
+
+    payload: bytes
+    """JSON payload for the target."""
+
+    traceparent: str = ""
+    """W3C trace context for the target, empty when not traced."""
+
+
+@attrs.frozen
+class Dispatch:
+    """Attempts for one agent."""
+
+    entry: int
+    """Incarnation of the sending entry."""
+
+    incarnation: int
+    """Incarnation of the agent that is addressed."""
+
+    configuration_version: int
+    """Version under which the entry decided."""
+
+    orders: tuple[Order, ...]
+    """The attempts."""
+
+    acknowledged: tuple[int, ...] = ()
+    """Attempts whose outcome the entry has received."""
+
+
+@attrs.frozen
+class Withdraw:
+    """Asks that attempts not yet started never start.
+
+    Attempts that the agent does not know are fenced, so that a late dispatch
+    of them is refused.
+    """
+
+    entry: int
+    """Incarnation of the sending entry."""
+
+    incarnation: int
+    """Incarnation of the agent that is addressed."""
+
+    attempts: tuple[int, ...]
+    """Sequence numbers of the attempts."""
+
+    stop: bool
+    """Whether running attempts are stopped too."""
+
+
+@attrs.frozen
+class Acknowledge:
+    """Tells that outcomes were received."""
+
+    entry: int
+    """Incarnation of the sending entry."""
+
+    attempts: tuple[int, ...]
+    """Sequence numbers of the attempts."""
+
+
+@attrs.frozen
+class Member:
+    """One entry as the others know it."""
+
+    incarnation: int
+    """Incarnation of the entry process; a restart has a larger one."""
+
+    address: str
+    """ZeroMQ address for agents and entries."""
+
+    http: str
+    """Address for callers, ``host:port``."""
+
+    domain: str
+    """Failure domain."""
+
+
+@attrs.frozen
+class Beat:
+    """Heartbeat of an entry, the answer to a report."""
+
+    entry: int
+    """Incarnation of the sending entry."""
+
+    configuration_version: int
+    """Configuration version in force at the entry."""
+
+    members: tuple[Member, ...]
+    """Live entries, empty when the digest of the report was current."""
+
+    leaving: bool = False
+    """Whether the entry is stopping."""
+
+
+@attrs.frozen
+class Gossip:
+    """What one entry tells the others once a second."""
+
+    member: Member
+    """The sender."""
+
+    configuration_version: int
+    """Configuration version in force at the sender."""
+
+    members: tuple[Member, ...]
+    """Live entries that the sender knows."""
+
+    demand: dict[str, int]
+    """Tasks waiting or running by team."""
+
+    leaving: bool = False
+    """Whether the sender is stopping."""
+
+
+@attrs.frozen
+class ConfigurationPush:
+    """A configuration for another entry."""
+
+    entry: int
+    """Incarnation of the sender."""
+
+    version: int
+    """Version of the document."""
+
+    document: bytes
+    """The document in JSON."""
+
+
+@attrs.frozen
+class ConfigurationRequest:
+    """Asks an entry for its configuration."""
+
+    entry: int
+    """Incarnation of the sender."""
+
+
+@attrs.frozen
+class ConfigurationAcknowledge:
+    """Tells that a version is in force at the sender."""
+
+    entry: int
+    """Incarnation of the sender."""
+
+    version: int
+    """The version in force."""
+
+
+@attrs.frozen
+class CancelRequest:
+    """Asks an entry to cancel a job or every job with a label."""
+
+    request: int
+    """Number of the request at its sender."""
+
+    entry: int
+    """Incarnation of the sender."""
+
+    team: str
+    """Team on whose behalf jobs are cancelled."""
+
+    job: str = ""
+    """Job id, empty when a label is given."""
+
+    service: str = ""
+    """Service of the jobs with the label."""
+
+    label: str = ""
+    """Label of the jobs, empty when a job is given."""
+
+
+@attrs.frozen
+class CancelReply:
+    """Answer to a cancel request."""
+
+    request: int
+    """Number of the request at its sender."""
+
+    entry: int
+    """Incarnation of the answering entry."""
+
+    cancelled: int
+    """Number of jobs cancelled."""
+
+
+_CLASSES = (
+    Report,
+    Results,
+    Dispatch,
+    Withdraw,
+    Acknowledge,
+    Beat,
+    Gossip,
+    ConfigurationPush,
+    ConfigurationRequest,
+    ConfigurationAcknowledge,
+    CancelRequest,
+    CancelReply,
+)
+
+_DECODERS = {
+    cls.__name__.encode(): msgspec.msgpack.Decoder(cls) for cls in _CLASSES
+}
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: Any) -> tuple[bytes, bytes]:
+    """Return the kind and body frames of a message."""
+    return type(message).__name__.encode(), _ENCODER.encode(message)
+
+
+def decode_message(kind: bytes, body: bytes) -> Any:
+    """Return the message in the frames ``kind`` and ``body``.
+
+    :raises WireError: when the kind is unknown or the body malformed
+    """
+    decoder = _DECODERS.get(kind)
+    if decoder is None:
+        raise _exceptions.WireError(kind[:32], "unknown kind")
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise _exceptions.WireError(kind, str(error)) from error
+
+
+def encode_identity(agent: str, incarnation: int) -> bytes:
+    """Return the ZeroMQ identity of an agent's incarnation."""
+    return f"{agent}/{incarnation}".encode()
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
@@ -0,0 +1,103 @@
+"""Tests of the entry's jobs and attempts."""
+
+import datetime
+
+import cowslipgate_core as core
+from cowslipgate_core.tests import builders
+import pytest
+
+QUOTAS = {"hall": 100}
+
+
+def _dispatch_one(
+    ledger: core.Ledger, tasks: int = 1
+) -> tuple[core.Job, tuple[core.Order, ...]]:
+    ledger.hear_report(builders.build_report(), builders.NOW)
+    job = builders.build_job(ledger, tasks)
+    ledger.submit(job)
+    (action,) = ledger.assign(builders.NOW, QUOTAS)
+    return job, action.orders
+
+
+def test_job_completes_with_results_in_task_order() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _, orders = _dispatch_one(ledger, tasks=2)
+    index = {order.attempt: order.task.split(".")[1] for order in orders}
+    reports = [
+        core.AttemptReport(
+            order.attempt,
+            core.Outcome.FINISHED,
+            result=index[order.attempt].encode(),
+        )
+        for order in reversed(orders)
+    ]
+    results = builders.build_results(*reports)
+    (action,) = ledger.hear_results(results, builders.NOW)
+    assert action.answer.results == (b"0", b"1")
+
+
+@pytest.mark.parametrize(
+    ("outcome", "started"),
+    [
+        (core.Outcome.NOT_STARTED, core.Started.NONE),
+        (core.Outcome.STOPPED, core.Started.SOME),
+        (core.Outcome.FINISHED, core.Started.SOME),
+        (core.Outcome.UNKNOWN, core.Started.UNKNOWN),
+    ],
+)
+def test_cancelled_job_tells_what_started(
+    outcome: core.Outcome, started: core.Started
+) -> None:
+    ledger = core.Ledger(core.LateBinding())
+    job, orders = _dispatch_one(ledger)
+    (withdraw,) = ledger.cancel(job, builders.NOW)
+    report = core.AttemptReport(withdraw.attempts[0], outcome)
+    results = builders.build_results(report)
+    (action,) = ledger.hear_results(results, builders.NOW)
+    assert action.answer.started is started
+
+
+def test_silent_agent_makes_the_job_fail_as_unknown() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _dispatch_one(ledger)
+    actions = ledger.tick(builders.NOW + datetime.timedelta(seconds=25))
+    (answer,) = [a for a in actions if isinstance(a, core.AnswerJob)]
+    assert answer.answer.failure is core.Failure.AGENT_LOST
+    assert answer.answer.started is core.Started.UNKNOWN
+
+
+def test_refused_attempt_is_sent_again() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _, orders = _dispatch_one(ledger)
+    report = core.AttemptReport(orders[0].attempt, core.Outcome.NOT_STARTED)
+    ledger.hear_results(builders.build_results(report), builders.NOW)
+    (action,) = ledger.assign(builders.NOW, QUOTAS)
+    assert action.orders[0].attempt > orders[0].attempt
+
+
+def test_running_attempt_is_never_sent_again() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _, orders = _dispatch_one(ledger)
+    report = core.AttemptReport(orders[0].attempt, core.Outcome.RUNNING)
+    ledger.hear_results(builders.build_results(report), builders.NOW)
+    assert ledger.assign(builders.NOW, QUOTAS) == []
+
+
+def test_results_of_another_incarnation_are_not_taken() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _, orders = _dispatch_one(ledger)
+    report = core.AttemptReport(orders[0].attempt, core.Outcome.FINISHED)
+    results = builders.build_results(report, incarnation=2)
+    assert ledger.hear_results(results, builders.NOW) == []
+    assert ledger.counters.unmatched == 1
+
+
+def test_cancelling_many_jobs_sends_one_message_to_each_agent() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    ledger.hear_report(builders.build_report(slots=100), builders.NOW)
+    jobs = [builders.build_job(ledger, job_id=f"j-{n}") for n in range(50)]
+    for job in jobs:
+        ledger.submit(job)
+    ledger.assign(builders.NOW, QUOTAS)
+    (action,) = ledger.cancel_all(jobs, builders.NOW)
+    assert len(action.attempts) == len(jobs)
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -0,0 +1,120 @@
+"""HTTP answers to callers and operators."""
+
+import msgspec
+
+import cowslipgate_core as core
+from cowslipgate_entry import _requests
+import cowslipgate_transport as transport
+
+RETRY_AFTER_SECONDS = "1"
+
+STATUSES = {
+    core.Failure.MALFORMED: 400,
+    core.Failure.UNAUTHORIZED: 401,
+    core.Failure.UNKNOWN_SERVICE: 404,
+    core.Failure.ALREADY_CLAIMED: 409,
+    core.Failure.CANCELLED: 409,
+    core.Failure.TOO_LARGE: 413,
+    core.Failure.INFEASIBLE: 422,
+    core.Failure.QUOTA: 429,
+    core.Failure.TASK_FAILED: 502,
+    core.Failure.AGENT_LOST: 502,
+    core.Failure.OUTCOME_UNKNOWN: 502,
+    core.Failure.OVERLOADED: 503,
+    core.Failure.NO_CONFIGURATION: 503,
+    core.Failure.STORE_UNAVAILABLE: 503,
+    core.Failure.STOPPING: 503,
+    core.Failure.DEADLINE: 504,
+}
+
+PATCH_STATUSES = {
+    _requests.PatchProblem.OUTDATED: 412,
+    _requests.PatchProblem.INVALID: 422,
+    _requests.PatchProblem.KEY_REUSED: 422,
+    _requests.PatchProblem.STORE_UNAVAILABLE: 503,
+    _requests.PatchProblem.OUTCOME_UNKNOWN: 503,
+}
+
+
+def answer_job(answer: core.JobAnswer) -> transport.Answer:
+    """Return the HTTP answer to a submission."""
+    if answer.failure is not None:
+        return answer_failure(
+            answer.failure, answer.message, answer.started, answer.job
+        )
+    body = {
+        "job": answer.job,
+        "status": "complete",
+        "results": [msgspec.Raw(result) for result in answer.results],
+    }
+    return transport.Answer(200, msgspec.json.encode(body))
+
+
+def answer_failure(
+    failure: core.Failure,
+    message: str,
+    started: core.Started = core.Started.NONE,
+    job: str = "",
+) -> transport.Answer:
+    """Return the HTTP answer for a failed or refused job."""
+    body = {
+        "job": job,
+        "status": "failed",
+        "error": {
+            "type": failure.value,
+            "started": started.value,
+            "message": message,
+        },
+    }
+    status = STATUSES[failure]
+    headers = {}
+    if status in (429, 503):
+        headers["Retry-After"] = RETRY_AFTER_SECONDS
+    return transport.Answer(status, msgspec.json.encode(body), headers)
+
+
+def answer_error(status: int, kind: str, message: str) -> transport.Answer:
+    """Return the HTTP answer for a request that is not a submission."""
+    body = {"error": {"type": kind, "message": message}}
+    return transport.Answer(status, msgspec.json.encode(body))
+
+
+def answer_patch(outcome: _requests.PatchOutcome) -> transport.Answer:
+    """Return the HTTP answer to a patch."""
+    headers = {"ETag": f'"{outcome.version}"'}
+    if outcome.problem is None:
+        body = {
+            "version": outcome.version,
+            "in_force": [str(entry) for entry in outcome.acknowledged],
+            "lapsed": [str(entry) for entry in outcome.lapsed],
+        }
+        return transport.Answer(200, msgspec.json.encode(body), headers)
+    body = {
+        "version": outcome.version,
+        "error": {
+            "type": outcome.problem.value,
+            "message": _describe_problem(outcome),
+            "faults": [
+                {"path": fault.path, "problem": fault.problem}
+                for fault in outcome.faults
+            ],
+        },
+    }
+    status = PATCH_STATUSES[outcome.problem]
+    return transport.Answer(status, msgspec.json.encode(body), headers)
+
+
+def _describe_problem(outcome: _requests.PatchOutcome) -> str:
+    match outcome.problem:
+        case _requests.PatchProblem.OUTDATED:
+            return (
+                f"the current version is {outcome.version}; "
+                "read it and send the patch against that"
+            )
+        case _requests.PatchProblem.INVALID:
+            return "the patched configuration is not valid; see the faults"
+        case _requests.PatchProblem.KEY_REUSED:
+            return "the Idempotency-Key belongs to another patch"
+        case _requests.PatchProblem.STORE_UNAVAILABLE:
+            return "nothing was stored; send the patch again later"
+    return "send the same patch again with the same Idempotency-Key"
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -0,0 +1,346 @@
+"""The component that owns the ledger: jobs, attempts, view of agents."""
+
+import collections
+import datetime
+import functools
+import itertools
+import secrets
+
+import circuits
+
+import cowslipgate_core as core
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+import cowslipgate_transport as transport
+
+CHANNEL = "dispatcher"
+AGENTS_CHANNEL = "internal"
+
+
+class Dispatcher(circuits.BaseComponent):
+    """Takes jobs, sends their tasks to agents and answers."""
+
+    channel = CHANNEL
+
+    def __init__(
+        self, ledger: core.Ledger, member: core.Member, clock: core.Clock
+    ) -> None:
+        super().__init__()
+        self._ledger = ledger
+        self._member = member
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._machine = core.Machine(core.load_chart("entry"))
+        self._configuration: core.Configuration | None = None
+        self._members: tuple[core.Member, ...] = (member,)
+        self._shares: dict[str, int] = {}
+        self._unacknowledged: dict[str, list[int]] = collections.defaultdict(
+            list
+        )
+        self._assigning = False
+        self._claims: dict[str, _requests.Claim] = {}
+
+    @property
+    def state(self) -> str:
+        """State of the entry."""
+        return self._machine.state
+
+    @property
+    def ledger(self) -> core.Ledger:
+        """Jobs, attempts and agents."""
+        return self._ledger
+
+    @circuits.handler("configuration_adopted")
+    def _on_configuration_adopted(
+        self, configuration: core.Configuration
+    ) -> None:
+        self._configuration = configuration
+        self._machine.fire("configure")
+        for name in self._ledger.agents:
+            self._send(name, self._make_beat(with_members=False))
+
+    @circuits.handler("members_changed")
+    def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
+        self._members = members
+
+    @circuits.handler("demand_measured")
+    def _on_demand_measured(self, shares: dict[str, int]) -> None:
+        self._shares = shares
+
+    @circuits.handler("submit_job")
+    def _on_submit_job(self, submission: _requests.Submission) -> None:
+        job = self._make_job(submission)
+        refusal = self._find_refusal(job)
+        if refusal is not None:
+            failure, message = refusal
+            answer = core.JobAnswer(job.id, failure=failure, message=message)
+            self.fire(_events.job_refused(submission, answer), "gateway")
+            return
+        self.fire(_events.job_accepted(submission, job), "gateway")
+        if submission.request.repeatable:
+            self._ledger.submit(job)
+            self._schedule()
+            return
+        key = core.digest_token(f"{submission.team}:{submission.key}")
+        claim = _requests.Claim(key, secrets.token_hex(8), job)
+        self._claims[job.id] = claim
+        self.fire(_events.claim_job(claim), "claims")
+
+    @circuits.handler("job_claimed")
+    def _on_job_claimed(
+        self,
+        claim: _requests.Claim,
+        outcome: _requests.ClaimOutcome,
+        known: str,
+    ) -> None:
+        job = claim.job
+        if self._claims.pop(job.id, None) is None:
+            return
+        if outcome is _requests.ClaimOutcome.CLAIMED:
+            self._ledger.submit(job)
+            self._schedule()
+            return
+        failure = core.Failure.STORE_UNAVAILABLE
+        message = "the claim could not be stored; send it again later"
+        if outcome is _requests.ClaimOutcome.TAKEN:
+            failure = core.Failure.ALREADY_CLAIMED
+            message = f"the key was used before, by job {known}"
+        answer = core.JobAnswer(job.id, failure=failure, message=message)
+        self.fire(_events.job_answered(job, answer), "gateway")
+
+    @circuits.handler("abandon_job")
+    def _on_abandon_job(self, job_id: str) -> None:
+        job = self._ledger.jobs.get(job_id)
+        if job is not None:
+            self._perform(self._ledger.cancel(job, self._clock.now()))
+
+    @circuits.handler("cancel_jobs")
+    def _on_cancel_jobs(self, cancellation: _requests.Cancellation) -> None:
+        now = self._clock.now()
+        jobs = [
+            job
+            for job in self._ledger.jobs.values()
+            if _matches(cancellation, job)
+        ]
+        actions = self._ledger.cancel_all(jobs, now)
+        self._perform(actions)
+        self.fire(
+            _events.jobs_cancelled(cancellation, len(jobs)), "cancellations"
+        )
+
+    @circuits.handler("message_received", channel=AGENTS_CHANNEL)
+    def _on_message_received(self, identity: bytes, message: object) -> None:
+        _handle_message(message, self, self._clock.now())
+
+    @circuits.handler("message_unsent", channel=AGENTS_CHANNEL)
+    def _on_message_unsent(self, identity: bytes, message: object) -> None:
+        if not isinstance(message, core.Dispatch):
+            return
+        agent = identity.decode().rpartition("/")[0]
+        attempts = tuple(order.attempt for order in message.orders)
+        self._perform(
+            self._ledger.hear_unsent(agent, attempts, self._clock.now())
+        )
+        self._schedule()
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        self._perform(self._ledger.tick(self._clock.now()))
+        self._schedule()
+        if self._machine.state == "draining" and not (
+            self._ledger.jobs or self._claims
+        ):
+            self._machine.fire("empty")
+            for name in self._ledger.agents:
+                self._send(name, self._make_beat(with_members=False))
+            self.fire(_events.entry_drained(), "process")
+
+    @circuits.handler("drain")
+    def _on_drain(self) -> None:
+        if self._machine.allows("drain"):
+            self._machine.fire("drain")
+
+    @circuits.handler("assign_tasks")
+    def _on_assign_tasks(self) -> None:
+        self._assigning = False
+        if self._configuration is None:
+            return
+        self._perform(
+            self._ledger.assign(self._clock.now(), self._get_quotas())
+        )
+        for agent, attempts in self._unacknowledged.items():
+            message = core.Acknowledge(
+                self._member.incarnation, tuple(attempts)
+            )
+            self._send(agent, message)
+        self._unacknowledged.clear()
+
+    def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
+        """Take in an agent's heartbeat and answer it."""
+        self._perform(self._ledger.hear_report(report, now))
+        version = report.configuration_version
+        if version > self._get_version():
+            self.fire(_events.configuration_wanted(version), "keeper")
+        current = core.digest_members(self._members)
+        beat = self._make_beat(report.members_digest != current)
+        self._send(report.agent, beat)
+        self._schedule()
+
+    def hear_results(
+        self, results: core.Results, now: datetime.datetime
+    ) -> None:
+        """Take in outcomes and have them acknowledged."""
+        kept = [
+            report.attempt
+            for report in results.reports
+            if report.outcome is not core.Outcome.RUNNING
+        ]
+        self._unacknowledged[results.agent].extend(kept)
+        self._perform(self._ledger.hear_results(results, now))
+        self._schedule()
+
+    def _make_job(self, submission: _requests.Submission) -> core.Job:
+        now = self._clock.now()
+        number = next(self._numbers)
+        milliseconds = submission.request.deadline_ms
+        if milliseconds is None and self._configuration is not None:
+            service = self._configuration.document.services.get(
+                submission.service, core.Service()
+            )
+            milliseconds = service.default_deadline_ms
+        deadline = now + datetime.timedelta(milliseconds=milliseconds or 0)
+        return core.Job(
+            f"{self._member.incarnation:x}-{number:x}",
+            submission.team,
+            submission.service,
+            submission.request,
+            now,
+            deadline,
+            self._ledger.make_machine(),
+            traceparent=submission.traceparent,
+        )
+
+    def _find_refusal(self, job: core.Job) -> tuple[core.Failure, str] | None:
+        if self._machine.get_attribute("accepts") != "yes":
+            if self._configuration is None:
+                return (
+                    core.Failure.NO_CONFIGURATION,
+                    "no configuration has been read yet; try again",
+                )
+            return core.Failure.STOPPING, "the entry is stopping; try again"
+        service = self._configuration.document.services.get(job.service)
+        if service is None:
+            return (
+                core.Failure.UNKNOWN_SERVICE,
+                f"there is no service {job.service!r}",
+            )
+        if len(job.request.tasks) > service.max_tasks:
+            return (
+                core.Failure.TOO_LARGE,
+                f"a job may have {service.max_tasks} tasks",
+            )
+        index = self._ledger.find_infeasible(job)
+        if index is not None:
+            return (
+                core.Failure.INFEASIBLE,
+                f"no target has what $.tasks[{index}].needs asks for",
+            )
+        waiting = self._ledger.count_waiting(job.service)
+        if waiting + len(job.request.tasks) > service.max_backlog:
+            return core.Failure.OVERLOADED, "too many tasks wait; try later"
+        return None
+
+    def _get_quotas(self) -> dict[str, int]:
+        teams = self._configuration.document.teams
+        return {
+            name: self._shares.get(name, team.slots)
+            for name, team in teams.items()
+        }
+
+    def _get_version(self) -> int:
+        configuration = self._configuration
+        return configuration.version if configuration is not None else 0
+
+    def _make_beat(self, with_members: bool) -> core.Beat:
+        return core.Beat(
+            self._member.incarnation,
+            self._get_version(),
+            self._members if with_members else (),
+            self._machine.state == "stopped",
+        )
+
+    def _schedule(self) -> None:
+        # One pass takes in everything that arrived in the same turn.
+        if not self._assigning:
+            self._assigning = True
+            self.fire(_events.assign_tasks())
+
+    def _perform(self, actions: list[core.LedgerAction]) -> None:
+        for action in actions:
+            match action:
+                case core.SendOrders():
+                    self._dispatch(action)
+                case core.SendWithdraw():
+                    message = core.Withdraw(
+                        self._member.incarnation,
+                        action.incarnation,
+                        action.attempts,
+                        action.stop,
+                    )
+                    self._send_to(action.agent, action.incarnation, message)
+                case core.AnswerJob():
+                    self.fire(
+                        _events.job_answered(action.job, action.answer),
+                        "gateway",
+                    )
+
+    def _dispatch(self, action: core.SendOrders) -> None:
+        message = core.Dispatch(
+            self._member.incarnation,
+            action.incarnation,
+            self._get_version(),
+            action.orders,
+            tuple(self._unacknowledged.pop(action.agent, ())),
+        )
+        self._send_to(action.agent, action.incarnation, message)
+
+    def _send(self, agent: str, message: object) -> None:
+        record = self._ledger.agents.get(agent)
+        if record is not None:
+            self._send_to(agent, record.report.incarnation, message)
+
+    def _send_to(self, agent: str, incarnation: int, message: object) -> None:
+        identity = core.encode_identity(agent, incarnation)
+        self.fire(transport.send_message(identity, message), AGENTS_CHANNEL)
+
+
+def _matches(cancellation: _requests.Cancellation, job: core.Job) -> bool:
+    if job.team != cancellation.team:
+        return False
+    if cancellation.job:
+        return job.id == cancellation.job
+    return (
+        job.service == cancellation.service
+        and job.request.label == cancellation.label
+    )
+
+
+@functools.singledispatch
+def _handle_message(
+    message: object, dispatcher: Dispatcher, now: datetime.datetime
+) -> None:
+    """Hand a message to the dispatcher, by its type."""
+
+
+@_handle_message.register
+def _handle_report(
+    message: core.Report, dispatcher: Dispatcher, now: datetime.datetime
+) -> None:
+    dispatcher.hear_report(message, now)
+
+
+@_handle_message.register
+def _handle_results(
+    message: core.Results, dispatcher: Dispatcher, now: datetime.datetime
+) -> None:
+    dispatcher.hear_results(message, now)
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -0,0 +1,115 @@
+"""Messages between the components of the entry."""
+
+import circuits
+
+
+class submit_job(circuits.Event):
+    """Asks to take a job; the argument is a Submission."""
+
+
+class job_refused(circuits.Event):
+    """A job was not taken; arguments are Submission and JobAnswer."""
+
+
+class job_accepted(circuits.Event):
+    """A job was taken; arguments are Submission and Job."""
+
+
+class job_answered(circuits.Event):
+    """A job was answered; arguments are Job and JobAnswer."""
+
+
+class abandon_job(circuits.Event):
+    """A caller went away; the argument is the job's id."""
+
+
+class spread_cancellation(circuits.Event):
+    """Asks to cancel jobs at every entry; the argument is a Cancellation."""
+
+
+class cancel_jobs(circuits.Event):
+    """Asks to cancel jobs here; the argument is a Cancellation."""
+
+
+class jobs_cancelled(circuits.Event):
+    """Jobs were cancelled; arguments are Cancellation and their number."""
+
+
+class assign_tasks(circuits.Event):
+    """Asks to choose targets for waiting tasks."""
+
+
+class flush_acknowledgements(circuits.Event):
+    """Asks to send the acknowledgements gathered."""
+
+
+class claim_job(circuits.Event):
+    """Asks to claim a job that may not be repeated; a Claim."""
+
+
+class write_claims(circuits.Event):
+    """Asks to write the claims gathered in one transaction."""
+
+
+class job_claimed(circuits.Event):
+    """A claim was decided; arguments are Claim and ClaimOutcome."""
+
+
+class call_store(circuits.Event):
+    """Asks to call the table service; the argument is a StoreCall."""
+
+
+class store_answered(circuits.Event):
+    """The table service answered; the argument is a StoreAnswer."""
+
+
+class patch_configuration(circuits.Event):
+    """An operator sent a patch; the argument is a Patch."""
+
+
+class patch_decided(circuits.Event):
+    """A patch was decided; arguments are Patch and PatchOutcome."""
+
+
+class adopt_configuration(circuits.Event):
+    """A configuration came from elsewhere; version and encoded document."""
+
+
+class configuration_adopted(circuits.Event):
+    """A configuration is in force; the argument is the Configuration."""
+
+
+class configuration_wanted(circuits.Event):
+    """Somebody knows a newer version; the argument is that version."""
+
+
+class peer_heard(circuits.Event):
+    """Another entry sent a message; the argument is the message."""
+
+
+class tell_peers(circuits.Event):
+    """Asks to send a message to every other entry."""
+
+
+class tell_peer(circuits.Event):
+    """Asks to send to one entry; arguments are incarnation and message."""
+
+
+class members_changed(circuits.Event):
+    """The live entries changed; the argument is the tuple of members."""
+
+
+class demand_measured(circuits.Event):
+    """Quota shares changed; the argument is slots by team."""
+
+
+class tick(circuits.Event):
+    """Fired at a regular interval."""
+
+
+class drain(circuits.Event):
+    """Asks to refuse new jobs and finish those in flight."""
+
+
+class entry_drained(circuits.Event):
+    """Nothing is in flight any more."""
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -0,0 +1,294 @@
+"""The component that answers callers and operators over HTTP."""
+
+import itertools
+import re
+
+import circuits
+import msgspec
+
+import cowslipgate_core as core
+from cowslipgate_entry import _answers
+from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+import cowslipgate_transport as transport
+
+CHANNEL = "gateway"
+_JOBS_PATH = re.compile(r"/v1/services/([^/]+)/jobs")
+_JOB_PATH = re.compile(r"/v1/jobs/([^/]+)")
+_LABEL_PATH = re.compile(r"/v1/services/([^/]+)/cancellations")
+_BEARER = "bearer "
+
+
+class Gateway(circuits.BaseComponent):
+    """Checks who asks, decodes requests and encodes answers."""
+
+    channel = CHANNEL
+
+    def __init__(
+        self,
+        dispatcher: _dispatcher.Dispatcher,
+        member: core.Member,
+        operator_digest: str,
+    ) -> None:
+        super().__init__()
+        self._dispatcher = dispatcher
+        self._member = member
+        digests = (operator_digest,) if operator_digest else ()
+        self._bootstrap = {"bootstrap": core.Operator(digests)}
+        self._configuration: core.Configuration | None = None
+        self._members: tuple[core.Member, ...] = (member,)
+        self._numbers = itertools.count(1)
+        self._jobs: dict[str, transport.Exchange] = {}
+        self._cancellations: dict[int, transport.Exchange] = {}
+
+    @circuits.handler("configuration_adopted")
+    def _on_configuration_adopted(
+        self, configuration: core.Configuration
+    ) -> None:
+        self._configuration = configuration
+
+    @circuits.handler("members_changed")
+    def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
+        self._members = members
+
+    @circuits.handler("http_requested")
+    def _on_http_requested(self, exchange: transport.Exchange) -> None:
+        answer = self._route(exchange)
+        if answer is not None:
+            self.fire(transport.answer_http(exchange, answer))
+
+    @circuits.handler("http_abandoned")
+    def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
+        for job_id, waiting in list(self._jobs.items()):
+            if waiting is exchange:
+                del self._jobs[job_id]
+                self.fire(_events.abandon_job(job_id), "dispatcher")
+
+    @circuits.handler("job_refused")
+    def _on_job_refused(
+        self, submission: _requests.Submission, answer: core.JobAnswer
+    ) -> None:
+        reply = _answers.answer_job(answer)
+        self.fire(transport.answer_http(submission.exchange, reply))
+
+    @circuits.handler("job_accepted")
+    def _on_job_accepted(
+        self, submission: _requests.Submission, job: core.Job
+    ) -> None:
+        self._jobs[job.id] = submission.exchange
+
+    @circuits.handler("job_answered")
+    def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
+        exchange = self._jobs.pop(job.id, None)
+        if exchange is not None:
+            reply = _answers.answer_job(answer)
+            self.fire(transport.answer_http(exchange, reply))
+
+    @circuits.handler("jobs_cancelled")
+    def _on_jobs_cancelled(
+        self, cancellation: _requests.Cancellation, count: int
+    ) -> None:
+        exchange = self._cancellations.pop(cancellation.number, None)
+        if exchange is None:
+            return
+        body = msgspec.json.encode({"cancelled": count})
+        status = 404 if cancellation.job and not count else 200
+        self.fire(
+            transport.answer_http(exchange, transport.Answer(status, body))
+        )
+
+    @circuits.handler("patch_decided")
+    def _on_patch_decided(
+        self, patch: _requests.Patch, outcome: _requests.PatchOutcome
+    ) -> None:
+        reply = _answers.answer_patch(outcome)
+        self.fire(transport.answer_http(patch.exchange, reply))
+
+    def _route(self, exchange: transport.Exchange) -> transport.Answer | None:
+        match exchange.method, exchange.path:
+            case "GET", "/v1/health":
+                return self._answer_health()
+            case "GET", "/v1/members":
+                return transport.Answer(
+                    200, msgspec.json.encode(self._members)
+                )
+            case "GET", "/v1/configuration":
+                return self._answer_configuration(exchange)
+            case "PATCH", "/v1/configuration":
+                return self._take_patch(exchange)
+            case "GET", "/v1/status":
+                return self._answer_status(exchange)
+        return self._route_caller(exchange)
+
+    def _route_caller(
+        self, exchange: transport.Exchange
+    ) -> transport.Answer | None:
+        jobs = _JOBS_PATH.fullmatch(exchange.path)
+        label = _LABEL_PATH.fullmatch(exchange.path)
+        job = _JOB_PATH.fullmatch(exchange.path)
+        known = jobs or label or job
+        if known is None:
+            return _answers.answer_error(404, "not_found", "no such path")
+        if self._configuration is None:
+            return _answers.answer_failure(
+                core.Failure.NO_CONFIGURATION,
+                "no configuration has been read yet; try again",
+            )
+        team = self._find_team(exchange)
+        if not team:
+            return _answers.answer_failure(
+                core.Failure.UNAUTHORIZED,
+                "send Authorization: Bearer with the token of a team",
+            )
+        if jobs is not None and exchange.method == "POST":
+            return self._take_job(exchange, team, jobs[1])
+        if label is not None and exchange.method == "POST":
+            return self._take_cancellation(exchange, team, label[1])
+        if job is not None and exchange.method == "DELETE":
+            cancellation = _requests.Cancellation(
+                next(self._numbers), team, job=job[1]
+            )
+            return self._cancel(exchange, cancellation)
+        return _answers.answer_error(
+            405, "method_not_allowed", "see docs/API.md"
+        )
+
+    def _take_job(
+        self, exchange: transport.Exchange, team: str, service: str
+    ) -> transport.Answer | None:
+        try:
+            request = core.parse_job(exchange.body)
+        except core.WireError as error:
+            return _answers.answer_failure(
+                core.Failure.MALFORMED, error.problem
+            )
+        key = exchange.headers.get("idempotency-key", "")
+        if not request.repeatable and not key:
+            return _answers.answer_failure(
+                core.Failure.MALFORMED,
+                'repeatable is false: send the header "Idempotency-Key"',
+            )
+        submission = _requests.Submission(
+            exchange,
+            team,
+            service,
+            request,
+            key,
+            exchange.headers.get("traceparent", ""),
+        )
+        self.fire(_events.submit_job(submission), "dispatcher")
+        return None
+
+    def _take_cancellation(
+        self, exchange: transport.Exchange, team: str, service: str
+    ) -> transport.Answer | None:
+        try:
+            body = msgspec.json.decode(exchange.body, type=dict[str, str])
+        except msgspec.MsgspecError as error:
+            return _answers.answer_error(400, "malformed", str(error))
+        label = body.get("label", "")
+        if not label:
+            return _answers.answer_error(
+                400, "malformed", "$.label: must be a text"
+            )
+        cancellation = _requests.Cancellation(
+            next(self._numbers), team, service=service, label=label
+        )
+        return self._cancel(exchange, cancellation)
+
+    def _cancel(
+        self,
+        exchange: transport.Exchange,
+        cancellation: _requests.Cancellation,
+    ) -> None:
+        self._cancellations[cancellation.number] = exchange
+        self.fire(_events.spread_cancellation(cancellation), "cancellations")
+
+    def _take_patch(
+        self, exchange: transport.Exchange
+    ) -> transport.Answer | None:
+        if not self._is_operator(exchange):
+            return _refuse_operator()
+        expected = exchange.headers.get("if-match", "").strip('"')
+        key = exchange.headers.get("idempotency-key", "")
+        if not expected.isdigit() or not key:
+            return _answers.answer_error(
+                428,
+                "precondition_required",
+                'send If-Match: "<version>" and an Idempotency-Key',
+            )
+        try:
+            changes = msgspec.json.decode(exchange.body)
+        except msgspec.MsgspecError as error:
+            return _answers.answer_error(400, "malformed", str(error))
+        patch = _requests.Patch(
+            exchange, int(expected), core.digest_token(key), changes
+        )
+        self.fire(_events.patch_configuration(patch), "keeper")
+        return None
+
+    def _answer_health(self) -> transport.Answer:
+        state = self._dispatcher.state
+        status = 200 if state == "serving" else 503
+        return transport.Answer(status, msgspec.json.encode({"state": state}))
+
+    def _answer_configuration(
+        self, exchange: transport.Exchange
+    ) -> transport.Answer:
+        if not self._is_operator(exchange):
+            return _refuse_operator()
+        configuration = self._configuration
+        if configuration is None:
+            return _answers.answer_error(
+                503, "no_configuration", "try again later"
+            )
+        headers = {"ETag": f'"{configuration.version}"'}
+        return transport.Answer(200, configuration.encode(), headers)
+
+    def _answer_status(self, exchange: transport.Exchange) -> transport.Answer:
+        if not self._is_operator(exchange):
+            return _refuse_operator()
+        ledger = self._dispatcher.ledger
+        configuration = self._configuration
+        body = {
+            "entry": str(self._member.incarnation),
+            "state": self._dispatcher.state,
+            "configuration_version": (
+                configuration.version if configuration is not None else None
+            ),
+            "members": self._members,
+            "jobs": len(ledger.jobs),
+            "counters": ledger.counters,
+            "agents": [record.report for record in ledger.agents.values()],
+        }
+        return transport.Answer(200, msgspec.json.encode(body))
+
+    def _find_team(self, exchange: transport.Exchange) -> str:
+        return core.find_holder(
+            self._configuration.document.teams, _get_token(exchange)
+        )
+
+    def _is_operator(self, exchange: transport.Exchange) -> bool:
+        token = _get_token(exchange)
+        if core.find_holder(self._bootstrap, token):
+            return True
+        if self._configuration is None:
+            return False
+        operators = self._configuration.document.operators
+        return bool(core.find_holder(operators, token))
+
+
+def _get_token(exchange: transport.Exchange) -> str:
+    header = exchange.headers.get("authorization", "")
+    if not header.lower().startswith(_BEARER):
+        return ""
+    return header[len(_BEARER) :]
+
+
+def _refuse_operator() -> transport.Answer:
+    return _answers.answer_error(
+        401,
+        "unauthorized",
+        "send Authorization: Bearer with the token of an operator",
+    )
--- /dev/null
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -0,0 +1,32 @@
+"""Circuits components that own HTTP and ZeroMQ sockets."""
+
+from cowslipgate_transport import _http_client
+from cowslipgate_transport import _http_server
+from cowslipgate_transport import _message_socket
+
+Address = _http_client.Address
+Answer = _http_server.Answer
+answer_http = _http_server.answer_http
+Call = _http_client.Call
+call_http = _http_client.call_http
+CallAnswer = _http_client.CallAnswer
+CallFailure = _http_client.CallFailure
+CallProblem = _http_client.CallProblem
+cancel_http = _http_client.cancel_http
+Exchange = _http_server.Exchange
+http_abandoned = _http_server.http_abandoned
+http_answered = _http_client.http_answered
+http_failed = _http_client.http_failed
+http_requested = _http_server.http_requested
+HttpClient = _http_client.HttpClient
+HttpServer = _http_server.HttpServer
+message_malformed = _message_socket.message_malformed
+message_received = _message_socket.message_received
+message_unsent = _message_socket.message_unsent
+MessageSocket = _message_socket.MessageSocket
+open_dealer = _message_socket.open_dealer
+open_router = _message_socket.open_router
+parse_address = _http_client.parse_address
+peer_connected = _message_socket.peer_connected
+send_message = _message_socket.send_message
+ServerLimits = _http_server.ServerLimits
--- /dev/null
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -0,0 +1,181 @@
+"""ZeroMQ sockets as circuits components that exchange typed messages."""
+
+from typing import Any
+
+import circuits
+from circuits.core import pollers
+import zmq
+
+import cowslipgate_core as core
+
+MAX_MESSAGE_BYTES = 16_777_216
+HIGH_WATER_MARK = 10_000
+HEARTBEAT_MS = 2_000
+HEARTBEAT_TIMEOUT_MS = 6_000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2_000
+LINGER_MS = 1_000
+FRAMES = 2
+
+
+class send_message(circuits.Event):
+    """Asks a socket to send; the arguments are identity and message.
+
+    Sockets with one peer ignore the identity.
+    """
+
+
+class message_received(circuits.Event):
+    """A message came; the arguments are identity and message."""
+
+
+class message_unsent(circuits.Event):
+    """A message was not handed to the network; identity and message."""
+
+
+class message_malformed(circuits.Event):
+    """Frames could not be decoded; identity and WireError."""
+
+
+class peer_connected(circuits.Event):
+    """A connection to the one peer was made; the argument is its identity."""
+
+
+class MessageSocket(circuits.BaseComponent):
+    """Owns one ZeroMQ socket.
+
+    Messages of a ROUTER carry the identity of their sender; those of other
+    sockets carry the identity ``peer`` that is given here.
+    """
+
+    def __init__(
+        self,
+        channel: str,
+        poller: pollers.BasePoller,
+        sock: zmq.Socket,
+        peer: bytes = b"",
+    ) -> None:
+        super().__init__(channel=channel)
+        self._poller = poller
+        self._socket = sock
+        self._peer = peer
+        self._routed = sock.socket_type == zmq.ROUTER
+        self._monitor: zmq.Socket | None = None
+        if not self._routed:
+            self._monitor = sock.get_monitor_socket(
+                zmq.EVENT_HANDSHAKE_SUCCEEDED
+            )
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        for descriptor in self._get_descriptors():
+            poller.addReader(self, descriptor)
+
+    def _get_descriptors(self) -> list[int]:
+        descriptors = [self._socket.getsockopt(zmq.FD)]
+        if self._monitor is not None:
+            descriptors.append(self._monitor.getsockopt(zmq.FD))
+        return descriptors
+
+    @property
+    def endpoint(self) -> str:
+        """Address that the socket is bound to."""
+        return self._socket.getsockopt(zmq.LAST_ENDPOINT).decode()
+
+    def close(self) -> None:
+        """Close the socket; messages already handed over still leave."""
+        for descriptor in self._get_descriptors():
+            self._poller.discard(descriptor)
+        if self._monitor is not None:
+            self._socket.disable_monitor()
+            self._monitor.close(linger=0)
+        self._socket.close(linger=LINGER_MS)
+        self.unregister()
+
+    @circuits.handler("send_message")
+    def _on_send_message(self, identity: bytes, message: Any) -> None:
+        frames = list(core.encode_message(message))
+        if self._routed:
+            frames.insert(0, identity)
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.fire(message_unsent(identity, message))
+        else:
+            self.sent_bytes += sum(len(frame) for frame in frames)
+        # The descriptor is edge-triggered and sending may clear it.
+        self._drain()
+
+    @circuits.handler("_read")
+    def _on_readable(self, descriptor: int) -> None:
+        self._drain()
+
+    def _drain(self) -> None:
+        self._drain_monitor()
+        while not self._socket.closed and (
+            self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN
+        ):
+            try:
+                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            self._receive(frames)
+
+    def _drain_monitor(self) -> None:
+        monitor = self._monitor
+        if monitor is None or monitor.closed:
+            return
+        while monitor.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            monitor.recv_multipart(zmq.NOBLOCK)
+            self.fire(peer_connected(self._peer))
+
+    def _receive(self, frames: list[bytes]) -> None:
+        self.received_bytes += sum(len(frame) for frame in frames)
+        identity = frames.pop(0) if self._routed else self._peer
+        if len(frames) != FRAMES:
+            kind = frames[0] if frames else b""
+            error = core.WireError(kind[:32], "expected two frames")
+            self.fire(message_malformed(identity, error))
+            return
+        try:
+            message = core.decode_message(*frames)
+        except core.WireError as error:
+            self.fire(message_malformed(identity, error))
+            return
+        self.fire(message_received(identity, message))
+
+
+def open_router(context: zmq.Context, bind: str) -> zmq.Socket:
+    """Return a ROUTER socket bound to ``bind``, such as ``tcp://ip:port``.
+
+    :raises zmq.ZMQError: when the address cannot be bound
+    """
+    sock = _open_socket(context, zmq.ROUTER)
+    sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+    sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    sock.bind(bind)
+    return sock
+
+
+def open_dealer(
+    context: zmq.Context, connect: str, identity: bytes
+) -> zmq.Socket:
+    """Return a DEALER socket that connects to ``connect``."""
+    sock = _open_socket(context, zmq.DEALER)
+    sock.setsockopt(zmq.IDENTITY, identity)
+    # Without a connection a send fails at once and nothing stale is queued.
+    sock.setsockopt(zmq.IMMEDIATE, 1)
+    sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    sock.connect(connect)
+    return sock
+
+
+def _open_socket(context: zmq.Context, kind: int) -> zmq.Socket:
+    sock = context.socket(kind)
+    sock.setsockopt(zmq.LINGER, 0)
+    sock.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
+    sock.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+    sock.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    return sock
