--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 PACKAGES := core transport entry agent bench
 
-.PHONY: setup test demo lint format check-format
+.PHONY: setup test demo lint format check-format capacity
 
 setup: $(VENV)/installed
 
@@ -26,3 +26,6 @@
 
 check-format: setup
 	$(PYTHON) -m ruff format --check packages
+
+capacity: setup
+	$(PYTHON) -m cowslipgate_bench capacity
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -1,11 +1,14 @@
 """Command line of the bench."""
 
+import datetime
 import json
+import pathlib
 
 import cyclopts
 
 from cowslipgate_bench import _agents
 from cowslipgate_bench import _balancer
+from cowslipgate_bench import _capacity_page
 from cowslipgate_bench import _demo
 from cowslipgate_bench import _table
 from cowslipgate_bench import _target
@@ -26,9 +29,16 @@
 
 
 @app.command
-def agents(service: str, prefix: str, count: int, balancer: int) -> None:
-    """Serve stand-ins of many agents whose tasks take no time."""
-    _agents.run_agents(service, prefix, count, balancer)
+def agents(
+    service: str,
+    prefix: str,
+    count: int,
+    balancer: int,
+    longest_ms: float = 0.0,
+) -> None:
+    """Serve stand-ins of many agents without targets."""
+    longest = datetime.timedelta(milliseconds=longest_ms)
+    _agents.run_agents(service, prefix, count, balancer, longest)
 
 
 @app.command
@@ -37,6 +47,18 @@
     _balancer.run_balancer(port, list(entries))
 
 
+@app.command
+def capacity(
+    folder: pathlib.Path = pathlib.Path("docs"),
+    slopes: pathlib.Path = pathlib.Path(),
+) -> None:
+    """Measure slopes and write the capacity page into a folder.
+
+    Given a file of slopes, work the page out from these.
+    """
+    _capacity_page.run_capacity(folder, slopes)
+
+
 @app.command
 def demo() -> None:
     """Show a whole deployment at work."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_agents.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_agents.py
@@ -1,9 +1,14 @@
-"""Stand-in for many agents in one process, whose tasks take no time.
+"""Stand-in for many agents in one process, without targets.
 
-It measures what an entry costs, so it answers each dispatch at once and sends
-the heartbeats that real agents send.
+It measures what an entry costs: it ends each task after a time drawn from a
+seeded generator and sends the heartbeats that real agents send.
 """
 
+import datetime
+import heapq
+import itertools
+import random
+
 import circuits
 from circuits.core import pollers
 import cowslipgate_core as core
@@ -14,6 +19,7 @@
 CHANNEL = "agents"
 HEARTBEAT_SECONDS = 1.0
 DISCOVERY_CHANNEL = "discovery"
+TICK_SECONDS = 0.002
 SLOTS = 8
 INCARNATION = 1
 
@@ -22,6 +28,10 @@
     """Asks to send a heartbeat for every agent."""
 
 
+class end_due(circuits.Event):
+    """Fired often, to end the tasks whose time has come."""
+
+
 class StandInAgents(circuits.BaseComponent):
     """Owns one socket for each pair of agent and entry."""
 
@@ -34,8 +44,15 @@
         count: int,
         balancer: int,
         poller: pollers.BasePoller,
+        clock: core.Clock,
+        longest: datetime.timedelta,
     ) -> None:
         super().__init__()
+        self._clock = clock
+        self._longest = longest
+        self._random = random.Random(prefix)
+        self._numbers = itertools.count(1)
+        self._ends: list[tuple[datetime.datetime, int, bytes, int]] = []
         self._service = service
         self._names = [f"{prefix}-{number}" for number in range(count)]
         self._balancer = balancer
@@ -76,9 +93,27 @@
         self._version = max(self._version, version)
         if not isinstance(message, core.Dispatch):
             return
+        attempts = [order.attempt for order in message.orders]
+        if not self._longest:
+            self._finish(peer, attempts)
+            return
+        now = self._clock.now()
+        for attempt in attempts:
+            end = now + self._longest * self._random.random()
+            item = (end, next(self._numbers), peer, attempt)
+            heapq.heappush(self._ends, item)
+
+    @circuits.handler("end_due")
+    def _on_end_due(self) -> None:
+        now = self._clock.now()
+        while self._ends and self._ends[0][0] <= now:
+            _, _, peer, attempt = heapq.heappop(self._ends)
+            self._finish(peer, [attempt])
+
+    def _finish(self, peer: bytes, attempts: list[int]) -> None:
         reports = tuple(
-            core.AttemptReport(order.attempt, core.Outcome.FINISHED)
-            for order in message.orders
+            core.AttemptReport(attempt, core.Outcome.FINISHED)
+            for attempt in attempts
         )
         name = peer.decode().partition("@")[0]
         results = core.Results(name, INCARNATION, _make_load(), reports)
@@ -115,13 +150,28 @@
     return core.Load(SLOTS, 0, 0)
 
 
-def run_agents(service: str, prefix: str, count: int, balancer: int) -> None:
-    """Serve ``count`` agents that find the entries by the balancer."""
+def run_agents(
+    service: str,
+    prefix: str,
+    count: int,
+    balancer: int,
+    longest: datetime.timedelta,
+) -> None:
+    """Serve ``count`` agents that find the entries by the balancer.
+
+    :param longest: longest run time of a task; zero ends all at once
+    """
     process = circuits.Component()
     poller = pollers.EPoll().register(process)
     clock = core.SystemClock()
     transport.HttpClient(DISCOVERY_CHANNEL, poller, clock).register(process)
-    StandInAgents(service, prefix, count, balancer, poller).register(process)
+    StandInAgents(
+        service, prefix, count, balancer, poller, clock, longest
+    ).register(process)
+    if longest:
+        circuits.Timer(
+            TICK_SECONDS, end_due(), CHANNEL, persist=True
+        ).register(process)
     circuits.Timer(HEARTBEAT_SECONDS, beat(), CHANNEL, persist=True).register(
         process
     )
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity_page.py
@@ -0,0 +1,303 @@
+"""Works out docs/CAPACITY.md from measured slopes and the users' letter."""
+
+import math
+import pathlib
+
+import attrs
+import msgspec
+
+from cowslipgate_bench import _capacity
+
+WORKERS = 2_000
+ACCELERATORS = 3_300
+STARTS_PER_SECOND = 95_000
+TASKS_IN_A_JOB = 40
+TEAMS = 42
+REGIONS = 4
+DOMAINS = 11
+CHANGES_PER_DAY = 3_600
+IN_FORCE_SECONDS = 12
+RESTARTS_PER_DAY = 220
+SHARE_LIMIT = 0.035
+MEMORY_LIMIT_MB = 32.0
+BYTES_LIMIT = 22_000
+SECONDS_PER_DAY = 86_400
+ENTRY_LOAD = 0.6
+ENTRIES_PER_AGENT = 4
+DOCUMENT_BYTES = 12_000
+TABLE_WRITES_LIMIT = 300
+TABLE_READS_LIMIT = 2_000
+
+
+@attrs.frozen
+class Row:
+    """One line of the page."""
+
+    role: str
+    """Role that bears the cost."""
+
+    quantity: str
+    """What is counted."""
+
+    value: str
+    """What was worked out, with its unit."""
+
+    limit: str
+    """What is allowed, or empty."""
+
+    fits: bool
+    """Whether the value is within the limit."""
+
+    mechanism: str
+    """What carries it, or what has to change."""
+
+
+@attrs.frozen
+class Plan:
+    """The deployment at the letter's size."""
+
+    entries: int
+    """Entries needed for the starts, one failure domain down."""
+
+    agents_per_entry: int
+    """Agents linked to one entry."""
+
+    us_per_task: float
+    """Processor time of an entry for each task in microseconds."""
+
+    heartbeat_seconds: float
+    """Interval that keeps heartbeats within the byte limit."""
+
+
+def plan_deployment(slopes: _capacity.Slopes) -> Plan:
+    """Work out how many entries the letter's size needs."""
+    points = dict(slopes.entry_spread_us_by_tasks.points)
+    us_per_task = points[TASKS_IN_A_JOB] / TASKS_IN_A_JOB
+    busy_cores = STARTS_PER_SECOND * us_per_task / 1_000_000
+    bare = busy_cores / ENTRY_LOAD
+    entries = math.ceil(bare * DOMAINS / (DOMAINS - 1))
+    agents = math.ceil(WORKERS * ENTRIES_PER_AGENT / entries)
+    pair = slopes.report_bytes + slopes.beat_bytes
+    return Plan(entries, agents, us_per_task, agents * pair / BYTES_LIMIT)
+
+
+def make_rows(slopes: _capacity.Slopes, plan: Plan) -> list[Row]:
+    """Return every line of the page."""
+    return [
+        *_make_entry_rows(slopes, plan),
+        *_make_gossip_rows(slopes, plan),
+        *_make_agent_rows(slopes, plan),
+        *_make_table_rows(slopes, plan),
+    ]
+
+
+def _make_entry_rows(slopes: _capacity.Slopes, plan: Plan) -> list[Row]:
+    share = slopes.entry_share_by_agents
+    interval = max(1.0, plan.heartbeat_seconds)
+    control = share.base + share.slope * plan.agents_per_entry / interval
+    memory = slopes.entry_memory_by_agents
+    resident = memory.base + memory.slope * plan.agents_per_entry
+    return [
+        Row(
+            "entry",
+            "processor time for each task",
+            f"{plan.us_per_task:.0f} us in jobs of {TASKS_IN_A_JOB}",
+            "200 us",
+            plan.us_per_task <= 200,
+            "late binding; one message an agent a pass",
+        ),
+        _make_limit_row(
+            "entry",
+            f"control share of a core with {plan.agents_per_entry} agents, "
+            f"a heartbeat every {interval:.1f} s",
+            control,
+            SHARE_LIMIT,
+            "heartbeat interval grows with the number of agents",
+        ),
+        _make_limit_row(
+            "entry",
+            f"resident memory with {plan.agents_per_entry} agents, MB",
+            resident,
+            MEMORY_LIMIT_MB,
+            "agents of a subset only; "
+            f"{memory.slope * 1000:.0f} KB for each agent",
+        ),
+    ]
+
+
+def _make_gossip_rows(slopes: _capacity.Slopes, plan: Plan) -> list[Row]:
+    message = (
+        slopes.gossip_base_bytes
+        + slopes.gossip_member_bytes * plan.entries
+        + slopes.gossip_team_bytes * TEAMS
+    )
+    share = slopes.entry_share_by_entries
+    changes = CHANGES_PER_DAY / SECONDS_PER_DAY
+    push = changes * DOCUMENT_BYTES * (plan.entries - 1)
+    beats = changes * slopes.beat_bytes * plan.agents_per_entry
+    return [
+        _make_limit_row(
+            "entry",
+            "gossip sent, bytes a second, members and every team in each",
+            message * (plan.entries - 1),
+            BYTES_LIMIT,
+            "once a second to every other entry",
+        ),
+        _make_limit_row(
+            "entry",
+            f"share of a core for gossip with {plan.entries} entries",
+            share.base + share.slope * plan.entries,
+            SHARE_LIMIT,
+            "full mesh of entries",
+        ),
+        _make_limit_row(
+            "entry",
+            "configuration pushed, bytes a second, all patches at one entry",
+            push + beats,
+            BYTES_LIMIT,
+            f"push on storing; {changes * IN_FORCE_SECONDS:.1f} changes in "
+            f"any {IN_FORCE_SECONDS} s",
+        ),
+    ]
+
+
+def _make_agent_rows(slopes: _capacity.Slopes, plan: Plan) -> list[Row]:
+    starts = STARTS_PER_SECOND / WORKERS
+    share = slopes.agent_share_by_entries
+    memory = slopes.agent_memory_by_entries
+    tasks = starts * slopes.agent_us_per_task / 1_000_000
+    interval = max(1.0, plan.heartbeat_seconds)
+    pair = slopes.report_bytes + slopes.beat_bytes
+    return [
+        _make_limit_row(
+            "agent",
+            f"idle share of a core with {ENTRIES_PER_AGENT} entries",
+            share.base + share.slope * ENTRIES_PER_AGENT,
+            SHARE_LIMIT,
+            "one timer; heartbeats on idle links",
+        ),
+        _make_limit_row(
+            "agent",
+            f"share of a core for {starts:.1f} tasks a second",
+            tasks,
+            SHARE_LIMIT,
+            "one HTTP call and one result a task",
+        ),
+        _make_limit_row(
+            "agent",
+            f"resident memory with {ENTRIES_PER_AGENT} entries, MB",
+            memory.base + memory.slope * ENTRIES_PER_AGENT,
+            MEMORY_LIMIT_MB,
+            "no command line and no tracing in the agent",
+        ),
+        _make_limit_row(
+            "agent",
+            "heartbeats, bytes a second",
+            ENTRIES_PER_AGENT * pair / interval,
+            BYTES_LIMIT,
+            "as for the entry",
+        ),
+    ]
+
+
+def _make_table_rows(slopes: _capacity.Slopes, plan: Plan) -> list[Row]:
+    reads = slopes.table_reads_by_entries
+    writes = slopes.table_writes_by_entries
+    changes = CHANGES_PER_DAY / SECONDS_PER_DAY
+    restarts = RESTARTS_PER_DAY / SECONDS_PER_DAY
+    return [
+        _make_limit_row(
+            "table service",
+            "reads a second, leases and configuration",
+            reads.base + reads.slope * plan.entries + 3 * changes + restarts,
+            TABLE_READS_LIMIT,
+            "a read of each row every ten seconds by each entry",
+        ),
+        _make_limit_row(
+            "table service",
+            "writes a second, leases and patches, without claims",
+            writes.base + writes.slope * plan.entries + changes + restarts,
+            TABLE_WRITES_LIMIT,
+            "one lease row changed by compare-and-set",
+        ),
+    ]
+
+
+def _make_limit_row(
+    role: str, quantity: str, value: float, limit: float, mechanism: str
+) -> Row:
+    return Row(
+        role,
+        quantity,
+        _format(value),
+        _format(limit),
+        value <= limit,
+        mechanism,
+    )
+
+
+def _format(value: float) -> str:
+    if abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def write_page(slopes: _capacity.Slopes, folder: pathlib.Path) -> None:
+    """Write the page's tables and the slopes into ``folder``."""
+    plan = plan_deployment(slopes)
+    encoded = msgspec.json.format(msgspec.json.encode(slopes), indent=1)
+    (folder / "capacity.json").write_bytes(encoded + b"\n")
+    page = folder / "CAPACITY.md"
+    head, marker, tail = page.read_text().partition(MARKER)
+    _, end, tail = tail.partition(END_MARKER)
+    body = "\n".join(_make_lines(slopes, plan))
+    page.write_text(f"{head}{marker}\n\n{body}\n\n{end}{tail}")
+
+
+MARKER = "<!-- made by make capacity -->"
+END_MARKER = "<!-- end of what make capacity made -->"
+
+
+def _make_lines(slopes: _capacity.Slopes, plan: Plan) -> list[str]:
+    lines = [
+        f"Measured at {slopes.measured_at}.",
+        "",
+        f"Needed: {plan.entries} entries of one core each, loaded to "
+        f"{ENTRY_LOAD:.0%} with one failure domain down; "
+        f"{plan.agents_per_entry} agents at each entry, "
+        f"{ENTRIES_PER_AGENT} entries at each agent.",
+        "",
+        "| role | quantity | at the letter's size | limit | fits "
+        "| mechanism |",
+        "|---|---|---|---|---|---|",
+    ]
+    for row in make_rows(slopes, plan):
+        fits = "yes" if row.fits else "**no**"
+        lines.append(
+            f"| {row.role} | {row.quantity} | {row.value} | {row.limit} "
+            f"| {fits} | {row.mechanism} |"
+        )
+    lines += ["", "| measured slope | base | for each unit | points |"]
+    lines.append("|---|---|---|---|")
+    for field in attrs.fields(_capacity.Slopes):
+        value = getattr(slopes, field.name)
+        if isinstance(value, _capacity.Line):
+            points = ", ".join(f"{x:g}: {y:.4g}" for x, y in value.points)
+            lines.append(
+                f"| {field.name} | {value.base:.4g} | {value.slope:.4g} "
+                f"| {points} |"
+            )
+        elif field.name != "measured_at":
+            lines.append(f"| {field.name} | {value:.4g} | | |")
+    return lines
+
+
+def run_capacity(folder: pathlib.Path, slopes_file: pathlib.Path) -> None:
+    """Measure, or read the slopes from a file, and write the page."""
+    if slopes_file.is_file():
+        slopes = msgspec.json.decode(
+            slopes_file.read_bytes(), type=_capacity.Slopes
+        )
+    else:
+        slopes = _capacity.measure_slopes()
+    write_page(slopes, folder)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -41,6 +41,17 @@
         return f"{self.condition} did not happen in {WAIT_SECONDS} s"
 
 
+@attrs.frozen
+class UnexpectedStatus(ClusterError):
+    """A request was answered with another status than expected."""
+
+    status: int
+    """HTTP status of the answer."""
+
+    def __str__(self) -> str:
+        return f"unexpected HTTP status {self.status}"
+
+
 @attrs.frozen
 class Reply:
     """An HTTP answer."""
