Read ZeroMQ options by plain numbers and skip empty inquiries

Cause: the profile of an entry with 200 agents showed pyzmq building an IntFlag object for each option read and the tick asking each agent about an empty set of attempts.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -505,7 +505,7 @@
             for sequence in record.outstanding
             if now - self._attempts[sequence].asked_at > INQUIRY_INTERVAL
         }
-        return self._inquire(record, now, overdue)
+        return self._inquire(record, now, overdue) if overdue else []
 
     def _inquire(
         self, record: AgentRecord, now: datetime.datetime, overdue: set[int]
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -16,6 +16,10 @@
 RECONNECT_MAX_MS = 2_000
 LINGER_MS = 1_000
 FRAMES = 2
+# Plain numbers, since pyzmq's enumerations build an object at each use.
+_EVENTS = int(zmq.EVENTS)
+_POLLIN = int(zmq.POLLIN)
+_NOBLOCK = int(zmq.NOBLOCK)
 
 
 class send_message(circuits.Event):
@@ -97,7 +101,7 @@
         if self._routed:
             frames.insert(0, identity)
         try:
-            self._socket.send_multipart(frames, zmq.NOBLOCK)
+            self._socket.send_multipart(frames, _NOBLOCK)
         except zmq.ZMQError:
             self.fire(message_unsent(identity, message))
         else:
@@ -112,10 +116,10 @@
     def _drain(self) -> None:
         self._drain_monitor()
         while not self._socket.closed and (
-            self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN
+            self._socket.getsockopt(_EVENTS) & _POLLIN
         ):
             try:
-                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+                frames = self._socket.recv_multipart(_NOBLOCK)
             except zmq.ZMQError:
                 return
             self._receive(frames)
@@ -124,8 +128,8 @@
         monitor = self._monitor
         if monitor is None or monitor.closed:
             return
-        while monitor.getsockopt(zmq.EVENTS) & zmq.POLLIN:
-            monitor.recv_multipart(zmq.NOBLOCK)
+        while monitor.getsockopt(_EVENTS) & _POLLIN:
+            monitor.recv_multipart(_NOBLOCK)
             self.fire(peer_connected(self._peer))
 
     def _receive(self, frames: list[bytes]) -> None:
