Test the HTTP server against bad, slow and absent-minded callers

Cause: circuits.web answered malformed requests with HTML pages or not at all (Content-Length: abc raised in its handler), ended chunked bodies early, and read escapes in header values.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_bodies.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_bodies.py
@@ -78,9 +78,7 @@
     )
 
 
-def _come_once(
-    body: bytes, names: frozenset[str], objects: list[Any]
-) -> bool:
+def _come_once(body: bytes, names: frozenset[str], objects: list[Any]) -> bool:
     for name in names:
         found = body.count(f'"{name}"'.encode())
         if found > len(objects):
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -15,6 +15,7 @@
 CallFailure = _http_client.CallFailure
 CallProblem = _http_client.CallProblem
 cancel_http = _http_client.cancel_http
+check_connections = _http_server.check_connections
 CurveKeys = _curve.CurveKeys
 derive_public_key = _curve.derive_public_key
 Exchange = _http_server.Exchange
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -322,7 +322,7 @@
         connection.parsing = False
         connection.exchange = Exchange(
             request.method,
-            request.path,
+            urllib.parse.unquote(request.path),
             dict(urllib.parse.parse_qsl(request.qs)),
             {key.lower(): value for key, value in request.headers.items()},
             request.body.read(),
--- /dev/null
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/builders.py
@@ -0,0 +1,182 @@
+"""Builders for tests of the HTTP server."""
+
+from collections.abc import Callable
+import contextlib
+import datetime
+import json
+import socket
+import threading
+from typing import Any
+
+import attrs
+import circuits
+from circuits.core import events
+from circuits.core import pollers
+
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+
+CHANNEL = "served"
+ROUNDS = 2_000
+READ_SIZE = 65_536
+ROUND_SECONDS = 0.005
+
+
+class Echo(circuits.BaseComponent):
+    """Answers each request with what arrived, unless told to hold it."""
+
+    channel = CHANNEL
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held: list[transport.Exchange] = []
+        self.abandoned: list[transport.Exchange] = []
+        self.refused: list[str] = []
+
+    @circuits.handler("http_requested")
+    def _on_http_requested(self, exchange: transport.Exchange) -> None:
+        if exchange.path == "/hold":
+            self.held.append(exchange)
+            return
+        if exchange.path == "/crash":
+            raise ValueError("a secret detail")
+        size = int(exchange.query.get("size", 0))
+        body = {
+            "method": exchange.method,
+            "path": exchange.path,
+            "token": exchange.headers.get("authorization", ""),
+            "body": exchange.body.decode(errors="replace") + "x" * size,
+        }
+        answer = transport.Answer(200, json.dumps(body).encode())
+        self.fire(transport.answer_http(exchange, answer))
+
+    @circuits.handler("http_abandoned")
+    def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
+        self.abandoned.append(exchange)
+
+    @circuits.handler("http_refused")
+    def _on_http_refused(self, kind: str) -> None:
+        self.refused.append(kind)
+
+    @circuits.handler("exception", channel="*")
+    def _on_exception(self, *arguments: object, **details: object) -> None:
+        """Keep circuits from printing."""
+
+
+@attrs.frozen
+class HttpReply:
+    """An answer that a raw socket has read."""
+
+    status: int
+    """HTTP status."""
+
+    body: Any
+    """Decoded JSON body, or None when it has none."""
+
+
+class Served:
+    """A server with its echo, driven round by round without a thread."""
+
+    def __init__(self, limits: transport.ServerLimits) -> None:
+        self.clock = core.ManualClock()
+        self.root = circuits.BaseComponent(channel="root")
+        self.poller = pollers.EPoll().register(self.root)
+        self.echo = Echo().register(self.root)
+        self.server = transport.HttpServer(
+            ("127.0.0.1", 0), CHANNEL, self.clock, limits
+        ).register(self.root)
+        self._stack = contextlib.ExitStack()
+
+    def turn(self, seconds: float = 0.0) -> None:
+        """Run one round, waiting for sockets for at most ``seconds``."""
+        if not len(self.root):
+            event = events.generate_events(threading.RLock(), seconds)
+            self.root.fire(event, "*")
+        self.root.tick()
+
+    def run_until(self, check: Callable[[], object], what: str) -> None:
+        """Run rounds until ``check`` is true."""
+        for _ in range(ROUNDS):
+            self.turn(ROUND_SECONDS)
+            if check():
+                return
+        raise AssertionError(f"never: {what}")
+
+    def connect(self) -> socket.socket:
+        """Return a connection that does not block."""
+        address = ("127.0.0.1", self.server.port)
+        before = self.server.connections
+        sock = self._stack.enter_context(socket.create_connection(address))
+        sock.setblocking(False)
+        self.run_until(lambda: self.server.connections > before, "connected")
+        return sock
+
+    def send(self, sock: socket.socket, data: bytes) -> None:
+        """Send all of ``data`` while the server runs."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[sock.send(view) :]
+            except BlockingIOError:
+                self.turn(ROUND_SECONDS)
+            except OSError:
+                return
+
+    def read_reply(self, sock: socket.socket) -> HttpReply:
+        """Read one answer."""
+        received = bytearray()
+
+        def check() -> bool:
+            with contextlib.suppress(BlockingIOError):
+                received.extend(sock.recv(1))
+            return _is_whole(received)
+
+        self.run_until_fast(check)
+        head, _, body = bytes(received).partition(b"\r\n\r\n")
+        status = int(head.split()[1])
+        return HttpReply(status, json.loads(body) if body else None)
+
+    def run_until_fast(self, check: Callable[[], object]) -> None:
+        """Run many short rounds until ``check`` is true."""
+        for _ in range(ROUNDS * 20):
+            if check():
+                return
+            self.turn()
+        raise AssertionError("no whole answer")
+
+    def is_closed(self, sock: socket.socket) -> bool:
+        """Return whether the server has closed the connection."""
+        try:
+            return sock.recv(READ_SIZE) == b""
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and have the connections checked."""
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+        self.check()
+
+    def check(self) -> None:
+        """Have the connections checked."""
+        self.root.fire(transport.check_connections(), CHANNEL)
+        for _ in range(5):
+            self.turn()
+
+    def close(self) -> None:
+        """Close every socket."""
+        self._stack.close()
+        self.root.fire(events.stopped(self.root), "*")
+        for _ in range(5):
+            self.turn()
+
+
+def _is_whole(received: bytearray) -> bool:
+    head, end, body = bytes(received).partition(b"\r\n\r\n")
+    if not end:
+        return False
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return len(body) >= int(line.partition(b":")[2])
+    return True
