Test commands, logs, metrics and traces of the entry

Cause: none of them had a test. The ideal of the response ratio is now worked out with the speeds known when the job ends; with the speed at each report, a job that taught the entry a speed gave 0.87 in place of 1.5.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
@@ -30,14 +30,13 @@
     sent: int = 0
     """Attempts sent."""
 
-    seconds: float = 0.0
-    """Slot time of its finished tasks."""
+    runs: list[tuple[str, float]] = attrs.Factory(list)
+    """Agent and seconds of each finished task."""
 
-    work: float = 0.0
-    """The same on a target of speed one."""
-
-    longest: float = 0.0
-    """Longest finished task on a target of speed one."""
+    @property
+    def seconds(self) -> float:
+        """Slot time of its finished tasks."""
+        return sum(seconds for _, seconds in self.runs)
 
 
 class Metrics(circuits.BaseComponent):
@@ -214,10 +213,7 @@
         use = self._uses.get(attempt.job.id)
         if use is None or report.outcome is not core.Outcome.FINISHED:
             return
-        work = seconds * self._get_speed(agent)
-        use.seconds += seconds
-        use.work += work
-        use.longest = max(use.longest, work)
+        use.runs.append((agent, seconds))
 
     def _get_speed(self, agent: str) -> float:
         return self._dispatcher.ledger.estimates.get_speed(agent)
@@ -232,7 +228,9 @@
                 capacity += speed * record.load.slots
         if not capacity:
             return 0.0
-        return max(use.longest / max(speeds), use.work / capacity)
+        # Seconds on a target of speed one.
+        work = [s * self._get_speed(agent) for agent, s in use.runs]
+        return max(max(work) / max(speeds), sum(work) / capacity)
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -0,0 +1,330 @@
+"""Metrics, traces and log records drawn from what components tell."""
+
+import datetime
+import io
+import json
+
+import circuits
+import pytest
+
+import cowslipgate_core as core
+from cowslipgate_entry import _changes
+from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _events
+from cowslipgate_entry import _logs
+from cowslipgate_entry import _metrics
+from cowslipgate_entry import _requests
+from cowslipgate_entry import _screen
+from cowslipgate_entry import _traces
+from cowslipgate_entry import _watch
+from cowslipgate_entry.tests import observed
+import cowslipgate_transport as transport
+
+INTERNAL = _dispatcher.AGENTS_CHANNEL
+SECOND = datetime.timedelta(seconds=1)
+
+
+class _Server:
+    """Stands for an HTTP server."""
+
+    connections = 5
+
+
+class _Recorder(circuits.BaseComponent):
+    """Keeps changes and the messages that were let through."""
+
+    channel = "recorder"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.changes: list[_changes.Change] = []
+        self.messages: list[object] = []
+
+    @circuits.handler("changed", channel="*")
+    def _on_changed(self, change: _changes.Change) -> None:
+        self.changes.append(change)
+
+    @circuits.handler("message_received", channel="*")
+    def _on_message_received(self, identity: bytes, message: object) -> None:
+        self.messages.append(message)
+
+
+def _settle(root: circuits.BaseComponent) -> None:
+    while len(root):
+        root.flush()
+
+
+def _fire(
+    root: circuits.BaseComponent, event: circuits.Event, channel: str
+) -> None:
+    root.fire(event, channel)
+    _settle(root)
+
+
+def _run_job(
+    bench: observed.Bench,
+    root: circuits.BaseComponent,
+    submission: _requests.Submission,
+) -> core.Job:
+    """Run a job of two tasks: 1 s of waiting, 2 s at the target."""
+    job = observed.build_job(bench, submission)
+    _fire(root, _events.job_accepted(submission, job), "gateway")
+    bench.clock.advance(SECOND)
+    bench.ledger.hear_report(observed.build_report(), bench.clock.now())
+    (action,) = bench.ledger.assign(bench.clock.now(), {"hall": 9})
+    message = core.Dispatch(7, 1, 1, action.orders)
+    _fire(root, transport.send_message(b"agent-1/1", message), INTERNAL)
+    bench.clock.advance(SECOND * 2)
+    results = observed.build_results(action, 2000.0)
+    received = transport.message_received(b"agent-1/1", results)
+    _fire(root, received, INTERNAL)
+    (answer,) = bench.ledger.hear_results(results, bench.clock.now())
+    answered = _events.job_answered(answer.job, answer.answer)
+    _fire(root, answered, "gateway")
+    reply = transport.Answer(200, b"{}")
+    _fire(root, transport.answer_http(submission.exchange, reply), "gateway")
+    return job
+
+
+def _read_metrics(metrics: _metrics.Metrics) -> dict[str, float]:
+    lines = metrics.render().decode().splitlines()
+    pairs = [x.rsplit(" ", 1) for x in lines if not x.startswith("#")]
+    return {name: float(value) for name, value in pairs}
+
+
+def test_a_complete_job_is_measured() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    metrics = _metrics.Metrics(bench.dispatcher, _Server(), bench.clock)
+    metrics.register(root)
+    _run_job(bench, root, observed.build_submission())
+    for message in (
+        core.Withdraw(7, 1, (1,), False),
+        core.Withdraw(7, 1, (1,), True),
+        core.Acknowledge(7, (1,)),
+        core.Beat(7, 1, ()),
+    ):
+        _fire(root, transport.send_message(b"agent-1/1", message), INTERNAL)
+    error = core.WireError(b"", "p")
+    _fire(root, transport.message_malformed(b"x", error), INTERNAL)
+    refusal = core.JobAnswer("j", failure=core.Failure.OVERLOADED)
+    submission = observed.build_submission()
+    _fire(root, _events.job_refused(submission, refusal), "gateway")
+    values = _read_metrics(metrics)
+    expected = {
+        'cowslipgate_jobs_total{outcome="complete"}': 1,
+        'cowslipgate_refusals_total{type="overloaded"}': 1,
+        'cowslipgate_sends_total{purpose="dispatch",work="useful"}': 2,
+        'cowslipgate_sends_total{purpose="dispatch",work="wasted"}': 0,
+        'cowslipgate_sends_total{purpose="inquiry",work="wasted"}': 1,
+        'cowslipgate_sends_total{purpose="withdraw",work="wasted"}': 1,
+        'cowslipgate_sends_total{purpose="acknowledge",work="wasted"}': 1,
+        'cowslipgate_sends_total{purpose="beat",work="wasted"}': 1,
+        'cowslipgate_attempts_total{outcome="finished"}': 2,
+        "cowslipgate_starts_total": 2,
+        'cowslipgate_slot_seconds_total{use="used"}': 4,
+        'cowslipgate_slot_seconds_total{use="needed"}': 4,
+        "cowslipgate_response_seconds_sum": 3,
+        "cowslipgate_queue_wait_seconds_count": 2,
+        'cowslipgate_agents{state="serving"}': 1,
+        "cowslipgate_connections": 5,
+        'cowslipgate_messages_malformed_total{reason="undecodable"}': 1,
+    }
+    assert {name: values.get(name) for name in expected} == expected
+    assert values["cowslipgate_response_ratio_sum"] == pytest.approx(1.5)
+
+
+def test_slot_seconds_are_told_by_minute() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    metrics = _metrics.Metrics(bench.dispatcher, _Server(), bench.clock)
+    metrics.register(root)
+    _run_job(bench, root, observed.build_submission())
+    last = 'cowslipgate_slot_seconds_last_minute{use="used"}'
+    busiest = 'cowslipgate_slot_seconds_busiest_minute{use="needed"}'
+    assert _read_metrics(metrics)[last] == 0
+    bench.clock.advance(SECOND * 60)
+    values = _read_metrics(metrics)
+    assert (values[last], values[busiest]) == (4, 4)
+    bench.clock.advance(SECOND * 60)
+    values = _read_metrics(metrics)
+    assert (values[last], values[busiest]) == (0, 4)
+
+
+def test_a_failed_job_wasted_its_sends() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    metrics = _metrics.Metrics(bench.dispatcher, _Server(), bench.clock)
+    metrics.register(root)
+    submission = observed.build_submission()
+    job = observed.build_job(bench, submission)
+    _fire(root, _events.job_accepted(submission, job), "gateway")
+    (action,) = bench.ledger.assign(bench.clock.now(), {"hall": 9})
+    message = core.Dispatch(7, 1, 1, action.orders)
+    _fire(root, transport.send_message(b"agent-1/1", message), INTERNAL)
+    answer = core.JobAnswer(job.id, failure=core.Failure.DEADLINE)
+    _fire(root, _events.job_answered(job, answer), "gateway")
+    sends = metrics.families.sends
+    assert sends.get("dispatch", "wasted") == 2
+    assert metrics.families.jobs.get("deadline") == 1
+
+
+def test_a_sampled_job_gives_a_span_for_each_hop() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    stream = io.StringIO()
+    exporter = _traces.make_exporter(stream)
+    _traces.Traces(bench.dispatcher, exporter, 7, bench.clock).register(root)
+    sampler = _traces.Sampler(0.0, True)
+    submission = observed.build_submission(observed.TRACEPARENT)
+    continued = sampler.continue_trace(observed.TRACEPARENT)
+    object.__setattr__(submission, "traceparent", continued)
+    job = _run_job(bench, root, submission)
+    spans = [json.loads(line) for line in stream.getvalue().splitlines()]
+    names = sorted(span["name"] for span in spans)
+    assert names == [
+        "agent to target",
+        "agent to target",
+        "answer",
+        "entry to agent",
+        "entry to agent",
+        "queue",
+        "queue",
+        "receive",
+    ]
+    caller = core.parse_traceparent(observed.TRACEPARENT)
+    traces = {span["context"]["trace_id"] for span in spans}
+    assert traces == {f"0x{caller.trace:032x}"}
+    by_id = {span["context"]["span_id"]: span for span in spans}
+    receive = next(span for span in spans if span["name"] == "receive")
+    assert receive["parent_id"] == f"0x{caller.span:016x}"
+    assert receive["attributes"]["cowslipgate.job"] == job.id
+    target = next(span for span in spans if span["name"] == "agent to target")
+    assert by_id[target["parent_id"]]["name"] == "entry to agent"
+    passed = core.derive_traceparent(
+        continued, target["attributes"]["cowslipgate.task"]
+    )
+    assert target["context"]["span_id"] == f"0x{passed.split('-')[2]}"
+
+
+@pytest.mark.parametrize(
+    ("ratio", "enabled", "header", "sampled"),
+    [
+        (1.0, True, "", True),
+        (0.0, True, "", False),
+        (1.0, False, "", False),
+        (0.0, True, observed.TRACEPARENT, True),
+        (0.0, False, observed.TRACEPARENT, False),
+        (1.0, True, observed.TRACEPARENT[:-2] + "00", False),
+        (0.0, True, "nonsense", False),
+    ],
+)
+def test_the_caller_decides_what_is_traced_before_the_ratio(
+    ratio: float, enabled: bool, header: str, sampled: bool
+) -> None:
+    given = _traces.Sampler(ratio, enabled).continue_trace(header)
+    passed_on = given == header
+    context = core.parse_traceparent(given)
+    assert (context is not None and not passed_on) is sampled
+
+
+def test_changes_of_state_are_noticed_once() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    recorder = _Recorder().register(root)
+    _watch.Watch(bench.dispatcher, observed.MEMBER).register(root)
+    other = core.Member(9, "tcp://127.0.0.1:3", "127.0.0.1:4", "ruwi")
+    lost = _requests.StoreResult.UNREACHABLE
+    call = _requests.StoreCall(1, "keeper", ("t", "k"))
+    down = _events.store_answered(_requests.StoreAnswer(call, lost))
+    done = _requests.StoreResult.DONE
+    up = _events.store_answered(_requests.StoreAnswer(call, done))
+    for event, channel in (
+        (_events.members_changed((observed.MEMBER, other)), "gateway"),
+        (_events.members_changed((observed.MEMBER,)), "gateway"),
+        (down, "keeper"),
+        (down, "keeper"),
+        (up, "keeper"),
+        (_events.drain(), "dispatcher"),
+    ):
+        _fire(root, event, channel)
+    for state in ("serving", "serving", "quarantined"):
+        report = observed.build_report(state)
+        heard = transport.message_received(b"agent-1/1", report)
+        _fire(root, heard, INTERNAL)
+    bench.ledger.agents.clear()
+    for _ in range(_watch.CHECK_TICKS):
+        _fire(root, _events.tick(), "watch")
+    kinds = [type(change).__name__ for change in recorder.changes]
+    assert kinds == [
+        "MemberJoined",
+        "MemberLapsed",
+        "StoreUnreachable",
+        "StoreReachable",
+        "DrainBegan",
+        "AgentSeen",
+        "AgentStateChanged",
+        "AgentLost",
+    ]
+
+
+class _Failing(circuits.BaseComponent):
+    """Fails on each tick."""
+
+    channel = "failing"
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        raise ValueError("broken")
+
+
+def test_a_failing_handler_is_counted_and_told_once() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    recorder = _Recorder().register(root)
+    _Failing().register(root)
+    _watch.Watch(bench.dispatcher, observed.MEMBER).register(root)
+    metrics = _metrics.Metrics(bench.dispatcher, _Server(), bench.clock)
+    metrics.register(root)
+    for _ in range(3):
+        _fire(root, _events.tick(), "failing")
+    assert metrics.families.errors.get("ValueError") == 3
+    (change,) = recorder.changes
+    assert change.error == "ValueError"
+    assert "_on_tick" in change.handler
+
+
+def test_false_messages_are_stopped_and_counted() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    recorder = _Recorder().register(root)
+    _screen.Screen().register(root)
+    metrics = _metrics.Metrics(bench.dispatcher, _Server(), bench.clock)
+    metrics.register(root)
+    report = observed.build_report()
+    for identity in (b"agent-2/1", b"agent-1/1", b"\xff"):
+        heard = transport.message_received(identity, report)
+        _fire(root, heard, INTERNAL)
+    assert recorder.messages == [report]
+    assert metrics.families.malformed.get("refused") == 2
+
+
+@pytest.mark.parametrize(
+    ("form", "level", "lines"),
+    [("json", "info", 2), ("json", "warning", 1), ("console", "info", 2)],
+)
+def test_log_lines_have_the_fields_of_the_change(
+    form: str, level: str, lines: int
+) -> None:
+    stream = io.StringIO()
+    logs = _logs.Logs(form, level, 7, stream)
+    logs.write(_changes.AgentLost("agent-1", 3))
+    logs.write(_changes.ConfigurationAdopted(12))
+    written = stream.getvalue().splitlines()
+    assert len(written) == lines
+    assert "agent-1" in written[0]
+    if form == "json":
+        decoded = json.loads(written[0])
+        assert decoded["event"] == "AgentLost"
+        assert decoded["level"] == "warning"
+        assert decoded["entry"] == 7
