--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -79,6 +79,11 @@
         self.table_port = 0
         self.balancer_port = 0
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Folder of logs and journals."""
+        return self._folder
+
     def __enter__(self) -> "Cluster":
         return self
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
@@ -179,6 +179,10 @@
     def _on_http_refused(self, kind: str) -> None:
         self._families.http_refused.add(kind)
 
+    @circuits.handler("key_denied", channel="*")
+    def _on_key_denied(self, address: str) -> None:
+        self._families.denials.add()
+
     @circuits.handler("exception", channel="*", priority=20)
     def _on_exception(
         self, kind: type, *arguments: object, **details: object
@@ -386,6 +390,9 @@
     malformed: _exposition.Counter
     """Malformed internal messages."""
 
+    denials: _exposition.Counter
+    """Connections with an unknown key."""
+
     errors: _exposition.Counter
     """Unhandled exceptions."""
 
@@ -491,6 +498,10 @@
             "Internal messages that could not be decoded or were refused.",
             "reason",
         ),
+        denials=counter(
+            "cowslipgate_key_denials_total",
+            "Internal connections refused because their key is not known.",
+        ),
         errors=counter(
             "cowslipgate_internal_errors_total",
             "Exceptions that a handler did not expect, by type.",
