Divide quotas through the lease row; hold dispatches while behind

Ruled out: shares by gossip alone (no bound while views differ), ages in gossip (each hop adds its delay, so a slow link keeps the dead alive).

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -95,6 +95,7 @@
             self._incarnation,
             self._executor.measure_load(action.entry),
             action.reports,
+            self._executor.configuration_version,
         )
         self.fire(transport.send_message(b"", results), link.socket.channel)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -137,6 +137,13 @@
             demand[job.team] += len(job.waiting) + len(job.active)
         return dict(demand)
 
+    def count_active(self) -> dict[str, int]:
+        """Return the tasks under way by team."""
+        active: collections.Counter[str] = collections.Counter()
+        for job in self._jobs.values():
+            active[job.team] += len(job.active)
+        return dict(active)
+
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
         return sum(
--- a/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
@@ -8,6 +8,7 @@
 from cowslipgate_core import _messages
 
 LAPSE_AFTER = datetime.timedelta(seconds=15)
+MAX_CANDIDATES = 64
 
 
 @attrs.define
@@ -32,6 +33,16 @@
         self._heard[member.address] = now
         return known is None or known.incarnation != member.incarnation
 
+    def has(self, member: _messages.Member) -> bool:
+        """Tell whether this incarnation is a live member."""
+        known = self._members.get(member.address)
+        return known is not None and known.incarnation == member.incarnation
+
+    def is_superseded(self, member: _messages.Member) -> bool:
+        """Tell whether a newer incarnation has the member's address."""
+        known = self._members.get(member.address)
+        return known is not None and known.incarnation > member.incarnation
+
     def remove(self, member: _messages.Member) -> None:
         """Forget a member that said goodbye."""
         known = self._members.get(member.address)
@@ -55,6 +66,40 @@
         return tuple(self._members[key] for key in sorted(self._members))
 
 
+@attrs.define
+class Candidates:
+    """Entries known from others only, that may turn out to live."""
+
+    _added: dict[int, tuple[_messages.Member, datetime.datetime]] = (
+        attrs.Factory(dict)
+    )
+    """Candidate and when it was added, by incarnation."""
+
+    def add(self, member: _messages.Member, now: datetime.datetime) -> bool:
+        """Note a candidate; return whether it is new and there is room."""
+        if member.incarnation in self._added:
+            return False
+        if len(self._added) >= MAX_CANDIDATES:
+            return False
+        self._added[member.incarnation] = (member, now)
+        return True
+
+    def expire(self, now: datetime.datetime) -> list[_messages.Member]:
+        """Forget and return the candidates that had time to answer."""
+        lapsed = [
+            member
+            for member, added in self._added.values()
+            if now - added > LAPSE_AFTER
+        ]
+        for member in lapsed:
+            del self._added[member.incarnation]
+        return lapsed
+
+    def get_members(self) -> tuple[_messages.Member, ...]:
+        """Return the candidates."""
+        return tuple(member for member, _ in self._added.values())
+
+
 def digest_members(members: tuple[_messages.Member, ...]) -> str:
     """Return a short digest of the members' incarnations."""
     text = ",".join(str(member.incarnation) for member in members)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -139,6 +139,9 @@
     reports: tuple[AttemptReport, ...]
     """One report an attempt."""
 
+    configuration_version: int = 0
+    """Highest configuration version that the agent knows."""
+
 
 @attrs.frozen
 class Order:
@@ -256,11 +259,14 @@
     configuration_version: int
     """Configuration version in force at the sender."""
 
-    members: tuple[Member, ...]
-    """Live entries that the sender knows."""
+    members: tuple[Member, ...] = ()
+    """Live entries that the sender knows; empty in most messages."""
+
+    starved: bool = False
+    """Whether a team has more tasks at the sender than its share."""
 
-    demand: dict[str, int]
-    """Tasks waiting or running by team."""
+    lease_revision: int = 0
+    """Revision of the lease row that the sender read last."""
 
     leaving: bool = False
     """Whether the sender is stopping."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -33,11 +33,13 @@
         self._machine = core.Machine(core.load_chart("entry"))
         self._configuration: core.Configuration | None = None
         self._members: tuple[core.Member, ...] = (member,)
-        self._shares: dict[str, int] = {}
+        self._limits: dict[str, int] = {}
+        self._limits_valid_until = clock.now()
         self._unacknowledged: dict[str, list[int]] = collections.defaultdict(
             list
         )
         self._assigning = False
+        self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
 
     @property
@@ -55,17 +57,23 @@
         self, configuration: core.Configuration
     ) -> None:
         self._configuration = configuration
+        self._versions.adopt(configuration.version)
         self._machine.fire("configure")
         for name in self._ledger.agents:
             self._send(name, self._make_beat(with_members=False))
+        self._schedule()
 
     @circuits.handler("members_changed")
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
 
-    @circuits.handler("demand_measured")
-    def _on_demand_measured(self, shares: dict[str, int]) -> None:
-        self._shares = shares
+    @circuits.handler("limits_changed")
+    def _on_limits_changed(
+        self, limits: dict[str, int], valid_until: datetime.datetime
+    ) -> None:
+        self._limits = limits
+        self._limits_valid_until = valid_until
+        self._schedule()
 
     @circuits.handler("submit_job")
     def _on_submit_job(self, submission: _requests.Submission) -> None:
@@ -165,9 +173,10 @@
         self._assigning = False
         if self._configuration is None:
             return
-        self._perform(
-            self._ledger.assign(self._clock.now(), self._get_quotas())
-        )
+        if not self._versions.behind:
+            self._perform(
+                self._ledger.assign(self._clock.now(), self._get_quotas())
+            )
         for agent, attempts in self._unacknowledged.items():
             message = core.Acknowledge(
                 self._member.incarnation, tuple(attempts)
@@ -178,9 +187,7 @@
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in an agent's heartbeat and answer it."""
         self._perform(self._ledger.hear_report(report, now))
-        version = report.configuration_version
-        if version > self._get_version():
-            self.fire(_events.configuration_wanted(version), "keeper")
+        self._hear_version(report.configuration_version)
         current = core.digest_members(self._members)
         beat = self._make_beat(report.members_digest != current)
         self._send(report.agent, beat)
@@ -196,9 +203,16 @@
             if report.outcome is not core.Outcome.RUNNING
         ]
         self._unacknowledged[results.agent].extend(kept)
+        self._hear_version(results.configuration_version)
         self._perform(self._ledger.hear_results(results, now))
         self._schedule()
 
+    def _hear_version(self, version: int) -> None:
+        self._versions.hear(version)
+        if self._versions.behind:
+            event = _events.configuration_wanted(self._versions.newest)
+            self.fire(event, "keeper")
+
     def _make_job(self, submission: _requests.Submission) -> core.Job:
         now = self._clock.now()
         number = next(self._numbers)
@@ -252,10 +266,12 @@
 
     def _get_quotas(self) -> dict[str, int]:
         teams = self._configuration.document.teams
-        return {
-            name: self._shares.get(name, team.slots)
-            for name, team in teams.items()
-        }
+        slots = {name: team.slots for name, team in teams.items()}
+        limited = core.find_quotas(slots)
+        # After a pause another entry may hold the slots of this one.
+        valid = self._clock.now() <= self._limits_valid_until
+        limits = self._limits if valid else {}
+        return slots | {name: limits.get(name, 0) for name in limited}
 
     def _get_version(self) -> int:
         configuration = self._configuration
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -99,8 +99,20 @@
     """The live entries changed; the argument is the tuple of members."""
 
 
-class demand_measured(circuits.Event):
-    """Quota shares changed; the argument is slots by team."""
+class members_found(circuits.Event):
+    """Leases name entries that may live; the argument is their members."""
+
+
+class discover_members(circuits.Event):
+    """Asks to look for other entries through the balancer."""
+
+
+class limits_changed(circuits.Event):
+    """Quota limits changed; slots by team, and until when they hold."""
+
+
+class lease_changed(circuits.Event):
+    """The lease row was read or written; its revision, and starvation."""
 
 
 class tick(circuits.Event):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
@@ -2,6 +2,7 @@
 
 import datetime
 import itertools
+from typing import Annotated, Any
 
 import attrs
 import circuits
@@ -14,10 +15,33 @@
 CHANNEL = "keeper"
 CONFIGURATION_ROW = ("configuration", "current")
 PATCH_TABLE = "patches"
-READ_INTERVAL = datetime.timedelta(seconds=10)
+READ_INTERVAL = datetime.timedelta(seconds=4)
 FIRST_READ_INTERVAL = datetime.timedelta(seconds=1)
 IN_FORCE_TIMEOUT = datetime.timedelta(seconds=5)
-SETTLE_TRIES = 5
+WANTED_INTERVAL = datetime.timedelta(milliseconds=250)
+SETTLE_TRIES = 3
+
+
+@attrs.frozen
+class _StoredConfiguration:
+    """The value of the configuration row."""
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    """Version of the document."""
+
+    document: dict[str, Any]
+    """The document in JSON types."""
+
+
+@attrs.frozen
+class _AppliedPatch:
+    """The value of the row that an applied patch leaves."""
+
+    version: int
+    """Version that the patch made."""
+
+    digest: str
+    """Digest of the patch."""
 
 
 @attrs.define(eq=False)
@@ -37,7 +61,7 @@
     """What is being written."""
 
     tries: int = 0
-    """Reads made to settle a lost answer."""
+    """Store calls that failed since the patch came."""
 
 
 @attrs.define(eq=False)
@@ -71,6 +95,8 @@
         self._runs: dict[int, _PatchRun] = {}
         self._in_force: list[_InForce] = []
         self._next_read = clock.now()
+        self._next_wanted = clock.now()
+        self.malformed = 0
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
@@ -83,20 +109,26 @@
     @circuits.handler("members_changed")
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
+        live = {member.incarnation for member in members}
+        for entry in set(self._acknowledged) - live:
+            del self._acknowledged[entry]
 
     @circuits.handler("configuration_wanted")
     def _on_configuration_wanted(self, version: int) -> None:
-        if version > self._version:
-            self._read_current()
-            request = core.ConfigurationRequest(self._member.incarnation)
-            self.fire(_events.tell_peers(request), "peers")
+        now = self._clock.now()
+        if version <= self._version or now < self._next_wanted:
+            return
+        # Every agent and entry may name the version at once.
+        self._next_wanted = now + WANTED_INTERVAL
+        self._read_current()
+        request = core.ConfigurationRequest(self._member.incarnation)
+        self.fire(_events.tell_peers(request), "peers")
 
     @circuits.handler("peer_heard")
     def _on_peer_heard(self, message: object) -> None:
         match message:
             case core.ConfigurationPush():
-                document = msgspec.json.decode(message.document)
-                self._adopt(message.version, document)
+                self._adopt_encoded(message.version, message.document)
                 reply = core.ConfigurationAcknowledge(
                     self._member.incarnation, self._version
                 )
@@ -146,19 +178,39 @@
     def _take_current(self, answer: _requests.StoreAnswer) -> None:
         match answer.result:
             case _requests.StoreResult.DONE:
-                row = answer.value
-                self._adopt(row["version"], row["document"])
+                row = self._decode_row(answer.value)
+                if row is not None:
+                    self._adopt(row.version, row.document)
             case _requests.StoreResult.ABSENT:
                 self._adopt(0, {})
 
+    def _decode_row(self, value: object) -> _StoredConfiguration | None:
+        try:
+            return msgspec.convert(value, _StoredConfiguration)
+        except msgspec.ValidationError:
+            self.malformed += 1
+            return None
+
+    def _adopt_encoded(self, version: int, document: bytes) -> None:
+        try:
+            decoded = msgspec.json.decode(document)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError):
+            self.malformed += 1
+            return
+        self._adopt(version, decoded)
+
     def _adopt(self, version: int, document: object) -> None:
         if version <= self._version:
             return
-        configuration = core.parse_configuration(version, document)
+        try:
+            configuration = core.parse_configuration(version, document)
+        except core.ConfigurationError:
+            self.malformed += 1
+            return
         self._configuration = configuration
         self._note_version(self._member.incarnation, version)
         event = _events.configuration_adopted(configuration)
-        self.fire(event, "dispatcher", "gateway", "peers")
+        self.fire(event, "dispatcher", "gateway", "peers", "leases")
 
     def _note_version(self, entry: int, version: int) -> None:
         known = self._acknowledged.get(entry, -1)
@@ -189,27 +241,37 @@
     ) -> None:
         match answer.result:
             case _requests.StoreResult.DONE:
-                if answer.value["digest"] != _digest_patch(run.patch):
-                    self._refuse(run, _requests.PatchProblem.KEY_REUSED)
-                    return
-                run.applied = answer.value["version"]
-                self._call(run, read=CONFIGURATION_ROW)
+                self._follow_row(run, answer.value)
             case _requests.StoreResult.ABSENT:
                 self._call(run, read=CONFIGURATION_ROW)
             case _:
                 self._follow_unreachable(run)
 
+    def _follow_row(self, run: _PatchRun, value: object) -> None:
+        try:
+            applied = msgspec.convert(value, _AppliedPatch)
+        except msgspec.ValidationError:
+            self.malformed += 1
+            self._follow_unreachable(run)
+            return
+        if applied.digest != _digest_patch(run.patch):
+            self._refuse(run, _requests.PatchProblem.KEY_REUSED)
+            return
+        run.applied = applied.version
+        self._call(run, read=CONFIGURATION_ROW)
+
     def _follow_current(
         self, run: _PatchRun, answer: _requests.StoreAnswer
     ) -> None:
-        document: object = {}
-        version = 0
+        row: _StoredConfiguration | None = None
         if answer.result is _requests.StoreResult.DONE:
-            version = answer.value["version"]
-            document = answer.value["document"]
-        elif answer.result is not _requests.StoreResult.ABSENT:
+            row = self._decode_row(answer.value)
+        elif answer.result is _requests.StoreResult.ABSENT:
+            row = _StoredConfiguration(0, {})
+        if row is None:
             self._follow_unreachable(run)
             return
+        version, document = row.version, row.document
         self._adopt(version, document)
         if run.applied is not None:
             run.machine.fire("applied")
@@ -261,7 +323,7 @@
                 self._call(run, read=(PATCH_TABLE, run.patch.key))
             case _:
                 run.machine.fire("lost")
-                self._call(run, read=(PATCH_TABLE, run.patch.key))
+                self._follow_unreachable(run)
 
     def _follow_unreachable(self, run: _PatchRun) -> None:
         settling = run.machine.state == "settling"
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_leases.py
@@ -0,0 +1,188 @@
+"""The lease row: who lives, and the slots that each entry may use."""
+
+import datetime
+import itertools
+
+import circuits
+import msgspec
+
+import cowslipgate_core as core
+from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+
+CHANNEL = "leases"
+MEMBERS_ROW = ("entries", "live")
+RENEW_INTERVAL = datetime.timedelta(seconds=10)
+STARVED_INTERVAL = datetime.timedelta(seconds=1)
+CONFLICT_RETRY = datetime.timedelta(milliseconds=100)
+OUTAGE_RETRY = datetime.timedelta(seconds=1)
+
+
+class Leases(circuits.BaseComponent):
+    """Renews this entry's lease and divides the teams' slots."""
+
+    channel = CHANNEL
+
+    def __init__(
+        self,
+        member: core.Member,
+        dispatcher: _dispatcher.Dispatcher,
+        clock: core.Clock,
+    ) -> None:
+        super().__init__()
+        self._member = member
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._book = core.QuotaBook()
+        self._watch = core.LeaseWatch()
+        self._quotas: dict[str, int] = {}
+        self._live = 1
+        self._renewal = 0
+        self._revision = 0
+        self._renewed_elsewhere = False
+        self._ever_read = False
+        self._busy = False
+        self._leaving = False
+        self._next_renewal = clock.now()
+        self._may_renew = clock.now()
+        self._valid_until = clock.now()
+
+    @circuits.handler("configuration_adopted")
+    def _on_configuration_adopted(
+        self, configuration: core.Configuration
+    ) -> None:
+        teams = configuration.document.teams
+        self._quotas = core.find_quotas(
+            {name: team.slots for name, team in teams.items()}
+        )
+        self._next_renewal = self._clock.now()
+        self._tell_limits()
+
+    @circuits.handler("members_changed")
+    def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
+        self._live = len(members)
+
+    @circuits.handler("peer_heard")
+    def _on_peer_heard(self, message: object) -> None:
+        if not isinstance(message, core.Gossip):
+            return
+        if message.starved:
+            self._hasten()
+        if message.lease_revision > self._revision:
+            self._renewed_elsewhere = True
+
+    @circuits.handler("drain")
+    def _on_drain(self) -> None:
+        self._leaving = True
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        now = self._clock.now()
+        if self._is_starved():
+            self._hasten()
+        if now < self._next_renewal or self._busy or self._leaving:
+            return
+        self._busy = True
+        self._next_renewal = now + RENEW_INTERVAL
+        self._may_renew = now + STARVED_INTERVAL
+        call = _requests.StoreCall(next(self._numbers), CHANNEL, MEMBERS_ROW)
+        self.fire(_events.call_store(call), "store")
+
+    @circuits.handler("store_answered")
+    def _on_store_answered(self, answer: _requests.StoreAnswer) -> None:
+        if answer.call.read is None:
+            self._busy = False
+            self._follow_write(answer)
+            return
+        match answer.result:
+            case _requests.StoreResult.DONE:
+                self._renew(_decode_leases(answer.value), answer.revision)
+            case _requests.StoreResult.ABSENT:
+                self._renew((), 0)
+            case _:
+                self._busy = False
+                self._follow_outage()
+
+    def _renew(self, leases: tuple[core.Lease, ...], revision: int) -> None:
+        now = self._clock.now()
+        self._revision = revision
+        self._ever_read = True
+        self._renewed_elsewhere = False
+        own = [x for x in leases if _is_own(x, self._member)]
+        # An earlier incarnation's tasks may run on, so its lease must lapse.
+        others = [x for x in leases if not _is_own(x, self._member)]
+        live = self._watch.keep_live(tuple(others), now)
+        members = tuple(lease.member for lease in live)
+        self.fire(_events.members_found(members), "peers")
+        ledger = self._dispatcher.ledger
+        shares = self._book.plan(
+            self._quotas,
+            own[0].shares if own else {},
+            tuple(lease.shares for lease in live),
+            ledger.count_demand(),
+            ledger.count_active(),
+        )
+        self._tell_limits()
+        self._renewal += 1
+        lease = core.Lease(self._member, self._renewal, shares)
+        value = msgspec.to_builtins([*live, lease])
+        row = _requests.Row(*MEMBERS_ROW, value, revision)
+        call = _requests.StoreCall(next(self._numbers), CHANNEL, writes=(row,))
+        self.fire(_events.call_store(call), "store")
+
+    def _follow_write(self, answer: _requests.StoreAnswer) -> None:
+        now = self._clock.now()
+        match answer.result:
+            case _requests.StoreResult.DONE:
+                self._revision += 1
+                self._book.confirm()
+                self._valid_until = now + core.LIMITS_VALID_FOR
+                self._tell_limits()
+            case _requests.StoreResult.CONFLICT:
+                self._next_renewal = now + CONFLICT_RETRY
+            case _:
+                self._follow_outage()
+
+    def _follow_outage(self) -> None:
+        now = self._clock.now()
+        self._next_renewal = now + OUTAGE_RETRY
+        self.fire(_events.discover_members(), "peers")
+        if self._renewed_elsewhere:
+            # Others reach the table, so this lease may have been dropped.
+            return
+        if not self._ever_read:
+            self._book.limits = core.share_equally(self._quotas, self._live)
+        self._valid_until = now + core.LIMITS_VALID_FOR
+        self._tell_limits()
+
+    def _is_starved(self) -> bool:
+        return self._book.is_starved(self._dispatcher.ledger.count_demand())
+
+    def _hasten(self) -> None:
+        self._next_renewal = min(
+            self._next_renewal, max(self._may_renew, self._clock.now())
+        )
+
+    def _tell_limits(self) -> None:
+        limits = {
+            team: min(self._book.limits.get(team, 0), quota)
+            for team, quota in self._quotas.items()
+        }
+        event = _events.limits_changed(limits, self._valid_until)
+        self.fire(event, "dispatcher")
+        state = _events.lease_changed(self._revision, self._is_starved())
+        self.fire(state, "peers")
+
+
+def _is_own(lease: core.Lease, member: core.Member) -> bool:
+    return lease.member.incarnation == member.incarnation
+
+
+def _decode_leases(value: object) -> tuple[core.Lease, ...]:
+    try:
+        return msgspec.convert(value, tuple[core.Lease, ...])
+    except msgspec.ValidationError:
+        # A row that cannot be read is written anew by its readers.
+        return ()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -13,6 +13,7 @@
 from cowslipgate_entry import _events
 from cowslipgate_entry import _gateway
 from cowslipgate_entry import _keeper
+from cowslipgate_entry import _leases
 from cowslipgate_entry import _peers
 from cowslipgate_entry import _settings
 from cowslipgate_entry import _store
@@ -50,7 +51,7 @@
         event.stop()
         if self._drain_until is None:
             self._drain_until = self._clock.now() + self._drain_timeout
-            self.fire(_events.drain(), "dispatcher", "peers")
+            self.fire(_events.drain(), "dispatcher", "peers", "leases")
 
     @circuits.handler("entry_drained")
     def _on_entry_drained(self) -> None:
@@ -94,7 +95,8 @@
     _keeper.Keeper(member, clock).register(process)
     _claims.Claims(member).register(process)
     balancer = _make_address(settings.balancer)
-    _peers.Peers(member, dispatcher, balancer, clock, poller).register(process)
+    _peers.Peers(member, balancer, clock, poller).register(process)
+    _leases.Leases(member, dispatcher, clock).register(process)
     _store.Store(_make_address(settings.platform)).register(process)
     transport.HttpClient("store", poller, clock).register(process)
     transport.HttpClient("discovery", poller, clock).register(process)
@@ -103,6 +105,7 @@
         _events.tick(),
         "dispatcher",
         "peers",
+        "leases",
         "keeper",
         "cancellations",
         "process",
