--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_screening.py
@@ -17,7 +17,7 @@
     core.Withdraw(7, 1, (1, 2), True),
     core.Acknowledge(7, (1,)),
     core.Beat(7, 1, (MEMBER,)),
-    core.Gossip(MEMBER, 1, (MEMBER,), {"hall": 3}),
+    core.Gossip(MEMBER, 1, (MEMBER,), True, 3),
     core.ConfigurationPush(7, 1, b"{}"),
     core.ConfigurationRequest(7),
     core.ConfigurationAcknowledge(7, 1),
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -16,6 +16,7 @@
 from cowslipgate_entry import _events
 from cowslipgate_entry import _gateway
 from cowslipgate_entry import _keeper
+from cowslipgate_entry import _leases
 from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _peers
@@ -62,7 +63,7 @@
         event.stop()
         if self._drain_until is None:
             self._drain_until = self._clock.now() + self._drain_timeout
-            self.fire(_events.drain(), "dispatcher", "peers")
+            self.fire(_events.drain(), "dispatcher", "peers", "leases")
 
     @circuits.handler("entry_drained")
     def _on_entry_drained(self) -> None:
@@ -147,7 +148,8 @@
     _keeper.Keeper(member, clock).register(process)
     _claims.Claims(member).register(process)
     balancer = _make_address(settings.balancer)
-    _peers.Peers(member, dispatcher, balancer, clock, poller).register(process)
+    _peers.Peers(member, balancer, clock, poller).register(process)
+    _leases.Leases(member, dispatcher, clock).register(process)
     _store.Store(_make_address(settings.platform)).register(process)
     transport.HttpClient("store", poller, clock).register(process)
     token = {"Authorization": f"Bearer {settings.cluster_token}"}
@@ -157,6 +159,7 @@
         _events.tick(),
         "dispatcher",
         "peers",
+        "leases",
         "keeper",
         "cancellations",
         "watch",
