Match outcomes to the entry incarnation that sent the attempts

Cause: an agent's ZeroMQ link to an entry's address outlives the entry, so outcomes kept for a dead incarnation reached its successor, which numbers its attempts from one again. A reborn entry answered a job with another job's result, and started a task twice on a foreign 'not started'. Also found: a withdrawal meant for an earlier agent incarnation was answered 'not started'; an attempt told as running whose target call then failed to connect was never sent again and was told to callers as started. Ruled out: numbering attempts over incarnations, which would hide a crossed message instead of counting it. The ledger's waits are a Timing record, settable by flags, and an entry can advertise another internal address than it binds.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -17,7 +17,6 @@
 CHANNEL = "links"
 DISCOVERY_INTERVAL = datetime.timedelta(seconds=1)
 DISCOVERY_TIMEOUT = datetime.timedelta(seconds=3)
-ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
 
 
 @attrs.define(eq=False)
@@ -72,7 +71,7 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         for incarnation, link in list(self._links.items()):
-            if now - link.heard_at > ENTRY_LOST_AFTER:
+            if now - link.heard_at > self._settings.entry_lost_after:
                 self._drop(incarnation)
         if not self._links and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
@@ -95,6 +94,7 @@
             self._incarnation,
             self._executor.measure_load(action.entry),
             action.reports,
+            action.entry,
         )
         self.fire(transport.send_message(b"", results), link.socket.channel)
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
@@ -64,6 +64,14 @@
     )
     """Interval of heartbeats on idle links."""
 
+    entry_lost_after: datetime.timedelta = core.setting(
+        core.parse_duration,
+        "a duration such as 20s",
+        "silence after which an entry's tasks are stopped",
+        "20s",
+    )
+    """Silence after which an entry's tasks are stopped."""
+
     target_lapse: datetime.timedelta = core.setting(
         core.parse_duration,
         "a duration such as 6s",
--- a/packages/cowslipgate-core/src/cowslipgate_core/_charts.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_charts.py
@@ -1,5 +1,6 @@
 """Interpreter of the state charts kept in ``charts/*.toml``."""
 
+import functools
 import importlib.resources
 import tomllib
 from typing import Any
@@ -103,6 +104,7 @@
         return self.chart.get_attribute(self.state, attribute)
 
 
+@functools.cache
 def load_chart(name: str) -> Chart:
     """Load and check the chart ``name`` that ships with this package.
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -234,6 +234,9 @@
         self, withdraw: _messages.Withdraw, now: datetime.datetime
     ) -> list[ExecutorAction]:
         """Fence attempts that have not started and tell of the others."""
+        if withdraw.incarnation != self._incarnation:
+            # An earlier incarnation may have started them.
+            return []
         session = self._open_session(withdraw.entry)
         reports = []
         actions: list[ExecutorAction] = []
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -15,10 +15,22 @@
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 
-SETTLE_TIMEOUT = datetime.timedelta(seconds=1)
-INQUIRY_INTERVAL = datetime.timedelta(seconds=2)
-AGENT_SUSPECT_AFTER = datetime.timedelta(seconds=5)
-AGENT_LOST_AFTER = datetime.timedelta(seconds=20)
+
+@attrs.frozen
+class Timing:
+    """How long the ledger waits before it acts on silence."""
+
+    settle_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
+    """Longest time that a failed job waits for its attempts' outcomes."""
+
+    inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=2)
+    """Age at which an agent is asked about an attempt, again and again."""
+
+    agent_suspect_after: datetime.timedelta = datetime.timedelta(seconds=5)
+    """Silence after which an agent gets no new work."""
+
+    agent_lost_after: datetime.timedelta = datetime.timedelta(seconds=20)
+    """Silence after which an agent's attempts count as unknown."""
 
 
 @attrs.frozen
@@ -109,8 +121,15 @@
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
-    def __init__(self, policy: _placement.Policy) -> None:
+    def __init__(
+        self,
+        policy: _placement.Policy,
+        incarnation: int = 0,
+        timing: Timing = Timing(),
+    ) -> None:
         self._policy = policy
+        self._incarnation = incarnation
+        self._timing = timing
         self._job_chart = _charts.load_chart("job")
         self._attempt_chart = _charts.load_chart("attempt")
         self._jobs: dict[str, _jobs.Job] = {}
@@ -203,8 +222,12 @@
     ) -> list[LedgerAction]:
         """Take in the outcomes of attempts."""
         record = self._agents.get(results.agent)
-        if record is None or (
-            record.report.incarnation != results.incarnation
+        # An agent's link outlives the entry at its address, and attempts are
+        # numbered anew by each incarnation.
+        if (
+            record is None
+            or record.report.incarnation != results.incarnation
+            or results.entry != self._incarnation
         ):
             self.counters.unmatched += len(results.reports)
             return []
@@ -234,7 +257,7 @@
             actions.extend(self._apply(attempt, report, now))
         record = self._agents.get(agent)
         if record is not None:
-            record.heard_at = now - AGENT_SUSPECT_AFTER
+            record.heard_at = now - self._timing.agent_suspect_after
         return actions
 
     def cancel(
@@ -270,7 +293,7 @@
         job.failure = failure
         job.message = message
         job.waiting.clear()
-        job.settle_by = now + SETTLE_TIMEOUT
+        job.settle_by = now + self._timing.settle_timeout
         actions = self._withdraw(list(job.active.values()), now, stop=True)
         return actions + self._settle(job, now)
 
@@ -333,7 +356,7 @@
             )
             for name, record in self._agents.items()
             if record.report.service == service
-            and now - record.heard_at < AGENT_SUSPECT_AFTER
+            and now - record.heard_at < self._timing.agent_suspect_after
         ]
 
     def _view_job(self, job: _jobs.Job) -> _placement.WaitingJob:
@@ -497,13 +520,14 @@
     def _watch_agent(
         self, name: str, record: AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
-        if now - record.heard_at > AGENT_LOST_AFTER:
+        if now - record.heard_at > self._timing.agent_lost_after:
             del self._agents[name]
             return self._lose_attempts(record, now)
         overdue = {
             sequence
             for sequence in record.outstanding
-            if now - self._attempts[sequence].asked_at > INQUIRY_INTERVAL
+            if now - self._attempts[sequence].asked_at
+            > self._timing.inquiry_interval
         }
         return self._inquire(record, now, overdue)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -139,6 +139,9 @@
     reports: tuple[AttemptReport, ...]
     """One report an attempt."""
 
+    entry: int = 0
+    """Incarnation of the entry that sent the attempts."""
+
 
 @attrs.frozen
 class Order:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_settings.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_settings.py
@@ -118,6 +118,14 @@
     return Bind(host, int(port))
 
 
+def parse_advertised(text: str) -> str:
+    """Return the ZeroMQ address for ``host:port``, or ``""`` for nothing.
+
+    :raises ValueError: when it is something else
+    """
+    return f"tcp://{parse_bind(text)}" if text else ""
+
+
 def parse_duration(text: str) -> datetime.timedelta:
     """Parse a duration such as ``500ms`` or ``2s``.
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
@@ -3,6 +3,7 @@
 import datetime
 
 import cowslipgate_core as core
+import msgspec
 
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
@@ -23,6 +24,25 @@
     )
 
 
+def build_marked_job(
+    ledger: core.Ledger, tasks: int, job_id: str, now: datetime.datetime
+) -> core.Job:
+    """Return a queued job whose payloads are ``"<job>/<index>"``."""
+    payloads = [f'"{job_id}/{n}"'.encode() for n in range(tasks)]
+    request = core.JobRequest(
+        tuple(core.TaskRequest(msgspec.Raw(raw)) for raw in payloads)
+    )
+    return core.Job(
+        job_id,
+        "hall",
+        "print",
+        request,
+        now,
+        now + datetime.timedelta(seconds=30),
+        ledger.make_machine(),
+    )
+
+
 def build_report(
     agent: str = "agent-1", incarnation: int = 1, slots: int = 8
 ) -> core.Report:
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
@@ -41,6 +41,12 @@
     assert _count_starts(executor.dispatch(dispatch, NOW)) == 0
 
 
+def test_withdrawal_for_another_incarnation_is_not_answered() -> None:
+    executor = builders.build_executor()
+    withdraw = core.Withdraw(7, 2, (1,), stop=False)
+    assert executor.withdraw(withdraw, NOW) == []
+
+
 def test_full_agent_refuses() -> None:
     executor = builders.build_executor(slots=1, queue_limit=1)
     orders = [builders.build_order(n) for n in (1, 2, 3)]
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import attrs
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
 import pytest
@@ -92,6 +93,26 @@
     assert ledger.counters.unmatched == 1
 
 
+def test_outcomes_for_an_earlier_incarnation_are_not_taken() -> None:
+    ledger = core.Ledger(core.LateBinding(), incarnation=8)
+    _, orders = _dispatch_one(ledger)
+    report = core.AttemptReport(orders[0].attempt, core.Outcome.FINISHED)
+    results = attrs.evolve(builders.build_results(report), entry=7)
+    assert ledger.hear_results(results, builders.NOW) == []
+    assert ledger.counters.unmatched == 1
+
+
+def test_attempt_whose_target_call_failed_is_sent_again() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _, orders = _dispatch_one(ledger)
+    attempt = orders[0].attempt
+    for outcome in (core.Outcome.RUNNING, core.Outcome.NOT_STARTED):
+        report = core.AttemptReport(attempt, outcome)
+        ledger.hear_results(builders.build_results(report), builders.NOW)
+    (action,) = ledger.assign(builders.NOW, QUOTAS)
+    assert action.orders[0].attempt > attempt
+
+
 def test_cancelling_many_jobs_sends_one_message_to_each_agent() -> None:
     ledger = core.Ledger(core.LateBinding())
     ledger.hear_report(builders.build_report(slots=100), builders.NOW)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -80,11 +80,18 @@
     internal = _add_internal_socket(process, settings, poller)
     member = core.Member(
         core.make_incarnation(clock),
-        internal.endpoint,
+        settings.advertise_internal or internal.endpoint,
         f"{settings.bind_http.host}:{server.port}",
         settings.domain,
     )
-    ledger = core.Ledger(_POLICIES[settings.policy])
+    timing = core.Timing(
+        inquiry_interval=settings.inquiry_interval,
+        agent_suspect_after=settings.agent_suspect_after,
+        agent_lost_after=settings.agent_lost_after,
+    )
+    ledger = core.Ledger(
+        _POLICIES[settings.policy], member.incarnation, timing
+    )
     dispatcher = _dispatcher.Dispatcher(ledger, member, clock)
     dispatcher.register(process)
     _gateway.Gateway(dispatcher, member, settings.operator_digest).register(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
@@ -49,6 +49,38 @@
     )
     """Where agents and other entries connect."""
 
+    advertise_internal: str = core.setting(
+        core.parse_advertised,
+        _BIND + ", or empty",
+        "address told to agents and other entries instead of bind-internal",
+        "",
+    )
+    """Address told to agents and other entries, or empty."""
+
+    inquiry_interval: datetime.timedelta = core.setting(
+        core.parse_duration,
+        _DURATION,
+        "age at which an agent is asked about an attempt",
+        "2s",
+    )
+    """Age at which an agent is asked about an attempt."""
+
+    agent_suspect_after: datetime.timedelta = core.setting(
+        core.parse_duration,
+        _DURATION,
+        "silence after which an agent gets no new work",
+        "5s",
+    )
+    """Silence after which an agent gets no new work."""
+
+    agent_lost_after: datetime.timedelta = core.setting(
+        core.parse_duration,
+        _DURATION,
+        "silence after which an agent's attempts count as unknown",
+        "20s",
+    )
+    """Silence after which an agent's attempts count as unknown."""
+
     operator_digest: str = core.setting(
         core.parse_digest,
         "a SHA-256 digest in hexadecimal, or empty",
