--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -17,6 +17,7 @@
 import attrs
 import cowslipgate_core as core
 
+from cowslipgate_bench import _proxy
 from cowslipgate_bench import _target
 
 HOST = "127.0.0.1"
@@ -65,12 +66,36 @@
     process: subprocess.Popen[bytes]
     """Operating-system process."""
 
+    command: tuple[str, ...] = ()
+    """Command line, to start it again."""
+
+    link: _proxy.Link | None = None
+    """Link through which it is reached, when there is a proxy."""
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.process.pid
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.process.kill()
+        self.process.wait()
+
 
 class Cluster:
     """A table service, a balancer, entries, and agents with targets."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, proxy: _proxy.Proxy | None = None
+    ) -> None:
         self._folder = folder
+        self._proxy = proxy
+        self.table_link: _proxy.Link | None = None
         self._stack = contextlib.ExitStack()
         self._processes: list[subprocess.Popen[bytes]] = []
         self.entries: list[Node] = []
@@ -89,6 +114,9 @@
         """Start the table service."""
         process = self.spawn("table", "table", "--port", "0")
         self.table_port = read_port(process)
+        self.table_link = self._open_link(self.table_port)
+        if self.table_link is not None:
+            self.table_port = self.table_link.port
 
     def start_entries(self, domains: list[str], *flags: str) -> None:
         """Start a balancer and one entry in each of ``domains``."""
@@ -106,21 +134,23 @@
         self, name: str, domain: str, port: int, *flags: str
     ) -> Node:
         """Start one entry on a given HTTP port."""
-        process = self.run(
-            name,
-            [
-                *_find_binary("cowslipgate"),
-                "serve",
-                f"--domain={domain}",
-                f"--platform={HOST}:{self.table_port}",
-                f"--balancer={HOST}:{self.balancer_port}",
-                f"--bind-http={HOST}:{port}",
-                f"--bind-internal={HOST}:{choose_ports(1)[0]}",
-                f"--operator-digest={core.digest_token(OPERATOR_TOKEN)}",
-                *flags,
-            ],
-        )
-        node = Node(name, port, process)
+        internal = choose_ports(1)[0]
+        command = [
+            *_find_binary("cowslipgate"),
+            "serve",
+            f"--domain={domain}",
+            f"--platform={HOST}:{self.table_port}",
+            f"--balancer={HOST}:{self.balancer_port}",
+            f"--bind-http={HOST}:{port}",
+            f"--bind-internal={HOST}:{internal}",
+            f"--operator-digest={core.digest_token(OPERATOR_TOKEN)}",
+            *flags,
+        ]
+        link = self._open_link(internal)
+        if link is not None:
+            command.append(f"--advertise-internal={HOST}:{link.port}")
+        process = self.run(name, command)
+        node = Node(name, port, process, tuple(command), link)
         self.entries.append(node)
         return node
 
@@ -130,30 +160,38 @@
         """Start an agent with a target beside it."""
         number = len(self.agents)
         port = choose_ports(1)[0]
-        process = self.run(
-            f"agent-{number}",
-            [
-                *_find_binary("cowslipgate-agent"),
-                f"--name=agent-{number}",
-                f"--domain={domain}",
-                f"--balancer={HOST}:{self.balancer_port}",
-                f"--bind-target={HOST}:{port}",
-                *flags,
-            ],
-        )
-        node = Node(f"agent-{number}", port, process)
+        command = [
+            *_find_binary("cowslipgate-agent"),
+            f"--name=agent-{number}",
+            f"--domain={domain}",
+            f"--balancer={HOST}:{self.balancer_port}",
+            f"--bind-target={HOST}:{port}",
+            *flags,
+        ]
+        process = self.run(f"agent-{number}", command)
+        node = Node(f"agent-{number}", port, process, tuple(command))
         self.agents.append(node)
         self.start_target(attrs.evolve(options, agent_port=port))
         return node
 
+    def restart(self, node: Node) -> None:
+        """Start an entry or agent again, with the same addresses."""
+        node.process = self.run(node.name, list(node.command))
+
     def start_target(self, options: _target.TargetOptions) -> Node:
         """Start a target that announces itself to a running agent."""
         number = len(self.targets)
         journal = self._folder / f"target-{number}.jsonl"
         options = attrs.evolve(options, journal=str(journal))
+        link = self._open_link(0)
+        if link is not None:
+            options = attrs.evolve(options, advertised_port=link.port)
         text = json.dumps(attrs.asdict(options))
         process = self.spawn(f"target-{number}", "target", text)
-        node = Node(f"target-{number}", read_port(process), process)
+        port = read_port(process)
+        if link is not None:
+            link.upstream = port
+        node = Node(f"target-{number}", port, process, link=link)
         self.targets.append(node)
         return node
 
@@ -174,6 +212,11 @@
         self._processes.append(process)
         return process
 
+    def _open_link(self, upstream: int) -> _proxy.Link | None:
+        if self._proxy is None:
+            return None
+        return self._proxy.open_link(upstream)
+
     def kill_all(self) -> None:
         """Kill every process that was started."""
         for process in self._processes:
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -0,0 +1,276 @@
+"""A TCP proxy that injects faults into links, commanded by tests.
+
+It runs on its own thread. A network that loses every packet of one direction
+shows to TCP as bytes that wait and arrive late, which is what ``hold`` does.
+"""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import socket
+import struct
+import threading
+
+import attrs
+import cowslipgate_core as core
+
+HOST = "127.0.0.1"
+READ_SIZE = 65_536
+SNIFFED_BYTES = 1_024
+COMMAND_SECONDS = 10.0
+_IDENTITY_PROPERTY = b"\x08Identity"
+
+
+class ProxyError(core.CowslipgateError):
+    """The proxy did not do what was asked."""
+
+
+class Direction(enum.Enum):
+    """Which way bytes travel on a connection."""
+
+    FORWARD = "from whoever connected"
+    BACKWARD = "to whoever connected"
+
+
+@attrs.frozen
+class Fault:
+    """What happens to the bytes of some connections."""
+
+    peer: str = ""
+    """Start of the ZeroMQ identity concerned; empty for all."""
+
+    held: frozenset[Direction] = frozenset()
+    """Directions in which bytes wait."""
+
+    broken: frozenset[Direction] = frozenset()
+    """Directions in which the next bytes are halved and the rest reset."""
+
+    delay_seconds: float = 0.0
+    """Latency added in each direction."""
+
+    refused: bool = False
+    """Whether connections are reset as soon as they are known."""
+
+
+@attrs.define(eq=False)
+class _Connection:
+    """One proxied connection."""
+
+    client: asyncio.StreamWriter
+    """Towards whoever connected."""
+
+    server: asyncio.StreamWriter
+    """Towards the upstream."""
+
+    sniffed: bytes = b""
+    """First bytes, searched for a ZeroMQ identity."""
+
+    peer: str = ""
+    """ZeroMQ identity of whoever connected, once known."""
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        for writer in (self.client, self.server):
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    def sniff(self, data: bytes) -> None:
+        """Look for the identity in the bytes that pass."""
+        if self.peer or len(self.sniffed) > SNIFFED_BYTES:
+            return
+        self.sniffed += data
+        start = self.sniffed.find(_IDENTITY_PROPERTY)
+        if start < 0:
+            return
+        start += len(_IDENTITY_PROPERTY)
+        size = int.from_bytes(self.sniffed[start : start + 4], "big")
+        name = self.sniffed[start + 4 : start + 4 + size]
+        self.peer = name.decode(errors="replace")
+
+
+class Link:
+    """A port that leads to an upstream port, with switchable faults.
+
+    The public methods may be called from any thread and return when the
+    fault is in force.
+    """
+
+    def __init__(self, proxy: "Proxy", upstream: int) -> None:
+        self._proxy = proxy
+        self._faults: tuple[Fault, ...] = ()
+        self._changed = asyncio.Event()
+        self._connections: list[_Connection] = []
+        self._server: asyncio.Server | None = None
+        self.upstream = upstream
+        self.port = 0
+        self.resets = 0
+
+    async def listen(self) -> None:
+        """Listen on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def inject(self, *faults: Fault) -> None:
+        """Replace the faults in force."""
+        self._proxy.call(lambda: self._inject(faults))
+
+    def heal(self) -> None:
+        """Remove every fault; bytes that waited arrive now."""
+        self.inject()
+
+    def hold(self, *directions: Direction, peer: str = "") -> None:
+        """Let bytes wait, as when packets of a direction are lost."""
+        self.inject(Fault(peer, held=frozenset(directions)))
+
+    def break_message(self, direction: Direction, peer: str = "") -> None:
+        """Reset a connection in the middle of its next bytes."""
+        self.inject(Fault(peer, broken=frozenset({direction})))
+
+    def cut(self, peer: str = "") -> None:
+        """Reset connections and refuse new ones until healed."""
+        self.inject(Fault(peer, refused=True))
+
+    def reset(self, peer: str = "") -> None:
+        """Reset the connections that stand now."""
+        self._proxy.call(lambda: self._reset(peer))
+
+    def count_connections(self, peer: str = "") -> int:
+        """Return the number of connections that stand."""
+        return sum(
+            1
+            for connection in list(self._connections)
+            if connection.peer.startswith(peer)
+        )
+
+    def _inject(self, faults: tuple[Fault, ...]) -> None:
+        self._faults = faults
+        for fault in faults:
+            if fault.refused:
+                self._reset(fault.peer)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _reset(self, peer: str) -> None:
+        for connection in list(self._connections):
+            if connection.peer.startswith(peer):
+                self._drop(connection)
+
+    def _drop(self, connection: _Connection) -> None:
+        if connection in self._connections:
+            self._connections.remove(connection)
+            self.resets += 1
+            connection.reset()
+
+    def _find_fault(self, connection: _Connection) -> Fault:
+        for fault in self._faults:
+            if connection.peer.startswith(fault.peer):
+                return fault
+        return Fault()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            upstream = await asyncio.open_connection(HOST, self.upstream)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = _Connection(writer, upstream[1])
+        self._connections.append(connection)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(
+                    self._copy(connection, Direction.FORWARD, reader)
+                )
+                group.create_task(
+                    self._copy(connection, Direction.BACKWARD, upstream[0])
+                )
+        finally:
+            if connection in self._connections:
+                self._connections.remove(connection)
+            connection.client.close()
+            connection.server.close()
+
+    async def _copy(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        forward = direction is Direction.FORWARD
+        writer = connection.server if forward else connection.client
+        try:
+            while data := await reader.read(READ_SIZE):
+                if forward:
+                    connection.sniff(data)
+                if not await self._pass(connection, direction, data, writer):
+                    return
+                await writer.drain()
+            await self._wait_while_held(connection, direction)
+        except OSError:
+            pass
+        writer.close()
+
+    async def _pass(
+        self,
+        connection: _Connection,
+        direction: Direction,
+        data: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        await self._wait_while_held(connection, direction)
+        fault = self._find_fault(connection)
+        if fault.delay_seconds:
+            await asyncio.sleep(fault.delay_seconds)
+        if fault.refused:
+            self._drop(connection)
+            return False
+        if direction in fault.broken:
+            writer.write(data[: len(data) // 2])
+            await writer.drain()
+            self._drop(connection)
+            return False
+        writer.write(data)
+        return True
+
+    async def _wait_while_held(
+        self, connection: _Connection, direction: Direction
+    ) -> None:
+        while direction in self._find_fault(connection).held:
+            await self._changed.wait()
+
+
+class Proxy:
+    """Owns the thread on which the links are served."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+
+    def __enter__(self) -> "Proxy":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def open_link(self, upstream: int = 0) -> Link:
+        """Return a link to the port ``upstream``, which may be set later."""
+        link = Link(self, upstream)
+        future = asyncio.run_coroutine_threadsafe(link.listen(), self._loop)
+        future.result(COMMAND_SECONDS)
+        return link
+
+    def call(self, command: Callable[[], None]) -> None:
+        """Run ``command`` on the proxy's thread."""
+
+        async def run() -> None:
+            command()
+
+        future = asyncio.run_coroutine_threadsafe(run(), self._loop)
+        future.result(COMMAND_SECONDS)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_target.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_target.py
@@ -54,6 +54,12 @@
     accelerators: int = 0
     """Accelerators announced."""
 
+    advertised_port: int = 0
+    """Port that is announced, or zero for the target's own."""
+
+    crossed: bool = False
+    """Whether answers carry the id of another task."""
+
     journal: str = ""
     """File to which each start is appended, or empty."""
 
@@ -64,6 +70,9 @@
     true_ms: float = 0.0
     """Run time at speed one in milliseconds."""
 
+    token: str = ""
+    """Names the task in the journal, beside its id."""
+
 
 class end_due(circuits.Event):
     """Fired often, to end the tasks whose time has come."""
@@ -92,6 +101,7 @@
 
     def attach(self, port: int) -> None:
         """Take the port that the target serves on."""
+        port = self._options.advertised_port or port
         self._address = f"http://127.0.0.1:{port}"
 
     @circuits.handler("http_requested")
@@ -147,14 +157,14 @@
 
     def _start(self, exchange: transport.Exchange) -> None:
         task = exchange.headers.get("task-id", "")
-        self._note("start", task)
-        if self._options.failing:
-            self._answer(exchange, task, HTTP_FAILED, b'"broken"')
-            return
         try:
             payload = msgspec.json.decode(exchange.body, type=Payload)
         except msgspec.MsgspecError:
             payload = Payload()
+        self._note("start", task, payload.token)
+        if self._options.failing:
+            self._answer(exchange, task, HTTP_FAILED, b'"broken"')
+            return
         self._running[task] = exchange
         duration = datetime.timedelta(
             milliseconds=payload.true_ms / self._options.speed
@@ -162,12 +172,11 @@
         end = self._clock.now() + duration
         heapq.heappush(self._ends, (end, next(self._numbers), task))
 
-    def _note(self, event: str, task: str) -> None:
+    def _note(self, event: str, task: str, token: str = "") -> None:
         if self._journal is not None:
             now = self._clock.now().timestamp()
-            self._journal.write(
-                json.dumps({"event": event, "task": task, "at": now}) + "\n"
-            )
+            line = {"event": event, "task": task, "token": token, "at": now}
+            self._journal.write(json.dumps(line) + "\n")
             self._journal.flush()
 
     def _answer(
@@ -177,6 +186,8 @@
         status: int,
         body: bytes,
     ) -> None:
+        if self._options.crossed:
+            task = f"other-{task}"
         answer = transport.Answer(status, body, {"Task-Id": task})
         self.fire(transport.answer_http(exchange, answer))
 
