--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_agents.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_agents.py
@@ -115,8 +115,10 @@
             core.AttemptReport(attempt, core.Outcome.FINISHED)
             for attempt in attempts
         )
-        name = peer.decode().partition("@")[0]
-        results = core.Results(name, INCARNATION, _make_load(), reports)
+        name, _, entry = peer.decode().partition("@")
+        results = core.Results(
+            name, INCARNATION, _make_load(), reports, int(entry)
+        )
         self._send(peer, results)
 
     def _open(self, name: str, member: core.Member) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -143,6 +143,9 @@
     reports: tuple[AttemptReport, ...]
     """One report an attempt."""
 
+    entry: int = 0
+    """Incarnation of the entry that sent the attempts."""
+
     configuration_version: int = 0
     """Highest configuration version that the agent knows."""
 
