Load the tracing library only when spans are written

Cause: the entry's resident memory had grown from 39.8 to 48.1 MB and the commands took 0.97 s to print their help. The commands no longer load circuits and ZeroMQ.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_calls.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_calls.py
@@ -3,11 +3,11 @@
 import http.client
 import json
 from typing import Any
+import urllib.parse
 
 import attrs
 
 import cowslipgate_core as core
-import cowslipgate_transport as transport
 
 CALL_TIMEOUT_SECONDS = 120
 
@@ -140,12 +140,9 @@
 
 
 def _connect(address: str) -> http.client.HTTPConnection:
-    try:
-        parsed = transport.parse_address(address)
-    except ValueError as error:
-        raise AddressError(address) from error
+    host, port = _parse_address(address)
     connection = http.client.HTTPConnection(
-        parsed.host, parsed.port, timeout=CALL_TIMEOUT_SECONDS
+        host, port, timeout=CALL_TIMEOUT_SECONDS
     )
     try:
         connection.connect()
@@ -154,6 +151,17 @@
     return connection
 
 
+def _parse_address(address: str) -> tuple[str, int]:
+    try:
+        parts = urllib.parse.urlsplit("//" + address.removeprefix("http://"))
+        host, port = parts.hostname, parts.port
+    except ValueError as error:
+        raise AddressError(address) from error
+    if not host or not port:
+        raise AddressError(address)
+    return host, port
+
+
 def _describe(error: Exception) -> str:
     if isinstance(error, OSError) and error.strerror:
         return error.strerror
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -15,7 +15,7 @@
 from cowslipgate_entry import _exposition
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _requests
-from cowslipgate_entry import _traces
+from cowslipgate_entry import _sampler
 import cowslipgate_transport as transport
 
 CHANNEL = "gateway"
@@ -56,7 +56,7 @@
         dispatcher: _dispatcher.Dispatcher,
         member: core.Member,
         metrics: _metrics.Metrics,
-        sampler: _traces.Sampler,
+        sampler: _sampler.Sampler,
         access: Access,
     ) -> None:
         super().__init__()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_main.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_main.py
@@ -15,7 +15,6 @@
 from cowslipgate_entry import _calls
 from cowslipgate_entry import _flags
 from cowslipgate_entry import _output
-from cowslipgate_entry import _process
 from cowslipgate_entry import _settings
 
 EXIT_STATUSES = """Exit status:
@@ -99,8 +98,12 @@
     except core.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(_output.ExitStatus.SETTINGS)
-    if not check_settings:
-        _process.run_entry(settings)
+    if check_settings:
+        return
+    # The commands of callers need none of the entry's libraries.
+    from cowslipgate_entry import _process
+
+    _process.run_entry(settings)
 
 
 @app.command
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -19,10 +19,10 @@
 from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _peers
+from cowslipgate_entry import _sampler
 from cowslipgate_entry import _screen
 from cowslipgate_entry import _settings
 from cowslipgate_entry import _store
-from cowslipgate_entry import _traces
 from cowslipgate_entry import _watch
 import cowslipgate_transport as transport
 
@@ -177,18 +177,32 @@
     _screen.Screen().register(process)
     _watch.Watch(dispatcher, member).register(process)
     metrics = _metrics.Metrics(dispatcher, server, clock).register(process)
-    exporter = _traces.open_exporter(settings.trace_output)
-    if exporter is not None:
-        _traces.Traces(
-            dispatcher, exporter, member.incarnation, clock
-        ).register(process)
-    sampler = _traces.Sampler(settings.trace_ratio, exporter is not None)
+    output = settings.trace_output
+    if output:
+        _add_traces(process, output, dispatcher, member, clock)
+    sampler = _sampler.Sampler(settings.trace_ratio, bool(output))
     access = _gateway.Access(settings.operator_digest, settings.cluster_token)
     _gateway.Gateway(dispatcher, member, metrics, sampler, access).register(
         process
     )
 
 
+def _add_traces(
+    process: EntryProcess,
+    output: str,
+    dispatcher: _dispatcher.Dispatcher,
+    member: core.Member,
+    clock: core.Clock,
+) -> None:
+    # The tracing library weighs several megabytes.
+    from cowslipgate_entry import _traces
+
+    exporter = _traces.open_exporter(output)
+    _traces.Traces(dispatcher, exporter, member.incarnation, clock).register(
+        process
+    )
+
+
 def _add_server(
     process: EntryProcess,
     settings: _settings.EntrySettings,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_traces.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_traces.py
@@ -1,7 +1,6 @@
 """Spans for the hops of sampled jobs, written as JSON lines."""
 
 import datetime
-import random
 import sys
 from typing import TextIO
 
@@ -10,17 +9,15 @@
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace
 from opentelemetry.sdk.trace import export
-from opentelemetry.sdk.trace import sampling
 from opentelemetry import trace as trace_api
 
 import cowslipgate_core as core
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _requests
+from cowslipgate_entry import _sampler
 import cowslipgate_transport as transport
 
 CHANNEL = "traces"
-TRACE_BITS = 128
-SPAN_BITS = 64
 STANDARD_OUTPUT = "-"
 _EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
 _MICROSECOND = datetime.timedelta(microseconds=1)
@@ -28,44 +25,11 @@
 _NO_TIME = datetime.timedelta(0)
 
 
-class Sampler:
-    """Decides which jobs are traced."""
-
-    def __init__(self, ratio: float, enabled: bool) -> None:
-        self._bound = sampling.TraceIdRatioBased.get_bound_for_rate(ratio)
-        self._enabled = enabled
-
-    def continue_trace(self, header: str) -> str:
-        """Return the trace context of a job, empty when it has none.
-
-        A caller's decision is followed; without one a share is sampled.
-        """
-        parent = core.parse_traceparent(header) if header else None
-        if parent is not None:
-            if not (self._enabled and parent.sampled):
-                return header
-            return str(attrs.evolve(parent, span=_make_span_id()))
-        if not self._enabled:
-            return ""
-        trace_id = random.getrandbits(TRACE_BITS)
-        if trace_id & sampling.TraceIdRatioBased.TRACE_ID_LIMIT >= (
-            self._bound
-        ):
-            return ""
-        return str(core.Traceparent(trace_id, _make_span_id(), True))
-
-
-def _make_span_id() -> int:
-    return random.getrandbits(SPAN_BITS) or 1
-
-
-def open_exporter(output: str) -> export.SpanExporter | None:
-    """Return an exporter of JSON lines, None for an empty name.
+def open_exporter(output: str) -> export.SpanExporter:
+    """Return an exporter of JSON lines to a file or standard output.
 
     :raises OSError: when the file cannot be opened
     """
-    if not output:
-        return None
     if output == STANDARD_OUTPUT:
         return make_exporter(sys.stdout)
     return make_exporter(open(output, "a", encoding="utf-8"))
@@ -206,7 +170,7 @@
         ]
         for hop in gathered.hops:
             spans.extend(self._make_hop_spans(receive, hop))
-        answer = receive.make_child(_make_span_id())
+        answer = receive.make_child(_sampler.make_span_id())
         answered = gathered.answered_at
         spans.append(self._make(answer, "answer", answered, now, {}))
         return spans
@@ -220,8 +184,8 @@
             "cowslipgate.agent": attempt.agent,
             "cowslipgate.outcome": hop.report.outcome.value,
         }
-        queue = receive.make_child(_make_span_id())
-        link = receive.make_child(_make_span_id())
+        queue = receive.make_child(_sampler.make_span_id())
+        link = receive.make_child(_sampler.make_span_id())
         target = link.make_child(core.derive_span(attempt.task_id))
         wait = datetime.timedelta(milliseconds=hop.report.wait_ms)
         run = datetime.timedelta(milliseconds=hop.report.run_ms)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -14,6 +14,7 @@
 from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _requests
+from cowslipgate_entry import _sampler
 from cowslipgate_entry import _screen
 from cowslipgate_entry import _traces
 from cowslipgate_entry import _watch
@@ -175,7 +176,7 @@
     stream = io.StringIO()
     exporter = _traces.make_exporter(stream)
     _traces.Traces(bench.dispatcher, exporter, 7, bench.clock).register(root)
-    sampler = _traces.Sampler(0.0, True)
+    sampler = _sampler.Sampler(0.0, True)
     submission = observed.build_submission(observed.TRACEPARENT)
     continued = sampler.continue_trace(observed.TRACEPARENT)
     object.__setattr__(submission, "traceparent", continued)
@@ -222,7 +223,7 @@
 def test_the_caller_decides_what_is_traced_before_the_ratio(
     ratio: float, enabled: bool, header: str, sampled: bool
 ) -> None:
-    given = _traces.Sampler(ratio, enabled).continue_trace(header)
+    given = _sampler.Sampler(ratio, enabled).continue_trace(header)
     passed_on = given == header
     context = core.parse_traceparent(given)
     assert (context is not None and not passed_on) is sampled
