--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_demo.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_demo.py
@@ -16,6 +16,8 @@
 
 TEAM_TOKEN = "hall-token"
 PRINT_TASKS = 40
+COMPLETE = 0
+REFUSED = 3
 SPEEDS = (0.5, 1.0, 1.5, 2.0)
 DOMAINS = ["kaai-zuid", "dokken-noord", "depot-berchem"]
 
@@ -39,12 +41,12 @@
 
 def _run_steps(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
     _start(cluster)
-    _configure(cluster)
+    _configure(cluster, folder)
     cluster.wait_ready(len(SPEEDS))
     print("All agents are serving at all entries.")
     _print_run(cluster, folder)
     _draw(cluster, folder)
-    _leave(cluster)
+    _leave(cluster, folder)
     _stop(cluster, folder)
 
 
@@ -57,7 +59,7 @@
     print(f"Started 3 entries and {len(SPEEDS)} agents with targets.")
 
 
-def _configure(cluster: _cluster.Cluster) -> None:
+def _configure(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
     changes = {
         "services": {"schapkaart": {"response_weight": 0.7}},
         "teams": {"hall": {"token_digests": [core.digest_token(TEAM_TOKEN)]}},
@@ -66,13 +68,42 @@
         lambda: cluster.patch(0, changes).status == http.HTTPStatus.OK,
         "the first configuration",
     )
-    reply = cluster.patch(1, {"services": {"draw-desk": {}}})
-    _expect(reply.status == http.HTTPStatus.OK, f"patch: {reply}")
-    print(f"Version 2 is in force at {reply.body['in_force']}.")
-    reply = cluster.patch(1, {"services": {"draw-desk": {}}})
-    outdated = reply.status == http.HTTPStatus.PRECONDITION_FAILED
-    _expect(outdated, f"outdated patch: {reply}")
-    print(f"An outdated patch was refused: {reply.body['error']['message']}")
+    code, reply = _patch(cluster, folder, 1)
+    _expect(code == COMPLETE, f"patch: {reply}")
+    print(f"Version 2 is in force at {', '.join(reply['in_force'])}.")
+    code, reply = _patch(cluster, folder, 1)
+    _expect(code == REFUSED, f"outdated patch: {reply}")
+    _expect(reply["error"]["type"] == "outdated", f"outdated patch: {reply}")
+    print(f"An outdated patch was refused: {reply['error']['message']}")
+    code, reply = _run(cluster, _cluster.OPERATOR_TOKEN, "show")
+    _expect(reply["version"] == 2, f"show: {reply}")
+
+
+def _patch(
+    cluster: _cluster.Cluster, folder: pathlib.Path, version: int
+) -> tuple[int, dict]:
+    path = folder / "patch.json"
+    path.write_text(json.dumps({"services": {"draw-desk": {}}}))
+    token = _cluster.OPERATOR_TOKEN
+    return _run(cluster, token, "patch", str(version), str(path))
+
+
+def _run(
+    cluster: _cluster.Cluster, token: str, *arguments: str
+) -> tuple[int, dict]:
+    """Run a command through the balancer; return exit status and answer."""
+    binary = pathlib.Path(sys.executable).parent / "cowslipgate"
+    address = f"{_cluster.HOST}:{cluster.balancer_port}"
+    command = [
+        str(binary),
+        *arguments,
+        f"--address={address}",
+        f"--token={token}",
+        "--json",
+    ]
+    done = subprocess.run(command, capture_output=True, check=False)
+    _expect(bool(done.stdout), f"{arguments}: {done.stderr.decode()}")
+    return done.returncode, json.loads(done.stdout)
 
 
 def _print_run(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
@@ -99,27 +130,20 @@
 ) -> dict:
     path = folder / "job.json"
     path.write_text(json.dumps(job))
-    binary = pathlib.Path(sys.executable).parent / "cowslipgate"
-    address = f"{_cluster.HOST}:{cluster.balancer_port}"
-    command = [
-        str(binary),
-        "submit",
-        "schapkaart",
-        str(path),
-        f"--address={address}",
-        f"--token={TEAM_TOKEN}",
-        "--json",
-    ]
-    done = subprocess.run(command, capture_output=True, check=False)
-    _expect(done.returncode == 0, f"submit: {done}")
-    return json.loads(done.stdout)
+    code, answer = _run(cluster, TEAM_TOKEN, "submit", "schapkaart", str(path))
+    _expect(code == COMPLETE, f"submit: {answer}")
+    return answer
 
 
-def _leave(cluster: _cluster.Cluster) -> None:
+def _leave(cluster: _cluster.Cluster, folder: pathlib.Path) -> None:
     agent = cluster.agents[-1]
     status = _cluster.stop_gracefully(agent.process)
     _expect(status == 0, f"agent exit status {status}")
     cluster.wait_ready(len(SPEEDS) - 1)
+    journal = folder / f"{cluster.targets[-1].name}.jsonl"
+    before = journal.read_text()
+    _submit(cluster, folder, {"tasks": [{"size_ms": 50}] * PRINT_TASKS})
+    _expect(journal.read_text() == before, "a target that left was used")
     print("An agent left; its target gets no new work.")
 
 
