Write the pages for operators and callers, and test that they are current

Cause: there was no page on interface, operation or words. The page of settings is written from the classes (make settings-page); tests compare it, and look for every error type, metric and log event in the other pages. A cancelled job that is not in flight is told with a type now.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 PACKAGES := core transport entry agent bench
 
-.PHONY: setup test demo lint format check-format capacity
+.PHONY: setup test demo settings-page lint format check-format capacity
 
 setup: $(VENV)/installed
 
@@ -29,3 +29,6 @@
 
 capacity: setup
 	$(PYTHON) -m cowslipgate_bench capacity
+
+settings-page: setup
+	$(PYTHON) -m cowslipgate_bench settings-page
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -10,6 +10,7 @@
 from cowslipgate_bench import _balancer
 from cowslipgate_bench import _capacity_page
 from cowslipgate_bench import _demo
+from cowslipgate_bench import _settings_page
 from cowslipgate_bench import _table
 from cowslipgate_bench import _target
 
@@ -65,4 +66,10 @@
     _demo.run_demo()
 
 
+@app.command
+def settings_page() -> None:
+    """Write docs/SETTINGS.md from the settings' classes."""
+    _settings_page.write_page()
+
+
 app()
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
@@ -0,0 +1,45 @@
+"""The pages for operators and callers name what the code has."""
+
+import pathlib
+import re
+
+import cowslipgate_core as core
+import pytest
+
+from cowslipgate_bench import _settings_page
+from cowslipgate_entry import _changes
+from cowslipgate_entry import _requests
+
+ROOT = pathlib.Path(__file__).parents[5]
+PACKAGES = ROOT / "packages"
+
+
+def _read(name: str) -> str:
+    return (ROOT / "docs" / name).read_text()
+
+
+def test_page_of_settings_is_current() -> None:
+    assert _read("SETTINGS.md") == _settings_page.render_page()
+
+
+@pytest.mark.parametrize(
+    "kind", [*core.Failure, *_requests.PatchProblem], ids=str
+)
+def test_every_error_type_is_in_the_interface(kind: str) -> None:
+    assert f"| `{kind}` |" in _read("API.md")
+
+
+def test_every_metric_is_in_the_page_for_operators() -> None:
+    folder = PACKAGES / "cowslipgate-entry" / "src" / "cowslipgate_entry"
+    source = (folder / "_metrics.py").read_text()
+    names = set(re.findall(r'"(cowslipgate_\w+)"', source))
+    page = _read("OPERATORS.md")
+    assert names
+    assert [name for name in sorted(names) if f"`{name}`" not in page] == []
+
+
+def test_every_event_of_the_log_is_in_the_page_for_operators() -> None:
+    page = _read("OPERATORS.md")
+    names = [change.__name__ for change in _changes.Change.__subclasses__()]
+    assert names
+    assert [name for name in names if f"`{name}`" not in page] == []
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -83,6 +83,18 @@
     return transport.Answer(status, msgspec.json.encode({"error": error}))
 
 
+def answer_cancellation(
+    cancellation: _requests.Cancellation, count: int
+) -> transport.Answer:
+    """Return the HTTP answer to a cancellation."""
+    body: dict[str, object] = {"cancelled": count}
+    if count or not cancellation.job:
+        return transport.Answer(200, msgspec.json.encode(body))
+    message = "the team has no such job in flight"
+    body["error"] = {"type": "unknown_job", "message": message}
+    return transport.Answer(404, msgspec.json.encode(body))
+
+
 def answer_patch(outcome: _requests.PatchOutcome) -> transport.Answer:
     """Return the HTTP answer to a patch."""
     headers = {"ETag": f'"{outcome.version}"'}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -124,11 +124,8 @@
         exchange = self._cancellations.pop(cancellation.number, None)
         if exchange is None:
             return
-        body = msgspec.json.encode({"cancelled": count})
-        status = 404 if cancellation.job and not count else 200
-        self.fire(
-            transport.answer_http(exchange, transport.Answer(status, body))
-        )
+        answer = _answers.answer_cancellation(cancellation, count)
+        self.fire(transport.answer_http(exchange, answer))
 
     @circuits.handler("patch_decided")
     def _on_patch_decided(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
@@ -80,9 +80,12 @@
     """Most caller connections at once."""
 
     max_body_bytes: int = core.setting(
-        core.parse_positive, _COUNT, "largest request in bytes", "8388608"
+        core.parse_positive,
+        _COUNT,
+        "largest body of a request in bytes",
+        "8388608",
     )
-    """Largest request in bytes."""
+    """Largest body of a request in bytes."""
 
     max_header_bytes: int = core.setting(
         core.parse_positive,
