--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -15,7 +15,7 @@
 from cowslipgate_entry import _exposition
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _requests
-from cowslipgate_entry import _traces
+from cowslipgate_entry import _sampler
 import cowslipgate_transport as transport
 
 CHANNEL = "gateway"
@@ -56,7 +56,7 @@
         dispatcher: _dispatcher.Dispatcher,
         member: core.Member,
         metrics: _metrics.Metrics,
-        sampler: _traces.Sampler,
+        sampler: _sampler.Sampler,
         access: Access,
     ) -> None:
         super().__init__()
@@ -124,11 +124,8 @@
         exchange = self._cancellations.pop(cancellation.number, None)
         if exchange is None:
             return
-        body = msgspec.json.encode({"cancelled": count})
-        status = 404 if cancellation.job and not count else 200
-        self.fire(
-            transport.answer_http(exchange, transport.Answer(status, body))
-        )
+        answer = _answers.answer_cancellation(cancellation, count)
+        self.fire(transport.answer_http(exchange, answer))
 
     @circuits.handler("patch_decided")
     def _on_patch_decided(
