Bound the agent's memory of entries and fence what a pause made stale

Cause: MAX_SESSIONS was declared but not enforced, outcomes of dead entries were kept for ever (a draining agent never exited), a paused agent started what its entries had given up on, an unreachable target was answered "not started" at once and got the same tasks back, and quarantine judged four failures of two jobs without regard to when their tasks had started.

The executor is split: sessions (fencing window, evicted incarnations, floor), slots (queue and running), outcomes kept, target state. A dispatch carries the number of the link of the agent's last report; a new connection, a dropped entry and a pause of the process renew it, and what was sent before is refused as "not started" and remembered. A target that refuses connections is "unreachable" until its next announcement, then on probation; another address serves at once. A job counts once towards quarantine; at most slots - 1 + JOBS_TO_QUARANTINE jobs are hurt before the slots go to zero, then one a try, the tries 2 to 60 s apart.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -33,9 +33,6 @@
     heard_at: datetime.datetime
     """When the entry was last heard."""
 
-    connections: int = 0
-    """Number of times that the link was made."""
-
 
 class Links(circuits.BaseComponent):
     """Owns one link for each entry of the agent's subset."""
@@ -103,7 +100,7 @@
         link = self._links.get(int(peer))
         if link is None:
             return
-        link.connections += 1
+        self._executor.connect(int(peer))
         self._report(int(peer), link)
 
     @circuits.handler("message_received", channel="*")
@@ -188,6 +185,6 @@
             executor.measure_load(incarnation),
             executor.configuration_version,
             core.digest_members(self._members),
-            link.connections,
+            executor.get_link(incarnation),
         )
         self.fire(transport.send_message(b"", report), link.socket.channel)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
@@ -32,40 +32,42 @@
     def _on_target_announced(self, announcement: core.Announcement) -> None:
         if self._stopping:
             return
-        before = self._executor.state
+        before = self._observe()
         self._perform(self._executor.announce(announcement, self._clock.now()))
         self._report_change(before)
 
     @circuits.handler("target_left")
     def _on_target_left(self) -> None:
-        before = self._executor.state
+        before = self._observe()
         self._perform(self._executor.leave(self._clock.now()))
         self._report_change(before)
 
     @circuits.handler("entry_heard")
     def _on_entry_heard(self, message: object) -> None:
-        before = self._executor.state
+        before = self._observe()
         actions = _apply_message(message, self._executor, self._clock.now())
         self._perform(actions)
         self._report_change(before)
 
     @circuits.handler("entry_dropped")
     def _on_entry_dropped(self, incarnation: int) -> None:
+        before = self._observe()
         self._perform(
             self._executor.drop_entry(incarnation, self._clock.now())
         )
+        self._report_change(before)
 
     @circuits.handler("task_ended")
     def _on_task_ended(
         self, key: core.AttemptKey, report: core.AttemptReport
     ) -> None:
-        before = self._executor.state
+        before = self._observe()
         self._perform(self._executor.end_task(key, report, self._clock.now()))
         self._report_change(before)
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
-        before = self._executor.state
+        before = self._observe()
         self._perform(
             self._executor.tick(self._clock.now(), self._target_lapse)
         )
@@ -76,12 +78,14 @@
     @circuits.handler("drain")
     def _on_drain(self) -> None:
         self._stopping = True
-        before = self._executor.state
         self._perform(self._executor.leave(self._clock.now()))
-        self._report_change(before)
+        self.fire(_events.send_reports(), "links")
+
+    def _observe(self) -> tuple[str, int]:
+        return self._executor.state, self._executor.links
 
-    def _report_change(self, before: str) -> None:
-        if self._executor.state != before:
+    def _report_change(self, before: tuple[str, int]) -> None:
+        if self._observe() != before:
             self.fire(_events.send_reports(), "links")
 
     def _perform(self, actions: list[core.ExecutorAction]) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -9,25 +9,28 @@
 from cowslipgate_core import _estimates
 from cowslipgate_core import _exceptions
 from cowslipgate_core import _executor
+from cowslipgate_core import _executor_actions
 from cowslipgate_core import _health
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
 from cowslipgate_core import _ledger
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
+from cowslipgate_core import _outcomes
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
+from cowslipgate_core import _sessions
 from cowslipgate_core import _settings
 
 Acknowledge = _messages.Acknowledge
 AGENT_LOST_AFTER = _ledger.AGENT_LOST_AFTER
 AGENT_SUSPECT_AFTER = _ledger.AGENT_SUSPECT_AFTER
 AgentRecord = _ledger.AgentRecord
-Announcement = _executor.Announcement
+Announcement = _executor_actions.Announcement
 AnswerJob = _ledger.AnswerJob
 Assignment = _placement.Assignment
 Attempt = _jobs.Attempt
-AttemptKey = _executor.AttemptKey
+AttemptKey = _executor_actions.AttemptKey
 AttemptReport = _messages.AttemptReport
 Beat = _messages.Beat
 Bind = _settings.Bind
@@ -50,15 +53,17 @@
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
 Document = _configuration.Document
+DROPPED_LIFETIME = _executor.DROPPED_LIFETIME
 encode_identity = _messages.encode_identity
 encode_message = _messages.encode_message
+ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
 Estimates = _estimates.Estimates
 Executor = _executor.Executor
-ExecutorAction = _executor.ExecutorAction
+ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
 Failure = _jobs.Failure
-FAILURES_TO_QUARANTINE = _health.FAILURES_TO_QUARANTINE
+FAILURE_MEMORY = _health.FAILURE_MEMORY
 FailureWindow = _health.FailureWindow
 Fault = _exceptions.Fault
 find_holder = _configuration.find_holder
@@ -84,13 +89,15 @@
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
 MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
+MAX_EVICTED = _sessions.MAX_EVICTED
+MAX_KEPT_BYTES = _outcomes.MAX_KEPT_BYTES
 MAX_PORT = _settings.MAX_PORT
 MAX_RATIO = _estimates.MAX_RATIO
-MAX_REMEMBERED = _executor.MAX_REMEMBERED
-MAX_SESSIONS = _executor.MAX_SESSIONS
+MAX_REMEMBERED = _sessions.MAX_REMEMBERED
+MAX_SESSIONS = _sessions.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
-MAX_UNACKNOWLEDGED = _executor.MAX_UNACKNOWLEDGED
+MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
 Member = _messages.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
@@ -100,6 +107,7 @@
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
+OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 parse_bind = _settings.parse_bind
 parse_chart = _charts.parse_chart
 parse_choice = _settings.parse_choice
@@ -109,17 +117,18 @@
 parse_duration = _settings.parse_duration
 parse_job = _jobs.parse_job
 parse_name = _settings.parse_name
+PAUSE_AFTER = _executor.PAUSE_AFTER
 Policy = _placement.Policy
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
-RESEND_AFTER = _executor.RESEND_AFTER
+RESEND_AFTER = _outcomes.RESEND_AFTER
 Resources = _messages.Resources
 Results = _messages.Results
 RoundRobin = _placement.RoundRobin
 SendOrders = _ledger.SendOrders
-SendReports = _executor.SendReports
+SendReports = _executor_actions.SendReports
 SendWithdraw = _ledger.SendWithdraw
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
@@ -129,9 +138,9 @@
 SETTLE_TIMEOUT = _ledger.SETTLE_TIMEOUT
 share_slots = _quotas.share_slots
 Started = _jobs.Started
-StartTask = _executor.StartTask
+StartTask = _executor_actions.StartTask
 State = _charts.State
-StopTask = _executor.StopTask
+StopTask = _executor_actions.StopTask
 SystemClock = _clock.SystemClock
 TargetView = _placement.TargetView
 TaskRequest = _jobs.TaskRequest
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor_actions.py
@@ -0,0 +1,72 @@
+"""Records that the executor takes in and the actions that it returns."""
+
+import attrs
+
+from cowslipgate_core import _messages
+
+
+@attrs.frozen
+class AttemptKey:
+    """Names an attempt over all entries."""
+
+    entry: int
+    """Incarnation of the entry."""
+
+    attempt: int
+    """Sequence number at the entry."""
+
+
+@attrs.frozen
+class Announcement:
+    """What a target announces of itself."""
+
+    service: str
+    """Service that the target belongs to."""
+
+    address: str
+    """Address of the target, ``http://host:port``."""
+
+    slots: int
+    """Tasks that may run at once."""
+
+    connections: int
+    """Connections that may be open."""
+
+    resources: _messages.Resources = _messages.Resources()
+    """What one task may use."""
+
+
+@attrs.frozen
+class StartTask:
+    """ExecutorAction: call the target."""
+
+    key: AttemptKey
+    """The attempt."""
+
+    order: _messages.Order
+    """What to run."""
+
+
+@attrs.frozen
+class StopTask:
+    """ExecutorAction: tell the target to stop a task."""
+
+    key: AttemptKey
+    """The attempt."""
+
+    task: str
+    """Id of the task at the target."""
+
+
+@attrs.frozen
+class SendReports:
+    """ExecutorAction: tell an entry the outcomes of attempts."""
+
+    entry: int
+    """Incarnation of the entry."""
+
+    reports: tuple[_messages.AttemptReport, ...]
+    """The outcomes."""
+
+
+ExecutorAction = StartTask | StopTask | SendReports
--- a/packages/cowslipgate-core/src/cowslipgate_core/_health.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_health.py
@@ -4,21 +4,26 @@
 
 import attrs
 
-FAILURES_TO_QUARANTINE = 4
-JOBS_TO_QUARANTINE = 2
+FAILURE_MEMORY = datetime.timedelta(seconds=60)
+JOBS_TO_QUARANTINE = 3
 FIRST_QUARANTINE = datetime.timedelta(seconds=2)
 LONGEST_QUARANTINE = datetime.timedelta(seconds=60)
 
 
 @attrs.define
 class FailureWindow:
-    """Failures since the last success, and the time of the next try."""
+    """Jobs that failed since the last success, and the time of the next try.
 
-    _failures: int = 0
-    """Failures since the last success."""
+    A job counts once, so a job whose every task is bad does not make a target
+    look broken. A success counts when its task started after the failures
+    began; tasks that started before say nothing about the target now.
+    """
 
-    _jobs: set[str] = attrs.Factory(set)
-    """Jobs that saw those failures."""
+    _jobs: dict[str, datetime.datetime] = attrs.Factory(dict)
+    """When a task of each failed job last failed."""
+
+    _failing_since: datetime.datetime | None = None
+    """When the first of the failed tasks started."""
 
     _duration: datetime.timedelta = FIRST_QUARANTINE
     """Duration of the next quarantine."""
@@ -29,28 +34,45 @@
     @property
     def failing(self) -> bool:
         """Whether the target is to be quarantined."""
-        return (
-            self._failures >= FAILURES_TO_QUARANTINE
-            and len(self._jobs) >= JOBS_TO_QUARANTINE
-        )
+        return len(self._jobs) >= JOBS_TO_QUARANTINE
 
-    def note_success(self) -> None:
+    def note_success(self, started_at: datetime.datetime) -> None:
         """Take in a finished task."""
-        self._failures = 0
-        self._jobs.clear()
+        since = self._failing_since
+        if since is not None and started_at < since:
+            return
+        self._clear()
         self._duration = FIRST_QUARANTINE
+        self._until = None
 
-    def note_failure(self, job: str, now: datetime.datetime) -> None:
+    def note_failure(
+        self, job: str, started_at: datetime.datetime, now: datetime.datetime
+    ) -> None:
         """Take in a failed task of ``job``."""
-        self._failures += 1
-        if len(self._jobs) < JOBS_TO_QUARANTINE:
-            self._jobs.add(job)
+        self._expire(now)
+        if not self._jobs:
+            self._failing_since = started_at
+        if job in self._jobs or not self.failing:
+            self._jobs[job] = now
 
     def quarantine(self, now: datetime.datetime) -> None:
         """Begin a quarantine, twice as long as the one before."""
         self._until = now + self._duration
         self._duration = min(self._duration * 2, LONGEST_QUARANTINE)
 
+    def is_quarantined(self, now: datetime.datetime) -> bool:
+        """Tell whether a quarantine is under way."""
+        return self._until is not None and now < self._until
+
     def may_try(self, now: datetime.datetime) -> bool:
         """Tell whether the quarantine is over."""
-        return self._until is not None and now >= self._until
+        return not self.is_quarantined(now)
+
+    def _expire(self, now: datetime.datetime) -> None:
+        for job, failed_at in list(self._jobs.items()):
+            if now - failed_at > FAILURE_MEMORY:
+                del self._jobs[job]
+
+    def _clear(self) -> None:
+        self._jobs.clear()
+        self._failing_since = None
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -33,6 +33,7 @@
     NOT_SERVING = "not_serving"
     STALE_CONFIGURATION = "stale_configuration"
     OTHER_INCARNATION = "other_incarnation"
+    STALE_LINK = "stale_link"
     FORGOTTEN = "forgotten"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_STATUS = "target_status"
@@ -179,6 +180,9 @@
     acknowledged: tuple[int, ...] = ()
     """Attempts whose outcome the entry has received."""
 
+    link: int = 0
+    """Number of the link in the agent's last report to the entry."""
+
 
 @attrs.frozen
 class Withdraw:
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_sessions.py
@@ -0,0 +1,119 @@
+"""What an agent remembers of each entry incarnation to start nothing twice."""
+
+import collections
+from collections.abc import Collection, Iterator
+import datetime
+import sys
+
+import attrs
+
+MAX_EVICTED = 1_024
+MAX_REMEMBERED = 4_096
+MAX_SESSIONS = 256
+EVERY_ATTEMPT = sys.maxsize
+
+
+@attrs.define(eq=False)
+class Session:
+    """What the agent remembers of one entry incarnation."""
+
+    watermark: int = 0
+    """Attempts up to this number are no longer told apart."""
+
+    link: int = 0
+    """Number of the link; dispatches under an older one are refused."""
+
+    dropped_at: datetime.datetime | None = None
+    """When the entry was given up, or None while it is heard."""
+
+    remembered: dict[int, None] = attrs.Factory(dict)
+    """Attempts above the watermark that were accepted or fenced."""
+
+    def knows(self, attempt: int) -> bool:
+        """Tell whether an attempt may have been accepted or fenced."""
+        return attempt <= self.watermark or attempt in self.remembered
+
+    def remember(self, attempt: int) -> None:
+        """Note an attempt; the oldest ones fall below the watermark."""
+        self.remembered[attempt] = None
+        if len(self.remembered) > MAX_REMEMBERED:
+            oldest = next(iter(self.remembered))
+            del self.remembered[oldest]
+            self.watermark = max(self.watermark, oldest)
+
+    def get_highest(self) -> int:
+        """Return the highest attempt that was accepted or fenced."""
+        return max(self.watermark, max(self.remembered, default=0))
+
+
+class Sessions:
+    """Sessions by entry incarnation, bounded in number.
+
+    Of an evicted session only its highest attempt is kept, so that nothing
+    up to it ever starts. When even these are too many, the incarnation
+    forgotten becomes the floor: nothing of an unknown incarnation up to the
+    floor ever starts.
+    """
+
+    def __init__(self) -> None:
+        self._sessions: collections.OrderedDict[int, Session] = (
+            collections.OrderedDict()
+        )
+        self._evicted: dict[int, Session] = {}
+        self._floor = 0
+
+    def __len__(self) -> int:
+        return len(self._sessions)
+
+    def __iter__(self) -> Iterator[tuple[int, Session]]:
+        return iter(list(self._sessions.items()))
+
+    @property
+    def evicted(self) -> int:
+        """Number of evicted sessions of which something is kept."""
+        return len(self._evicted)
+
+    def get(self, entry: int) -> Session | None:
+        """Return the session of an entry, or None."""
+        return self._sessions.get(entry)
+
+    def open(self, entry: int) -> Session:
+        """Return the session of an entry, now the most recently used."""
+        session = self._sessions.get(entry)
+        if session is None:
+            session = self._restore(entry)
+            self._sessions[entry] = session
+        self._sessions.move_to_end(entry)
+        return session
+
+    def find_surplus(self, busy: Collection[int]) -> list[int]:
+        """Return the entries to evict, dropped and least recently used first.
+
+        :param busy: entries whose attempts are queued or running
+        """
+        surplus = len(self._sessions) - MAX_SESSIONS
+        if surplus <= 0:
+            return []
+        newest = next(reversed(self._sessions))
+        idle = [
+            entry
+            for entry in self._sessions
+            if entry not in busy and entry != newest
+        ]
+        idle.sort(key=lambda entry: self._sessions[entry].dropped_at is None)
+        return idle[:surplus]
+
+    def evict(self, entry: int) -> None:
+        """Forget a session but for its highest attempt."""
+        session = self._sessions.pop(entry)
+        self._evicted[entry] = Session(session.get_highest(), session.link)
+        if len(self._evicted) > MAX_EVICTED:
+            oldest = min(self._evicted)
+            del self._evicted[oldest]
+            self._floor = max(self._floor, oldest)
+
+    def _restore(self, entry: int) -> Session:
+        evicted = self._evicted.pop(entry, None)
+        if evicted is not None:
+            return evicted
+        return Session(EVERY_ATTEMPT if entry <= self._floor else 0)
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_slots.py
@@ -0,0 +1,95 @@
+"""The attempts that are queued or running at one agent."""
+
+import collections
+from collections.abc import Iterator
+import datetime
+
+import attrs
+
+from cowslipgate_core import _executor_actions
+from cowslipgate_core import _messages
+
+
+@attrs.define(eq=False)
+class Held:
+    """An attempt that is queued or running."""
+
+    key: _executor_actions.AttemptKey
+    """The attempt."""
+
+    order: _messages.Order
+    """What to run."""
+
+    queued_at: datetime.datetime
+    """When it arrived."""
+
+    started_at: datetime.datetime | None = None
+    """When the target was called, or None while queued."""
+
+    address: str = ""
+    """Address of the target that was called."""
+
+    stopping: bool = False
+    """Whether the target was told to stop it."""
+
+
+class Slots:
+    """Queue and running attempts, first come first served."""
+
+    def __init__(self) -> None:
+        self._queue: collections.OrderedDict[
+            _executor_actions.AttemptKey, Held
+        ] = collections.OrderedDict()
+        self.running: dict[_executor_actions.AttemptKey, Held] = {}
+
+    def __len__(self) -> int:
+        return len(self._queue) + len(self.running)
+
+    def __iter__(self) -> Iterator[_executor_actions.AttemptKey]:
+        yield from self._queue
+        yield from self.running
+
+    def __contains__(self, key: _executor_actions.AttemptKey) -> bool:
+        return key in self._queue or key in self.running
+
+    def count(self, entry: int) -> int:
+        """Return the number of attempts held for an entry."""
+        return sum(1 for key in self if key.entry == entry)
+
+    def get_entries(self) -> set[int]:
+        """Return the entries for which attempts are held."""
+        return {key.entry for key in self}
+
+    def push(self, held: Held) -> None:
+        """Add an attempt to the end of the queue."""
+        self._queue[held.key] = held
+
+    def withdraw(self, key: _executor_actions.AttemptKey) -> bool:
+        """Take an attempt off the queue; return whether it was there."""
+        return self._queue.pop(key, None) is not None
+
+    def withdraw_all(
+        self, entry: int | None = None
+    ) -> list[_executor_actions.AttemptKey]:
+        """Take the attempts of one entry, or of all, off the queue."""
+        keys = [
+            key for key in self._queue if entry is None or key.entry == entry
+        ]
+        for key in keys:
+            del self._queue[key]
+        return keys
+
+    def start_next(
+        self, limit: int, address: str, now: datetime.datetime
+    ) -> Held | None:
+        """Move the head of the queue to a slot, if one is free.
+
+        :param limit: attempts that may run at once
+        """
+        if not self._queue or len(self.running) >= limit:
+            return None
+        key, held = self._queue.popitem(last=False)
+        held.started_at = now
+        held.address = address
+        self.running[key] = held
+        return held
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_target_state.py
@@ -0,0 +1,112 @@
+"""What an agent knows of the target beside it."""
+
+import datetime
+
+from cowslipgate_core import _charts
+from cowslipgate_core import _executor_actions
+from cowslipgate_core import _health
+from cowslipgate_core import _messages
+from cowslipgate_core import _slots
+
+
+class TargetState:
+    """Announcement and health of one target, after ``charts/target.toml``."""
+
+    def __init__(self) -> None:
+        self._machine = _charts.Machine(_charts.load_chart("target"))
+        self._health = _health.FailureWindow()
+        self._announced_at: datetime.datetime | None = None
+        self.announcement: _executor_actions.Announcement | None = None
+
+    @property
+    def state(self) -> str:
+        """State of the target."""
+        return self._machine.state
+
+    @property
+    def address(self) -> str:
+        """Address of the target, empty before its first announcement."""
+        announcement = self.announcement
+        return announcement.address if announcement is not None else ""
+
+    @property
+    def slots(self) -> int:
+        """Slots open to work now."""
+        announcement = self.announcement
+        if announcement is None:
+            return 0
+        announced = min(announcement.slots, announcement.connections)
+        match self._machine.get_attribute("slots"):
+            case "all":
+                return announced
+            case "one":
+                return min(1, announced)
+        return 0
+
+    def announce(
+        self,
+        announcement: _executor_actions.Announcement,
+        now: datetime.datetime,
+    ) -> None:
+        """Take in an announcement.
+
+        Another address means that another target has taken the place.
+        """
+        replaced = self.address not in ("", announcement.address)
+        self.announcement = announcement
+        self._announced_at = now
+        if replaced:
+            self._health = _health.FailureWindow()
+        self._machine.fire("replace" if replaced else "announce")
+        if self._health.is_quarantined(now):
+            self._fire_allowed("quarantine")
+
+    def leave(self) -> None:
+        """Take in that the target or the agent is leaving."""
+        self._machine.fire("leave")
+
+    def check(
+        self, now: datetime.datetime, lapse_after: datetime.timedelta
+    ) -> None:
+        """Act on everything that time alone brings about.
+
+        :param lapse_after: silence after which a target counts as absent
+        """
+        announced = self._announced_at
+        if announced is not None and now - announced > lapse_after:
+            self._machine.fire("lapse")
+            self._announced_at = None
+        if self._machine.allows("try") and self._health.may_try(now):
+            self._machine.fire("try")
+
+    def judge(
+        self,
+        report: _messages.AttemptReport,
+        held: _slots.Held,
+        now: datetime.datetime,
+    ) -> None:
+        """Take in how a call of the target ended."""
+        if held.address != self.address:
+            return
+        if report.outcome is _messages.Outcome.FINISHED:
+            self._health.note_success(held.started_at)
+            self._fire_allowed("recover")
+        elif report.reason is _messages.Reason.TARGET_UNREACHABLE:
+            self._fire_allowed("disconnect")
+            if self.state == "probation":
+                self._quarantine(now)
+        elif not held.stopping:
+            job = held.order.task.partition(".")[0]
+            self._health.note_failure(job, held.started_at, now)
+            if self.state == "probation" or self._health.failing:
+                self._quarantine(now)
+
+    def _quarantine(self, now: datetime.datetime) -> None:
+        if self._fire_allowed("quarantine"):
+            self._health.quarantine(now)
+
+    def _fire_allowed(self, event: str) -> bool:
+        allowed = self._machine.allows(event)
+        if allowed:
+            self._machine.fire(event)
+        return allowed
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
@@ -57,9 +57,15 @@
     return core.Dispatch(7, 1, version, orders)
 
 
+def build_announcement(
+    slots: int = 8, address: str = "http://127.0.0.1:1", connections: int = 64
+) -> core.Announcement:
+    """Return the announcement of a target."""
+    return core.Announcement("print", address, slots, connections)
+
+
 def build_executor(slots: int = 2, queue_limit: int = 1) -> core.Executor:
     """Return an executor of incarnation 1 whose target serves."""
     executor = core.Executor(1, queue_limit)
-    announcement = core.Announcement("print", "http://127.0.0.1:1", slots, 64)
-    executor.announce(announcement, NOW)
+    executor.announce(build_announcement(slots), NOW)
     return executor
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
@@ -94,3 +94,54 @@
     assert _get_reports(executor.dispatch(dispatch, NOW)) == [
         (core.Outcome.UNKNOWN, core.Reason.FORGOTTEN)
     ]
+
+
+def test_old_link_is_refused_after_a_new_connection() -> None:
+    executor = builders.build_executor()
+    executor.connect(7)
+    dispatch = builders.build_dispatch(builders.build_order(1))
+    assert _get_reports(executor.dispatch(dispatch, NOW)) == [
+        (core.Outcome.NOT_STARTED, core.Reason.STALE_LINK)
+    ]
+
+
+def test_paused_agent_starts_nothing_of_what_was_queued() -> None:
+    executor = builders.build_executor(slots=1, queue_limit=1)
+    orders = [builders.build_order(n) for n in (1, 2)]
+    executor.dispatch(builders.build_dispatch(*orders), NOW)
+    later = NOW + 2 * core.PAUSE_AFTER
+    report = core.AttemptReport(1, core.Outcome.FINISHED)
+    actions = executor.end_task(core.AttemptKey(7, 1), report, later)
+    assert _count_starts(actions) == 0
+    assert sorted(_get_reports(actions)) == [
+        (core.Outcome.FINISHED, core.Reason.NONE),
+        (core.Outcome.NOT_STARTED, core.Reason.WITHDRAWN),
+    ]
+
+
+def test_agent_paused_for_long_stops_what_runs() -> None:
+    executor = builders.build_executor()
+    executor.dispatch(builders.build_dispatch(builders.build_order(1)), NOW)
+    later = NOW + 2 * core.ENTRY_LOST_AFTER
+    actions = executor.tick(later, datetime.timedelta(hours=1))
+    assert core.StopTask(core.AttemptKey(7, 1), "job-1.0.1") in actions
+
+
+def test_dropped_entry_has_its_tasks_stopped_once() -> None:
+    executor = builders.build_executor(slots=1, queue_limit=1)
+    orders = [builders.build_order(n) for n in (1, 2)]
+    executor.dispatch(builders.build_dispatch(*orders), NOW)
+    actions = executor.drop_entry(7, NOW) + executor.drop_entry(7, NOW)
+    stops = [a for a in actions if isinstance(a, core.StopTask)]
+    assert len(stops) == 1
+    assert _get_reports(actions) == [
+        (core.Outcome.NOT_STARTED, core.Reason.WITHDRAWN)
+    ]
+
+
+def test_running_tasks_stay_within_the_connections() -> None:
+    executor = core.Executor(1, queue_limit=8)
+    executor.announce(builders.build_announcement(8, connections=3), NOW)
+    orders = [builders.build_order(n) for n in range(1, 9)]
+    actions = executor.dispatch(builders.build_dispatch(*orders), NOW)
+    assert _count_starts(actions) == 3
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -301,9 +301,14 @@
             self._get_version(),
             action.orders,
             tuple(self._unacknowledged.pop(action.agent, ())),
+            self._get_link(action.agent),
         )
         self._send_to(action.agent, action.incarnation, message)
 
+    def _get_link(self, agent: str) -> int:
+        record = self._ledger.agents.get(agent)
+        return record.report.link if record is not None else 0
+
     def _send(self, agent: str, message: object) -> None:
         record = self._ledger.agents.get(agent)
         if record is not None:
