--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -17,7 +17,7 @@
 
 DROPPED_LIFETIME = datetime.timedelta(seconds=5)
 ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
-PAUSE_AFTER = datetime.timedelta(seconds=5)
+PAUSE_FRACTION = 0.25
 
 
 @attrs.define
@@ -43,9 +43,16 @@
 class Executor:
     """Sessions, queue and running tasks of one agent."""
 
-    def __init__(self, incarnation: int, queue_limit: int) -> None:
+    def __init__(
+        self,
+        incarnation: int,
+        queue_limit: int,
+        entry_lost_after: datetime.timedelta = ENTRY_LOST_AFTER,
+    ) -> None:
         self._incarnation = incarnation
         self._queue_limit = queue_limit
+        self._entry_lost_after = entry_lost_after
+        self._pause_after = entry_lost_after * PAUSE_FRACTION
         self._sessions = _sessions.Sessions()
         self._slots = _slots.Slots()
         self._outcomes = _outcomes.Outcomes()
@@ -141,6 +148,9 @@
     ) -> list[_executor_actions.ExecutorAction]:
         """Fence attempts that have not started and tell of the others."""
         actions = self._notice_pause(now)
+        if withdraw.incarnation != self._incarnation:
+            # An earlier incarnation may have started them.
+            return actions
         session = self._open_session(withdraw.entry)
         reports = []
         for attempt in withdraw.attempts:
@@ -179,6 +189,10 @@
         actions = self._notice_pause(now)
         if held.stopping and report.outcome is _messages.Outcome.FAILED:
             report = attrs.evolve(report, outcome=_messages.Outcome.STOPPED)
+        waited = held.started_at - held.queued_at
+        report = attrs.evolve(
+            report, wait_ms=waited / datetime.timedelta(milliseconds=1)
+        )
         self._target.judge(report, held, now)
         actions.extend(self._send(key.entry, [report], now))
         return actions + self._advance(now)
@@ -228,14 +242,14 @@
         # starts nothing of what reached it before.
         previous = self._seen_at
         self._seen_at = now
-        if previous is None or now - previous <= PAUSE_AFTER:
+        if previous is None or now - previous <= self._pause_after:
             return []
         self.counters.pauses += 1
         self._links += 1
         actions = self._refuse_queued(_messages.Reason.WITHDRAWN, now)
         for entry, session in self._sessions:
             session.link = self._links
-            if now - previous > ENTRY_LOST_AFTER:
+            if now - previous > self._entry_lost_after:
                 actions.extend(self.drop_entry(entry, now))
         return actions
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
@@ -41,6 +41,12 @@
     assert _count_starts(executor.dispatch(dispatch, NOW)) == 0
 
 
+def test_withdrawal_for_another_incarnation_is_not_answered() -> None:
+    executor = builders.build_executor()
+    withdraw = core.Withdraw(7, 2, (1,), stop=False)
+    assert executor.withdraw(withdraw, NOW) == []
+
+
 def test_full_agent_refuses() -> None:
     executor = builders.build_executor(slots=1, queue_limit=1)
     orders = [builders.build_order(n) for n in (1, 2, 3)]
@@ -109,7 +115,7 @@
     executor = builders.build_executor(slots=1, queue_limit=1)
     orders = [builders.build_order(n) for n in (1, 2)]
     executor.dispatch(builders.build_dispatch(*orders), NOW)
-    later = NOW + 2 * core.PAUSE_AFTER
+    later = NOW + core.ENTRY_LOST_AFTER / 2
     report = core.AttemptReport(1, core.Outcome.FINISHED)
     actions = executor.end_task(core.AttemptKey(7, 1), report, later)
     assert _count_starts(actions) == 0
