Keep a stopping entry up until its balancer has noticed

Cause: an entry without jobs exited within a tick of SIGTERM. Ruled out: callers that connect to the entry itself while it closes its listener; the kernel resets what is in its queue, so the balancer has to have left by then. The server answers failing handlers by circuits' failure event, so that the agent keeps circuits' own report of exceptions.

--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_stop.py
@@ -0,0 +1,96 @@
+"""A planned stop under load."""
+
+import http.client
+import json
+import pathlib
+import signal
+import threading
+
+import cowslipgate_core as core
+
+from cowslipgate_bench import _cluster
+from cowslipgate_bench import _target
+
+TEAM_TOKEN = "hall-token"
+CALLERS = 8
+JOB = json.dumps({"tasks": [{"payload": {"true_ms": 20}}]}).encode()
+DOCUMENT = {
+    "services": {"print": {}},
+    "teams": {"hall": {"token_digests": [core.digest_token(TEAM_TOKEN)]}},
+}
+
+
+class _Caller:
+    """Submits one job after another until it is told to stop."""
+
+    def __init__(self, port: int, stop: threading.Event) -> None:
+        self._port = port
+        self._stop = stop
+        self._connection: http.client.HTTPConnection | None = None
+        self.complete = 0
+        self.refused = 0
+        self.cut: list[str] = []
+
+    def run(self) -> None:
+        """Submit until told to stop or a request is cut."""
+        while not (self.cut or self._stop.is_set()):
+            try:
+                self._submit()
+            except (OSError, http.client.HTTPException) as error:
+                self.cut.append(repr(error))
+
+    def _submit(self) -> None:
+        if self._connection is None:
+            self._connection = http.client.HTTPConnection(
+                _cluster.HOST, self._port, timeout=60
+            )
+        headers = {"Authorization": f"Bearer {TEAM_TOKEN}"}
+        path = "/v1/services/print/jobs"
+        self._connection.request("POST", path, JOB, headers)
+        response = self._connection.getresponse()
+        answer = json.loads(response.read())
+        if response.will_close:
+            self._connection.close()
+            self._connection = None
+        if response.status == 200:
+            self.complete += 1
+        elif answer["error"]["type"] == "stopping":
+            self.refused += 1
+        else:
+            self.cut.append(str(answer))
+
+
+def test_a_planned_stop_cuts_no_request(tmp_path: pathlib.Path) -> None:
+    with _cluster.Cluster(tmp_path) as cluster:
+        cluster.start_table()
+        cluster.start_entries(["kaai-zuid", "dokken-noord"])
+        cluster.start_agent("kaai-zuid", _target.TargetOptions("print", 0))
+        _cluster.wait_until(
+            lambda: cluster.patch(0, DOCUMENT).status in (200, 412),
+            "the configuration",
+        )
+        cluster.wait_ready(1)
+        stop = threading.Event()
+        callers = [
+            _Caller(cluster.balancer_port, stop) for _ in range(CALLERS)
+        ]
+        threads = [threading.Thread(target=c.run) for c in callers]
+        for thread in threads:
+            thread.start()
+        _cluster.wait_until(
+            lambda: all(caller.complete for caller in callers), "a full load"
+        )
+        leaving, staying = cluster.entries
+        _cluster.wait_until(
+            lambda: cluster.count_jobs(leaving), "a job in flight"
+        )
+        leaving.process.send_signal(signal.SIGTERM)
+        status = leaving.process.wait(_cluster.STOP_SECONDS)
+        _cluster.wait_until(
+            lambda: cluster.count_jobs(staying), "a job at the other entry"
+        )
+        stop.set()
+        for thread in threads:
+            thread.join()
+        assert status == 0
+        assert [cut for caller in callers for cut in caller.cut] == []
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -42,14 +42,14 @@
     def __init__(
         self,
         clock: core.Clock,
-        drain_timeout: datetime.timedelta,
+        settings: _settings.EntrySettings,
         logs: _logs.Logs,
     ) -> None:
         super().__init__()
         self._logs = logs
         self._clock = clock
-        self._drain_timeout = drain_timeout
-        self._drain_until: datetime.datetime | None = None
+        self._settings = settings
+        self._drain_since: datetime.datetime | None = None
         self._server: transport.HttpServer | None = None
         self._drained = False
 
@@ -60,9 +60,10 @@
     @circuits.handler("signal", channel="*")
     def _on_signal(self, event: circuits.Event, *arguments: object) -> None:
         event.stop()
-        if self._drain_until is None:
-            self._drain_until = self._clock.now() + self._drain_timeout
+        if self._drain_since is None:
+            self._drain_since = self._clock.now()
             self.fire(_events.drain(), "dispatcher", "peers")
+            self.fire(transport.drain_http(), _gateway.CHANNEL)
 
     @circuits.handler("entry_drained")
     def _on_entry_drained(self) -> None:
@@ -70,15 +71,22 @@
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
-        if self._drain_until is None:
+        if self._drain_since is None:
             return
+        elapsed = self._clock.now() - self._drain_since
+        done = self._drained and not self._server.waiting
+        if elapsed >= self._settings.drain_timeout:
+            self._exit(done)
+        if not done or elapsed < self._settings.drain_delay:
+            return
+        if self._server.closed:
+            self._exit(done)
+        self.fire(transport.close_http(), _gateway.CHANNEL)
+
+    def _exit(self, done: bool) -> None:
         waiting = self._server.waiting
-        if self._drained and not waiting:
-            self._logs.write(_changes.DrainEnded(0))
-            raise SystemExit(0)
-        if self._clock.now() >= self._drain_until:
-            self._logs.write(_changes.DrainEnded(waiting))
-            raise SystemExit(1)
+        self._logs.write(_changes.DrainEnded(waiting))
+        raise SystemExit(0 if done else 1)
 
 
 def run_entry(settings: _settings.EntrySettings) -> None:
@@ -128,7 +136,7 @@
     :raises zmq.ZMQError: when the internal address cannot be bound
     :raises OSError: when the HTTP address cannot be bound
     """
-    process = EntryProcess(clock, settings.drain_timeout, logs)
+    process = EntryProcess(clock, settings, logs)
     logs.register(process)
     poller = pollers.EPoll().register(process)
     server = _add_server(process, settings, clock)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
@@ -74,6 +74,15 @@
     )
     """Longest time that a planned stop waits for jobs in flight."""
 
+    drain_delay: datetime.timedelta = core.setting(
+        core.parse_duration,
+        _DURATION,
+        "shortest time between the start of a planned stop and its end, "
+        "longer than the balancer takes to notice a failing health check",
+        "2s",
+    )
+    """Shortest duration of a planned stop, so that the balancer notices."""
+
     max_connections: int = core.setting(
         core.parse_positive, _COUNT, "most caller connections at once", "1024"
     )
@@ -197,6 +206,13 @@
                 "--curve-secret-key", "", "set when --curve-agent-keys is"
             )
             faults.append(fault)
+        if self.drain_delay >= self.drain_timeout:
+            fault = core.SettingFault(
+                "--drain-delay",
+                f"{self.drain_delay.total_seconds()}s",
+                "shorter than --drain-timeout",
+            )
+            faults.append(fault)
         if self.max_header_bytes > self.max_body_bytes:
             fault = core.SettingFault(
                 "--max-header-bytes",
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -18,6 +18,7 @@
 from cowslipgate_transport import _request_parser
 
 READ_SIZE = 65_536
+BACKLOG = 1_024
 TICK_SECONDS = 0.5
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -125,6 +126,8 @@
 class http_requested(circuits.Event):
     """A request has arrived; the argument is its Exchange."""
 
+    failure = True
+
 
 class http_abandoned(circuits.Event):
     """A caller went away; the argument is its unanswered Exchange."""
@@ -138,6 +141,14 @@
     """Asks the server to answer; the arguments are Exchange and Answer."""
 
 
+class drain_http(circuits.Event):
+    """Asks the server to close each connection after its next answer."""
+
+
+class close_http(circuits.Event):
+    """Asks the server to listen no more and close idle connections."""
+
+
 class check_connections(circuits.Event):
     """Asks the server to close slow and idle connections."""
 
@@ -161,8 +172,12 @@
         self._limits = limits
         self._connections: dict[socket.socket, _Connection] = {}
         self._poller: pollers.BasePoller | None = None
+        self._draining = False
+        listener = _open_listener(bind)
+        self._listener: socket.socket | None = listener
+        self._port = listener.getsockname()[1]
         self._server = sockets.TCPServer(
-            bind, channel=channel, bufsize=READ_SIZE
+            listener, channel=channel, bufsize=READ_SIZE
         ).register(self)
         self._parser = _request_parser.RequestParser(
             self._server, channel
@@ -174,13 +189,18 @@
     @property
     def port(self) -> int:
         """Port that the server listens on."""
-        return self._server.port
+        return self._port
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def closed(self) -> bool:
+        """Whether it listens no more and every connection has ended."""
+        return self._listener is None and not self._connections
+
     @property
     def waiting(self) -> int:
         """Number of requests whose answer has not left whole."""
@@ -354,20 +374,30 @@
         for name, value in answer.headers.items():
             response.headers[name] = value
         response.body = answer.body
+        if self._draining:
+            response.close = True
         self._parser.respond(response)
 
-    @circuits.handler("exception", channel="*")
-    def _on_exception(
-        self,
-        kind: type,
-        error: BaseException,
-        traceback: list[str],
-        handler: object = None,
-        fevent: circuits.Event | None = None,
+    @circuits.handler("http_requested_failure")
+    def _on_http_requested_failure(
+        self, failed: http_requested, error: object
     ) -> None:
-        if isinstance(fevent, http_requested):
-            answer = Answer(500, _encode_error("internal", "unknown", ""))
-            self._on_answer_http(fevent.args[0], answer)
+        answer = Answer(500, _encode_error("internal", "unknown", ""))
+        self._on_answer_http(failed.args[0], answer)
+
+    @circuits.handler("drain_http")
+    def _on_drain_http(self) -> None:
+        self._draining = True
+
+    @circuits.handler("close_http")
+    def _on_close_http(self) -> None:
+        if self._listener is not None:
+            self.fire(net_events.close(self._listener))
+            self._listener = None
+        for sock, connection in self._connections.items():
+            idle = not (connection.busy or connection.received)
+            if idle and not self._is_sending(sock):
+                self.fire(net_events.close(sock))
 
     @circuits.handler("check_connections")
     def _on_check_connections(self) -> None:
@@ -408,6 +438,14 @@
         return self._poller.isWriting(sock)
 
 
+def _open_listener(bind: tuple[str, int]) -> socket.socket:
+    listener = socket.create_server(bind, backlog=BACKLOG)
+    listener.setblocking(False)
+    # Connections inherit the option.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
+
+
 def _encode_refusal(error: _http_heads.HeadError, bodiless: bool) -> bytes:
     body = _encode_error(error.kind, "none", error.message)
     lines = (
