--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -16,6 +16,7 @@
 from cowslipgate_entry import _events
 from cowslipgate_entry import _gateway
 from cowslipgate_entry import _keeper
+from cowslipgate_entry import _leases
 from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _peers
@@ -62,7 +63,7 @@
         event.stop()
         if self._drain_since is None:
             self._drain_since = self._clock.now()
-            self.fire(_events.drain(), "dispatcher", "peers")
+            self.fire(_events.drain(), "dispatcher", "peers", "leases")
             self.fire(transport.drain_http(), _gateway.CHANNEL)
 
     @circuits.handler("entry_drained")
@@ -143,11 +144,18 @@
     internal = _add_internal_socket(process, settings, poller)
     member = core.Member(
         incarnation,
-        internal.endpoint,
+        settings.advertise_internal or internal.endpoint,
         f"{settings.bind_http.host}:{server.port}",
         settings.domain,
     )
-    ledger = core.Ledger(_POLICIES[settings.policy])
+    timing = core.Timing(
+        inquiry_interval=settings.inquiry_interval,
+        agent_suspect_after=settings.agent_suspect_after,
+        agent_lost_after=settings.agent_lost_after,
+    )
+    ledger = core.Ledger(
+        _POLICIES[settings.policy], member.incarnation, timing
+    )
     dispatcher = _dispatcher.Dispatcher(ledger, member, clock)
     dispatcher.register(process)
     _add_observers(process, settings, dispatcher, member, server, clock)
@@ -155,7 +163,8 @@
     _keeper.Keeper(member, clock).register(process)
     _claims.Claims(member).register(process)
     balancer = _make_address(settings.balancer)
-    _peers.Peers(member, dispatcher, balancer, clock, poller).register(process)
+    _peers.Peers(member, balancer, clock, poller).register(process)
+    _leases.Leases(member, dispatcher, clock).register(process)
     _store.Store(_make_address(settings.platform)).register(process)
     transport.HttpClient("store", poller, clock).register(process)
     token = {"Authorization": f"Bearer {settings.cluster_token}"}
@@ -165,6 +174,7 @@
         _events.tick(),
         "dispatcher",
         "peers",
+        "leases",
         "keeper",
         "cancellations",
         "watch",
