--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
@@ -0,0 +1,98 @@
+"""Builders for the tests of the control plane's components."""
+
+import circuits
+import cowslipgate_core as core
+
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+from cowslipgate_entry.tests import builders
+
+SECTIONS = {"services": {"print": {}}, "teams": {"hall": {"slots": 6}}}
+
+
+class Recorder(circuits.BaseComponent):
+    """Keeps the events that are fired at a channel."""
+
+    def __init__(self, channel: str) -> None:
+        super().__init__(channel=channel)
+        self.events: list[circuits.Event] = []
+
+    @circuits.handler("*", priority=100)
+    def _on_any(self, event: circuits.Event, *arguments: object) -> None:
+        if not event.name.startswith(("registered", "unregistered")):
+            self.events.append(event)
+
+    def take(self, name: str) -> list[tuple]:
+        """Return the arguments of the events of one name, and forget them."""
+        found = [tuple(e.args) for e in self.events if e.name == name]
+        self.events = [e for e in self.events if e.name != name]
+        return found
+
+
+class ComponentBench:
+    """Components without sockets, and what they fire at other channels."""
+
+    def __init__(self, *channels: str) -> None:
+        self.clock = core.ManualClock()
+        self.root = circuits.BaseComponent()
+        self.recorders = {channel: Recorder(channel) for channel in channels}
+        for recorder in self.recorders.values():
+            recorder.register(self.root)
+        self.settle()
+
+    def settle(self) -> None:
+        """Let everything that was fired happen."""
+        while len(self.root):
+            self.root.flush()
+
+    def tell(self, event: circuits.Event, channel: str) -> None:
+        """Fire an event and let everything that follows happen."""
+        self.root.fire(event, channel)
+        self.settle()
+
+    def take_call(self) -> _requests.StoreCall:
+        """Return the one call of the table service."""
+        (arguments,) = self.recorders["store"].take("call_store")
+        return arguments[0]
+
+    def answer(
+        self,
+        call: _requests.StoreCall,
+        result: _requests.StoreResult,
+        value: object = None,
+        revision: int = 0,
+    ) -> None:
+        """Answer a call of the table service."""
+        answer = _requests.StoreAnswer(call, result, value, revision)
+        self.tell(_events.store_answered(answer), call.channel)
+
+
+def build_member(incarnation: int, port: int) -> core.Member:
+    """Return an entry on loopback."""
+    return core.Member(
+        incarnation,
+        f"tcp://127.0.0.1:{port}",
+        f"127.0.0.1:{port + 1}",
+        "kaai-zuid",
+    )
+
+
+def build_submission(key: str = "", team: str = "hall") -> object:
+    """Return a submission of one task, not repeatable when it has a key."""
+    request = core.JobRequest((core.TaskRequest(),), repeatable=not key)
+    return _requests.Submission(None, team, "print", request, key, "")
+
+
+def refuse_stale(attempt: int, version: int) -> core.Results:
+    """Return an agent's refusal of an attempt under an old version."""
+    report = core.AttemptReport(
+        attempt, core.Outcome.NOT_STARTED, core.Reason.STALE_CONFIGURATION
+    )
+    results = builders.build_results()
+    return core.Results(
+        results.agent,
+        results.incarnation,
+        results.load,
+        (report,),
+        version,
+    )
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
@@ -0,0 +1,100 @@
+"""Tests of the component that owns the configuration."""
+
+import datetime
+
+import cowslipgate_core as core
+import pytest
+
+from cowslipgate_entry import _events
+from cowslipgate_entry import _keeper
+from cowslipgate_entry import _requests
+from cowslipgate_entry import _store
+from cowslipgate_entry.tests import control_builders
+
+IN_FORCE_WITHIN = datetime.timedelta(seconds=12)
+
+
+def _build_bench() -> control_builders.ComponentBench:
+    bench = control_builders.ComponentBench(
+        "store", "peers", "gateway", "dispatcher"
+    )
+    member = control_builders.build_member(1, 1000)
+    _keeper.Keeper(member, bench.clock).register(bench.root)
+    bench.settle()
+    return bench
+
+
+def _push(
+    bench: control_builders.ComponentBench, version: int, document: bytes
+) -> list[tuple]:
+    push = core.ConfigurationPush(2, version, document)
+    bench.tell(_events.peer_heard(push), "keeper")
+    return bench.recorders["dispatcher"].take("configuration_adopted")
+
+
+@pytest.mark.parametrize(
+    "document", [b"", b"{", b"\xff\xfe", b"[]", b'{"colours": {}}']
+)
+def test_malformed_push_is_not_adopted(document: bytes) -> None:
+    bench = _build_bench()
+    assert _push(bench, 1, document) == []
+    assert bench.recorders["peers"].take("tell_peer")
+    assert len(_push(bench, 1, b"{}")) == 1
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        None,
+        {},
+        {"version": "1", "document": {}},
+        {"version": -5, "document": {}},
+        {"version": 1, "document": {"colours": {}}},
+    ],
+)
+def test_malformed_row_is_not_adopted(row: object) -> None:
+    bench = _build_bench()
+    bench.tell(_events.tick(), "keeper")
+    call = bench.take_call()
+    bench.answer(call, _requests.StoreResult.DONE, row, 1)
+    adopted = bench.recorders["dispatcher"].take("configuration_adopted")
+    assert adopted == []
+    assert len(_push(bench, 1, b"{}")) == 1
+
+
+def test_older_version_is_never_adopted() -> None:
+    bench = _build_bench()
+    assert len(_push(bench, 2, b"{}")) == 1
+    assert _push(bench, 1, b"{}") == []
+    assert _push(bench, 2, b"{}") == []
+
+
+def test_many_wishes_make_one_read() -> None:
+    bench = _build_bench()
+    for _ in range(100):
+        bench.tell(_events.configuration_wanted(3), "keeper")
+    assert len(bench.recorders["store"].take("call_store")) == 1
+
+
+def test_unread_version_is_found_in_time_despite_a_lost_read() -> None:
+    slowest = 2 * _keeper.READ_INTERVAL + _store.TIMEOUT
+    assert slowest < IN_FORCE_WITHIN
+
+
+def test_conflict_after_a_lost_answer_is_not_called_not_stored() -> None:
+    bench = _build_bench()
+    patch = _requests.Patch(None, 0, "key", {})
+    bench.tell(_events.patch_configuration(patch), "keeper")
+    for result in (
+        _requests.StoreResult.ABSENT,
+        _requests.StoreResult.ABSENT,
+        _requests.StoreResult.LOST,
+        _requests.StoreResult.ABSENT,
+        _requests.StoreResult.ABSENT,
+        _requests.StoreResult.CONFLICT,
+    ):
+        bench.answer(bench.take_call(), result)
+    while not (decided := bench.recorders["gateway"].take("patch_decided")):
+        bench.answer(bench.take_call(), _requests.StoreResult.UNREACHABLE)
+    ((_, outcome),) = decided
+    assert outcome.problem is _requests.PatchProblem.OUTCOME_UNKNOWN
