Let cancellation, deadline and departure reach jobs that are being claimed

Cause: a job whose claim was being written was not in the ledger, so its caller's departure, a cancellation and its deadline all passed it by and it ran afterwards. 'a:b'+'c' and 'a'+'b:c' had one row. A cancellation is answered when its jobs are settled. 409 tells job and status.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -50,6 +50,7 @@
 ConfigurationRequest = _messages.ConfigurationRequest
 CowslipgateError = _exceptions.CowslipgateError
 decode_message = _messages.decode_message
+digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
--- a/packages/cowslipgate-core/src/cowslipgate_core/_configuration.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_configuration.py
@@ -164,6 +164,14 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+def digest_claim(team: str, key: str) -> str:
+    """Return the row key of a team's idempotency key.
+
+    The pair is encoded, so that no two pairs have the same text.
+    """
+    return digest_token(json.dumps([team, key]))
+
+
 def find_holder(
     holders: "dict[str, Team] | dict[str, Operator]", token: str
 ) -> str:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -117,6 +117,12 @@
     message: str = ""
     """What the caller can do."""
 
+    claimed_by: str = ""
+    """Job that has the idempotency key, when it was claimed before."""
+
+    claimed_status: str = ""
+    """What is known here of that job."""
+
 
 @attrs.define(eq=False)
 class Attempt:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -40,7 +40,11 @@
     """Return the HTTP answer to a submission."""
     if answer.failure is not None:
         return answer_failure(
-            answer.failure, answer.message, answer.started, answer.job
+            answer.failure,
+            answer.message,
+            answer.started,
+            answer.job,
+            _describe_claim(answer),
         )
     body = {
         "job": answer.job,
@@ -50,11 +54,19 @@
     return transport.Answer(200, msgspec.json.encode(body))
 
 
+def _describe_claim(answer: core.JobAnswer) -> dict[str, object]:
+    if answer.failure is not core.Failure.ALREADY_CLAIMED:
+        return {}
+    claim = {"job": answer.claimed_by, "status": answer.claimed_status}
+    return {"claimed_by": claim}
+
+
 def answer_failure(
     failure: core.Failure,
     message: str,
     started: core.Started = core.Started.NONE,
     job: str = "",
+    further: dict[str, object] | None = None,
 ) -> transport.Answer:
     """Return the HTTP answer for a failed or refused job."""
     body = {
@@ -65,7 +77,7 @@
             "started": started.value,
             "message": message,
         },
-    }
+    } | (further or {})
     status = STATUSES[failure]
     headers = {}
     if status in (429, 503):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_claims.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_claims.py
@@ -2,7 +2,9 @@
 
 import itertools
 
+import attrs
 import circuits
+import msgspec
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
@@ -11,10 +13,30 @@
 CHANNEL = "claims"
 CLAIM_TABLE = "claims"
 TRIES = 4
+MAX_WRITES = 2
+MAX_ROWS = 100
+
+
+@attrs.frozen
+class _ClaimRow:
+    """The value of a claim's row."""
+
+    nonce: str
+    """Tells the claim from any other of the same key."""
+
+    job: str
+    """Job that has the key."""
+
+    entry: int
+    """Entry that owns the job."""
 
 
 class Claims(circuits.BaseComponent):
-    """Inserts claim rows before the first task of a job is sent."""
+    """Inserts claim rows before the first task of a job is sent.
+
+    While as many transactions as allowed are under way, further claims are
+    gathered and share the next one.
+    """
 
     channel = CHANNEL
 
@@ -25,75 +47,87 @@
         self._pending: list[_requests.Claim] = []
         self._calls: dict[int, tuple[_requests.Claim, ...]] = {}
         self._tries: dict[str, int] = {}
+        self._keys: dict[str, str] = {}
+        self._writes = 0
 
     @circuits.handler("claim_job")
     def _on_claim_job(self, claim: _requests.Claim) -> None:
-        if not self._pending:
-            self.fire(_events.write_claims())
-        self._pending.append(claim)
+        holder = self._keys.get(claim.key)
+        if holder is not None:
+            self._decide(claim, _requests.ClaimOutcome.TAKEN, holder)
+            return
+        self._keys[claim.key] = claim.job.id
+        self._gather(claim)
 
     @circuits.handler("write_claims")
     def _on_write_claims(self) -> None:
-        unique = {claim.key: claim for claim in reversed(self._pending)}
-        later = [c for c in self._pending if unique[c.key] is not c]
-        self._pending = []
-        for claim in later:
-            self._decide(claim, _requests.ClaimOutcome.TAKEN, "")
-        self._write(tuple(unique.values()))
+        while self._pending and self._writes < MAX_WRITES:
+            claims = tuple(self._pending[:MAX_ROWS])
+            del self._pending[:MAX_ROWS]
+            self._write(claims)
 
     @circuits.handler("store_answered")
     def _on_store_answered(self, answer: _requests.StoreAnswer) -> None:
         claims = self._calls.pop(answer.call.id)
         if answer.call.read is not None:
             self._follow_read(claims[0], answer)
-        elif answer.result is _requests.StoreResult.DONE:
-            for claim in claims:
-                self._decide(claim, _requests.ClaimOutcome.CLAIMED, "")
-        else:
-            # A conflict names no row and a lost answer may have written.
+            return
+        self._writes -= 1
+        self.fire(_events.write_claims())
+        if answer.result is _requests.StoreResult.DONE:
             for claim in claims:
-                self._read(claim)
+                self._finish(claim, _requests.ClaimOutcome.CLAIMED)
+            return
+        # A conflict names no row and a lost answer may have written.
+        for claim in claims:
+            self._call((claim,), read=(CLAIM_TABLE, claim.key))
 
     def _follow_read(
         self, claim: _requests.Claim, answer: _requests.StoreAnswer
     ) -> None:
         match answer.result:
             case _requests.StoreResult.DONE:
-                outcome = _requests.ClaimOutcome.TAKEN
-                if answer.value["nonce"] == claim.nonce:
-                    outcome = _requests.ClaimOutcome.CLAIMED
-                self._decide(claim, outcome, answer.value["job"])
+                self._follow_row(claim, answer.value)
             case _requests.StoreResult.ABSENT:
                 self._retry(claim)
             case _:
-                self._decide(claim, _requests.ClaimOutcome.UNAVAILABLE, "")
+                self._finish(claim, _requests.ClaimOutcome.UNAVAILABLE)
+
+    def _follow_row(self, claim: _requests.Claim, value: object) -> None:
+        try:
+            row = msgspec.convert(value, _ClaimRow)
+        except msgspec.ValidationError:
+            self._finish(claim, _requests.ClaimOutcome.TAKEN)
+            return
+        outcome = _requests.ClaimOutcome.TAKEN
+        if row.nonce == claim.nonce:
+            outcome = _requests.ClaimOutcome.CLAIMED
+        self._finish(claim, outcome, row.job)
 
     def _retry(self, claim: _requests.Claim) -> None:
         tries = self._tries.get(claim.nonce, 0) + 1
         self._tries[claim.nonce] = tries
         if tries < TRIES:
-            self._write((claim,))
+            self._gather(claim)
         else:
-            self._decide(claim, _requests.ClaimOutcome.UNAVAILABLE, "")
+            self._finish(claim, _requests.ClaimOutcome.UNAVAILABLE)
+
+    def _gather(self, claim: _requests.Claim) -> None:
+        if not self._pending:
+            self.fire(_events.write_claims())
+        self._pending.append(claim)
 
     def _write(self, claims: tuple[_requests.Claim, ...]) -> None:
+        self._writes += 1
         rows = tuple(
-            _requests.Row(
-                CLAIM_TABLE,
-                claim.key,
-                {
-                    "nonce": claim.nonce,
-                    "job": claim.job.id,
-                    "entry": self._member.incarnation,
-                },
-                0,
-            )
+            _requests.Row(CLAIM_TABLE, claim.key, self._make_value(claim), 0)
             for claim in claims
         )
         self._call(claims, writes=rows)
 
-    def _read(self, claim: _requests.Claim) -> None:
-        self._call((claim,), read=(CLAIM_TABLE, claim.key))
+    def _make_value(self, claim: _requests.Claim) -> object:
+        row = _ClaimRow(claim.nonce, claim.job.id, self._member.incarnation)
+        return msgspec.to_builtins(row)
 
     def _call(
         self,
@@ -106,11 +140,20 @@
         call = _requests.StoreCall(number, CHANNEL, read, writes)
         self.fire(_events.call_store(call), "store")
 
+    def _finish(
+        self,
+        claim: _requests.Claim,
+        outcome: _requests.ClaimOutcome,
+        known: str = "",
+    ) -> None:
+        self._tries.pop(claim.nonce, None)
+        self._keys.pop(claim.key, None)
+        self._decide(claim, outcome, known)
+
     def _decide(
         self,
         claim: _requests.Claim,
         outcome: _requests.ClaimOutcome,
         known: str,
     ) -> None:
-        self._tries.pop(claim.nonce, None)
         self.fire(_events.job_claimed(claim, outcome, known), "dispatcher")
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -6,6 +6,7 @@
 import itertools
 import secrets
 
+import attrs
 import circuits
 
 import cowslipgate_core as core
@@ -15,9 +16,28 @@
 
 CHANNEL = "dispatcher"
 AGENTS_CHANNEL = "internal"
+MAX_ENDED = 10_000
 ACKNOWLEDGE_INTERVAL = datetime.timedelta(milliseconds=300)
 
 
+@attrs.define(eq=False)
+class _Wave:
+    """A cancellation whose jobs are being settled."""
+
+    cancellation: _requests.Cancellation
+    """What was asked for."""
+
+    pending: set[str]
+    """Jobs that are not answered yet."""
+
+    size: int = attrs.field()
+    """Number of jobs at the beginning."""
+
+    @size.default
+    def _count_jobs(self) -> int:
+        return len(self.pending)
+
+
 class Dispatcher(circuits.BaseComponent):
     """Takes jobs, sends their tasks to agents and answers."""
 
@@ -43,6 +63,10 @@
         self._assigning = False
         self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
+        self._waves: list[_Wave] = []
+        self._ended: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
 
     @property
     def state(self) -> str:
@@ -91,7 +115,7 @@
             self._ledger.submit(job)
             self._schedule()
             return
-        key = core.digest_token(f"{submission.team}:{submission.key}")
+        key = core.digest_claim(submission.team, submission.key)
         claim = _requests.Claim(key, secrets.token_hex(8), job)
         self._claims[job.id] = claim
         self.fire(_events.claim_job(claim), "claims")
@@ -110,33 +134,41 @@
             self._ledger.submit(job)
             self._schedule()
             return
-        failure = core.Failure.STORE_UNAVAILABLE
-        message = "the claim could not be stored; send it again later"
         if outcome is _requests.ClaimOutcome.TAKEN:
-            failure = core.Failure.ALREADY_CLAIMED
-            message = f"the key was used before, by job {known}"
-        answer = core.JobAnswer(job.id, failure=failure, message=message)
-        self.fire(_events.job_answered(job, answer), "gateway")
+            answer = self._answer_taken(job, known)
+        else:
+            answer = core.JobAnswer(
+                job.id,
+                failure=core.Failure.STORE_UNAVAILABLE,
+                message="nothing ran; send it again later with a new key",
+            )
+        self._end_job(job, answer)
 
     @circuits.handler("abandon_job")
     def _on_abandon_job(self, job_id: str) -> None:
         job = self._ledger.jobs.get(job_id)
         if job is not None:
             self._perform(self._ledger.cancel(job, self._clock.now()))
+        elif job_id in self._claims:
+            self._drop_claims([job_id], core.Failure.CANCELLED)
 
     @circuits.handler("cancel_jobs")
     def _on_cancel_jobs(self, cancellation: _requests.Cancellation) -> None:
-        now = self._clock.now()
         jobs = [
             job
             for job in self._ledger.jobs.values()
             if _matches(cancellation, job)
         ]
-        actions = self._ledger.cancel_all(jobs, now)
-        self._perform(actions)
-        self.fire(
-            _events.jobs_cancelled(cancellation, len(jobs)), "cancellations"
-        )
+        claimed = [
+            claim.job.id
+            for claim in self._claims.values()
+            if _matches(cancellation, claim.job)
+        ]
+        wave = _Wave(cancellation, {job.id for job in jobs} | set(claimed))
+        self._waves.append(wave)
+        self._drop_claims(claimed, core.Failure.CANCELLED)
+        self._perform(self._ledger.cancel_all(jobs, self._clock.now()))
+        self._answer_waves()
 
     @circuits.handler("message_received", channel=AGENTS_CHANNEL)
     def _on_message_received(self, identity: bytes, message: object) -> None:
@@ -157,6 +189,10 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         self._perform(self._ledger.tick(now))
+        late = [
+            c.job.id for c in self._claims.values() if c.job.deadline <= now
+        ]
+        self._drop_claims(late, core.Failure.DEADLINE)
         if now >= self._next_acknowledgement:
             self._next_acknowledgement = now + ACKNOWLEDGE_INTERVAL
             self._acknowledge()
@@ -315,10 +351,44 @@
                     )
                     self._send_to(action.agent, action.incarnation, message)
                 case core.AnswerJob():
-                    self.fire(
-                        _events.job_answered(action.job, action.answer),
-                        "gateway",
-                    )
+                    self._end_job(action.job, action.answer)
+
+    def _drop_claims(self, job_ids: list[str], failure: core.Failure) -> None:
+        # The claim may still be stored, but then it finds no job to run.
+        for job_id in job_ids:
+            job = self._claims.pop(job_id).job
+            message = "the job ended before its claim was stored"
+            answer = core.JobAnswer(job_id, failure=failure, message=message)
+            self._end_job(job, answer)
+
+    def _answer_taken(self, job: core.Job, known: str) -> core.JobAnswer:
+        status = self._ended.get(known, "unknown")
+        if known in self._ledger.jobs or known in self._claims:
+            status = "running"
+        return core.JobAnswer(
+            job.id,
+            failure=core.Failure.ALREADY_CLAIMED,
+            message=f"the key was used before, by job {known}",
+            claimed_by=known,
+            claimed_status=status,
+        )
+
+    def _end_job(self, job: core.Job, answer: core.JobAnswer) -> None:
+        self.fire(_events.job_answered(job, answer), "gateway")
+        if not job.request.repeatable:
+            failed = answer.failure is not None
+            self._ended[job.id] = "failed" if failed else "complete"
+            if len(self._ended) > MAX_ENDED:
+                self._ended.popitem(last=False)
+        for wave in self._waves:
+            wave.pending.discard(job.id)
+        self._answer_waves()
+
+    def _answer_waves(self) -> None:
+        for wave in [wave for wave in self._waves if not wave.pending]:
+            self._waves.remove(wave)
+            event = _events.jobs_cancelled(wave.cancellation, wave.size)
+            self.fire(event, "cancellations")
 
     def _dispatch(self, action: core.SendOrders) -> None:
         message = core.Dispatch(
