--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -59,6 +59,7 @@
 derive_span = _traceparents.derive_span
 derive_traceparent = _traceparents.derive_traceparent
 describe_settings = _settings.describe_settings
+digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
