Reconnect to lost entries and quarantine unreachable targets

Found by test_starts.py (real processes behind the proxy), red before: - An agent that lost its link to one entry but kept another never came back: the members' digest stayed current, so no heartbeat told it whom to connect to ('2 agents at each entry did not happen in 30.0 s'). - A target that refuses connections took and gave back the same tasks until the deadline (504 after 20 s), since one job alone never quarantines. No task is to blame for a refused connection, so it quarantines at once, and what queues beside a target without slots is refused. - An agent whose link was taken over by a reborn entry ignored that entry until its lease lapsed; it now drops the link and asks for the members. Ruled out: reconnecting on a timer whatever the members, which would keep links to entries that are gone.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -109,7 +109,13 @@
     @circuits.handler("message_received", channel="*")
     def _on_message_received(self, peer: bytes, message: object) -> None:
         link = self._links.get(int(peer))
-        if link is None or getattr(message, "entry", None) != int(peer):
+        if link is None:
+            return
+        entry = getattr(message, "entry", 0)
+        if entry > int(peer):
+            # Another incarnation answers at the address of the lost one.
+            self._drop(int(peer))
+        if entry != int(peer):
             return
         link.heard_at = self._clock.now()
         self.fire(_events.entry_heard(message), "runner")
@@ -140,7 +146,6 @@
         self.fire(transport.call_http(call), "discovery")
 
     def _learn_members(self, members: tuple[core.Member, ...]) -> None:
-        self._members = members
         chosen = core.choose_entries(
             self._settings.name, members, self._settings.entries
         )
@@ -153,6 +158,7 @@
         for incarnation, member in wanted.items():
             if incarnation not in self._links:
                 self._open(member)
+        self._members = members
 
     def _open(self, member: core.Member) -> None:
         identity = core.encode_identity(self._settings.name, self._incarnation)
@@ -169,6 +175,8 @@
     def _drop(self, incarnation: int) -> None:
         link = self._links.pop(incarnation)
         link.socket.close()
+        # The next entry that answers tells whom to connect to.
+        self._members = ()
         self.fire(_events.entry_dropped(incarnation), "runner")
 
     def _report_all(self) -> None:
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -253,20 +253,26 @@
 
     def wait_ready(self, agents: int) -> None:
         """Wait until each entry serves and sees ``agents`` serving."""
+        wait_until(
+            lambda: self.is_ready(agents), f"{agents} agents at each entry"
+        )
 
-        def check() -> bool:
-            return all(
-                self._count_serving(entry.port) == agents
-                for entry in self.entries
-            )
-
-        wait_until(check, f"{agents} agents at each entry")
+    def is_ready(self, agents: int) -> bool:
+        """Tell whether each entry serves and sees ``agents`` serving."""
+        return all(
+            self._count_serving(entry.port) == agents for entry in self.entries
+        )
 
     def count_jobs(self, entry: Node) -> int:
         """Return the number of jobs that an entry has in flight."""
         reply = self.call("GET", "/v1/status", port=entry.port)
         return reply.body["jobs"]
 
+    def list_agents(self, entry: Node) -> list[str]:
+        """Return the names of the agents that an entry knows."""
+        reply = self.call("GET", "/v1/status", port=entry.port)
+        return sorted(agent["agent"] for agent in reply.body["agents"])
+
     def _count_serving(self, port: int) -> int:
         try:
             reply = self.call("GET", "/v1/status", port=port)
@@ -281,10 +287,11 @@
         states = [agent["state"] for agent in reply.body["agents"]]
         return states.count("serving")
 
-    def read_journal(self) -> list[dict[str, Any]]:
-        """Return every line that the targets wrote."""
+    def read_journal(self, target: int | None = None) -> list[dict[str, Any]]:
+        """Return the lines that one target wrote, or every target."""
+        name = "*" if target is None else str(target)
         lines = []
-        for path in sorted(self._folder.glob("target-*.jsonl")):
+        for path in sorted(self._folder.glob(f"target-{name}.jsonl")):
             lines.extend(path.read_text().splitlines())
         return [json.loads(line) for line in lines]
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 import enum
 import socket
 import struct
 import threading
+from typing import Any
 
 import attrs
 import cowslipgate_core as core
@@ -106,10 +107,11 @@
         self.upstream = upstream
         self.port = 0
         self.resets = 0
+        self.accepted = 0
 
     async def listen(self) -> None:
-        """Listen on a port that the system chooses."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        """Listen on a port that the system chooses, later on the same."""
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def inject(self, *faults: Fault) -> None:
@@ -132,6 +134,15 @@
         """Reset connections and refuse new ones until healed."""
         self.inject(Fault(peer, refused=True))
 
+    def close(self) -> None:
+        """Refuse connections and reset those that stand, until opened."""
+        self._proxy.call(self._server.close)
+        self.reset()
+
+    def open(self) -> None:
+        """Listen again."""
+        self._proxy.run(self.listen())
+
     def reset(self, peer: str = "") -> None:
         """Reset the connections that stand now."""
         self._proxy.call(lambda: self._reset(peer))
@@ -177,6 +188,7 @@
         except OSError:
             writer.transport.abort()
             return
+        self.accepted += 1
         connection = _Connection(writer, upstream[1])
         self._connections.append(connection)
         try:
@@ -262,8 +274,7 @@
     def open_link(self, upstream: int = 0) -> Link:
         """Return a link to the port ``upstream``, which may be set later."""
         link = Link(self, upstream)
-        future = asyncio.run_coroutine_threadsafe(link.listen(), self._loop)
-        future.result(COMMAND_SECONDS)
+        self.run(link.listen())
         return link
 
     def call(self, command: Callable[[], None]) -> None:
@@ -272,5 +283,9 @@
         async def run() -> None:
             command()
 
-        future = asyncio.run_coroutine_threadsafe(run(), self._loop)
+        self.run(run())
+
+    def run(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine on the proxy's thread and wait for its end."""
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
         future.result(COMMAND_SECONDS)
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_starts.py
@@ -0,0 +1,168 @@
+"""Each task starts at most once, whatever fails between entry and target."""
+
+from collections.abc import Iterator
+import pathlib
+import signal
+
+import pytest
+
+from cowslipgate_bench import _cluster
+from cowslipgate_bench import _proxy
+from cowslipgate_bench.tests import builders
+
+BACKWARD = _proxy.Direction.BACKWARD
+FORWARD = _proxy.Direction.FORWARD
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[builders.Deployment]:
+    folder: pathlib.Path = tmp_path_factory.mktemp("starts")
+    flags = ("--policy=round_robin",)
+    with builders.deploy(folder, entry_flags=flags) as started:
+        yield started
+
+
+def _expect_kept(deployment: builders.Deployment) -> None:
+    assert deployment.settle().find_violations() == {}
+
+
+def test_agent_paused_while_tasks_queue_beside_it(
+    deployment: builders.Deployment,
+) -> None:
+    agent = deployment.cluster.agents[0]
+    job = deployment.submit(tasks=8, true_ms=(300.0,))
+    deployment.wait_started(job, 4)
+    agent.send_signal(signal.SIGSTOP)
+    answer = job.answer.result()
+    agent.send_signal(signal.SIGCONT)
+    assert answer.started in ("some", "unknown")
+    _expect_kept(deployment)
+
+
+@pytest.mark.parametrize("direction", [FORWARD, BACKWARD])
+def test_withdrawal_crosses_a_start(
+    deployment: builders.Deployment, direction: _proxy.Direction
+) -> None:
+    link = deployment.cluster.entries[0].link
+    link.hold(direction, peer="agent-")
+    job = deployment.submit(deadline_ms=300, true_ms=(50.0,))
+    answer = job.answer.result()
+    assert answer.started == "unknown"
+    _expect_kept(deployment)
+
+
+def test_entry_killed_and_reborn_with_outcomes_under_way(
+    deployment: builders.Deployment,
+) -> None:
+    entry = deployment.cluster.entries[0]
+    entry.link.hold(FORWARD, peer="agent-")
+    job = deployment.submit(tasks=4, true_ms=(1.0,))
+    deployment.wait_started(job, 4)
+    entry.kill()
+    deployment.cluster.restart(entry)
+    entry.link.heal()
+    deployment.cluster.wait_ready(2)
+    after = [deployment.submit(true_ms=(300.0,)) for _ in range(4)]
+    assert all(job.answer.result().complete for job in after)
+    deployment.forgive(job)
+    _expect_kept(deployment)
+
+
+def test_agent_killed_and_reborn(deployment: builders.Deployment) -> None:
+    agent = deployment.cluster.agents[0]
+    job = deployment.submit(tasks=8, true_ms=(300.0,))
+    deployment.wait_started(job, 4)
+    agent.kill()
+    deployment.cluster.restart(agent)
+    assert job.answer.result().started in ("some", "unknown")
+    _expect_kept(deployment)
+
+
+def test_target_connection_reset_after_the_request_left(
+    deployment: builders.Deployment,
+) -> None:
+    job = deployment.submit(tasks=4, true_ms=(300.0,))
+    deployment.wait_started(job, 4)
+    for target in deployment.cluster.targets:
+        target.link.reset()
+    assert job.answer.result().started in ("some", "unknown")
+    _expect_kept(deployment)
+
+
+def test_target_that_refuses_connections_loses_no_task(
+    deployment: builders.Deployment,
+) -> None:
+    link = deployment.cluster.targets[0].link
+    link.close()
+    job = deployment.submit(tasks=4)
+    answer = job.answer.result()
+    link.open()
+    assert answer.complete, answer
+    deployment.run_until_serving()
+    _expect_kept(deployment)
+
+
+@pytest.mark.parametrize("direction", [FORWARD, BACKWARD])
+def test_link_reset_within_a_message_loses_no_job(
+    deployment: builders.Deployment, direction: _proxy.Direction
+) -> None:
+    link = deployment.cluster.entries[0].link
+    resets = link.resets
+    link.break_message(direction, peer="agent-")
+    jobs = [deployment.submit(tasks=4) for _ in range(4)]
+    _cluster.wait_until(lambda: link.resets > resets + 1, "two resets")
+    link.heal()
+    answers = [job.answer.result() for job in jobs]
+    assert [answer.status for answer in answers] == [200] * 4
+    _expect_kept(deployment)
+
+
+@pytest.mark.parametrize("direction", [FORWARD, BACKWARD])
+def test_one_way_loss_longer_than_every_lease(
+    deployment: builders.Deployment, direction: _proxy.Direction
+) -> None:
+    cluster = deployment.cluster
+    link = cluster.entries[0].link
+    jobs = [deployment.submit(tasks=4, true_ms=(200.0,)) for _ in range(2)]
+    for job in jobs:
+        deployment.wait_started(job)
+    accepted = link.accepted
+    link.hold(direction, peer="agent-")
+    for job in jobs:
+        job.answer.result()
+    _cluster.wait_until(
+        lambda: link.accepted >= accepted + 2, "both agents reconnecting"
+    )
+    _expect_kept(deployment)
+
+
+def test_entry_paused_longer_than_every_lease(
+    deployment: builders.Deployment,
+) -> None:
+    cluster = deployment.cluster
+    entry = cluster.entries[0]
+    job = deployment.submit(tasks=8, true_ms=(500.0,))
+    deployment.wait_started(job, 4)
+    accepted = entry.link.accepted
+    entry.send_signal(signal.SIGSTOP)
+    _cluster.wait_until(
+        lambda: entry.link.accepted >= accepted + 2, "both agents giving up"
+    )
+    entry.send_signal(signal.SIGCONT)
+    job.answer.result()
+    _expect_kept(deployment)
+
+
+def test_agent_comes_back_to_an_entry_that_it_lost(
+    deployment: builders.Deployment,
+) -> None:
+    cluster = deployment.cluster
+    entry = cluster.entries[1]
+    entry.link.cut(peer="agent-0")
+    _cluster.wait_until(
+        lambda: cluster.list_agents(entry) == ["agent-1"],
+        "the entry losing the agent",
+    )
+    _expect_kept(deployment)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -277,6 +277,8 @@
             report = attrs.evolve(report, outcome=_messages.Outcome.STOPPED)
         self._judge_health(report, held, now)
         actions = self._keep(key.entry, [report], now)
+        if self.slots == 0:
+            actions.extend(self._refuse_queued(now))
         return actions + self._start_queued(now)
 
     def drop_entry(
@@ -472,8 +474,10 @@
             return
         job = held.order.task.partition(".")[0]
         self._health.note_failure(job, now)
+        # No task is to blame for a target that cannot be reached.
+        unreachable = report.reason is _messages.Reason.TARGET_UNREACHABLE
         if self._machine.allows("quarantine") and (
-            self.state == "probation" or self._health.failing
+            self.state == "probation" or self._health.failing or unreachable
         ):
             self._machine.fire("quarantine")
             self._health.quarantine(now)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
@@ -65,6 +65,21 @@
     ]
 
 
+def test_unreachable_target_is_quarantined_at_once() -> None:
+    executor = builders.build_executor(slots=1, queue_limit=1)
+    orders = [builders.build_order(n) for n in (1, 2)]
+    executor.dispatch(builders.build_dispatch(*orders), NOW)
+    report = core.AttemptReport(
+        1, core.Outcome.NOT_STARTED, core.Reason.TARGET_UNREACHABLE
+    )
+    actions = executor.end_task(core.AttemptKey(7, 1), report, NOW)
+    assert executor.state == "quarantined"
+    assert _get_reports(actions) == [
+        (core.Outcome.NOT_STARTED, core.Reason.TARGET_UNREACHABLE),
+        (core.Outcome.NOT_STARTED, core.Reason.NOT_SERVING),
+    ]
+
+
 def test_leaving_target_refuses() -> None:
     executor = builders.build_executor()
     executor.leave(NOW)
