--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -42,6 +42,17 @@
         return f"{self.condition} did not happen in {WAIT_SECONDS} s"
 
 
+@attrs.frozen
+class UnexpectedStatus(ClusterError):
+    """A request was answered with another status than expected."""
+
+    status: int
+    """HTTP status of the answer."""
+
+    def __str__(self) -> str:
+        return f"unexpected HTTP status {self.status}"
+
+
 @attrs.frozen
 class Reply:
     """An HTTP answer."""
@@ -104,6 +115,11 @@
         self.table_port = 0
         self.balancer_port = 0
 
+    @property
+    def folder(self) -> pathlib.Path:
+        """Folder of logs and journals."""
+        return self._folder
+
     def __enter__(self) -> "Cluster":
         return self
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,6 +3,7 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
 from cowslipgate_core import _configuration
@@ -17,7 +18,10 @@
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
+from cowslipgate_core import _screening
 from cowslipgate_core import _settings
+from cowslipgate_core import _traceparents
+from cowslipgate_core import _versions
 
 Acknowledge = _messages.Acknowledge
 AgentRecord = _ledger.AgentRecord
@@ -29,13 +33,18 @@
 AttemptReport = _messages.AttemptReport
 Beat = _messages.Beat
 Bind = _settings.Bind
+BodyError = _exceptions.BodyError
 can_run = _placement.can_run
 CancelReply = _messages.CancelReply
 CancelRequest = _messages.CancelRequest
+Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
+CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
+choose_slots = _quotas.choose_slots
+choose_target = _quotas.choose_target
 Clock = _clock.Clock
 Configuration = _configuration.Configuration
 ConfigurationAcknowledge = _messages.ConfigurationAcknowledge
@@ -44,10 +53,14 @@
 ConfigurationRequest = _messages.ConfigurationRequest
 CowslipgateError = _exceptions.CowslipgateError
 decode_message = _messages.decode_message
+derive_span = _traceparents.derive_span
+derive_traceparent = _traceparents.derive_traceparent
+describe_settings = _settings.describe_settings
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
 Document = _configuration.Document
+encode_entry_identity = _screening.encode_entry_identity
 encode_identity = _messages.encode_identity
 encode_message = _messages.encode_message
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
@@ -60,9 +73,13 @@
 FailureWindow = _health.FailureWindow
 Fault = _exceptions.Fault
 find_holder = _configuration.find_holder
+find_message_fault = _screening.find_message_fault
+find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
 fits_resources = _placement.fits_resources
+FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 Gossip = _messages.Gossip
+HIDDEN = _settings.HIDDEN
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
@@ -70,9 +87,13 @@
 LAPSE_AFTER = _membership.LAPSE_AFTER
 LateBinding = _placement.LateBinding
 LEARNING_RATE = _estimates.LEARNING_RATE
+Lease = _quotas.Lease
+LEASE_LAPSES_AFTER = _quotas.LEASE_LAPSES_AFTER
+LeaseWatch = _quotas.LeaseWatch
 Ledger = _ledger.Ledger
 LedgerAction = _ledger.LedgerAction
 LedgerCounters = _ledger.LedgerCounters
+LIMITS_VALID_FOR = _quotas.LIMITS_VALID_FOR
 Load = _messages.Load
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
@@ -80,6 +101,7 @@
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
+MAX_CANDIDATES = _membership.MAX_CANDIDATES
 MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
 MAX_PORT = _settings.MAX_PORT
 MAX_RATIO = _estimates.MAX_RATIO
@@ -94,20 +116,29 @@
 merge_withdraws = _ledger.merge_withdraws
 MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
+name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
 parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
+parse_body = _bodies.parse_body
 parse_chart = _charts.parse_chart
 parse_choice = _settings.parse_choice
 parse_configuration = _configuration.parse_configuration
 parse_count = _settings.parse_count
+parse_curve_key = _settings.parse_curve_key
+parse_curve_keys = _settings.parse_curve_keys
 parse_digest = _settings.parse_digest
 parse_duration = _settings.parse_duration
-parse_job = _jobs.parse_job
+parse_fraction = _settings.parse_fraction
+parse_job = _bodies.parse_job
 parse_name = _settings.parse_name
+parse_positive = _settings.parse_positive
+parse_text = _settings.parse_text
+parse_traceparent = _traceparents.parse_traceparent
 Policy = _placement.Policy
+QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
 Report = _messages.Report
@@ -122,9 +153,11 @@
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
 setting = _settings.setting
+SettingDescription = _settings.SettingDescription
 SettingFault = _exceptions.SettingFault
 SettingsError = _exceptions.SettingsError
-share_slots = _quotas.share_slots
+Share = _quotas.Share
+share_equally = _quotas.share_equally
 Started = _jobs.Started
 StartTask = _executor.StartTask
 State = _charts.State
@@ -134,6 +167,9 @@
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
 Timing = _ledger.Timing
+Traceparent = _traceparents.Traceparent
+UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
+VersionWatch = _versions.VersionWatch
 WaitingJob = _placement.WaitingJob
 WaitingTask = _placement.WaitingTask
 WireError = _exceptions.WireError
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -14,6 +14,7 @@
 from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
+from cowslipgate_core import _traceparents
 
 
 @attrs.frozen
@@ -149,6 +150,11 @@
         """Known agents by name."""
         return self._agents
 
+    @property
+    def attempts(self) -> dict[int, _jobs.Attempt]:
+        """Attempts that are not final, by sequence number."""
+        return self._attempts
+
     def count_demand(self) -> dict[str, int]:
         """Return the tasks waiting or under way by team."""
         demand: collections.Counter[str] = collections.Counter()
@@ -156,6 +162,13 @@
             demand[job.team] += len(job.waiting) + len(job.active)
         return dict(demand)
 
+    def count_active(self) -> dict[str, int]:
+        """Return the tasks under way by team."""
+        active: collections.Counter[str] = collections.Counter()
+        for job in self._jobs.values():
+            active[job.team] += len(job.active)
+        return dict(active)
+
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
         return sum(
@@ -417,7 +430,7 @@
             attempt.task_id,
             request.kind,
             bytes(request.payload),
-            job.traceparent,
+            _traceparents.derive_traceparent(job.traceparent, attempt.task_id),
         )
 
     def _apply(
@@ -529,7 +542,7 @@
             if now - self._attempts[sequence].asked_at
             > self._timing.inquiry_interval
         }
-        return self._inquire(record, now, overdue)
+        return self._inquire(record, now, overdue) if overdue else []
 
     def _inquire(
         self, record: AgentRecord, now: datetime.datetime, overdue: set[int]
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -7,6 +7,7 @@
 import zmq
 
 import cowslipgate_core as core
+from cowslipgate_transport import _curve
 
 MAX_MESSAGE_BYTES = 16_777_216
 HIGH_WATER_MARK = 10_000
@@ -16,6 +17,10 @@
 RECONNECT_MAX_MS = 2_000
 LINGER_MS = 1_000
 FRAMES = 2
+# Plain numbers, since pyzmq's enumerations build an object at each use.
+_EVENTS = int(zmq.EVENTS)
+_POLLIN = int(zmq.POLLIN)
+_NOBLOCK = int(zmq.NOBLOCK)
 
 
 class send_message(circuits.Event):
@@ -97,7 +102,7 @@
         if self._routed:
             frames.insert(0, identity)
         try:
-            self._socket.send_multipart(frames, zmq.NOBLOCK)
+            self._socket.send_multipart(frames, _NOBLOCK)
         except zmq.ZMQError:
             self.fire(message_unsent(identity, message))
         else:
@@ -112,10 +117,10 @@
     def _drain(self) -> None:
         self._drain_monitor()
         while not self._socket.closed and (
-            self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN
+            self._socket.getsockopt(_EVENTS) & _POLLIN
         ):
             try:
-                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+                frames = self._socket.recv_multipart(_NOBLOCK)
             except zmq.ZMQError:
                 return
             self._receive(frames)
@@ -124,8 +129,8 @@
         monitor = self._monitor
         if monitor is None or monitor.closed:
             return
-        while monitor.getsockopt(zmq.EVENTS) & zmq.POLLIN:
-            monitor.recv_multipart(zmq.NOBLOCK)
+        while monitor.getsockopt(_EVENTS) & _POLLIN:
+            monitor.recv_multipart(_NOBLOCK)
             self.fire(peer_connected(self._peer))
 
     def _receive(self, frames: list[bytes]) -> None:
@@ -144,14 +149,21 @@
         self.fire(message_received(identity, message))
 
 
-def open_router(context: zmq.Context, bind: str) -> zmq.Socket:
+def open_router(
+    context: zmq.Context, bind: str, secured: bool = False
+) -> zmq.Socket:
     """Return a ROUTER socket bound to ``bind``, such as ``tcp://ip:port``.
 
+    :param secured: whether peers must show a key, see ``apply_curve``
+
     :raises zmq.ZMQError: when the address cannot be bound
     """
     sock = _open_socket(context, zmq.ROUTER)
     sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
     sock.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    if secured:
+        sock.setsockopt(zmq.CURVE_SERVER, 1)
+        sock.setsockopt(zmq.ZAP_DOMAIN, _curve.ZAP_DOMAIN)
     sock.bind(bind)
     return sock
 
