--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
@@ -94,5 +94,5 @@
         results.incarnation,
         results.load,
         (report,),
-        version,
+        configuration_version=version,
     )
