--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,6 +3,7 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _admission
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
 from cowslipgate_core import _configuration
@@ -38,6 +39,8 @@
 Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
+check_limits = _admission.check_limits
+check_wait = _admission.check_wait
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
 choose_slots = _quotas.choose_slots
@@ -108,6 +111,8 @@
 merge_withdraws = _ledger.merge_withdraws
 MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
+OfferBook = _admission.OfferBook
+OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
@@ -124,6 +129,7 @@
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
+Refusal = _admission.Refusal
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
 RESEND_AFTER = _executor.RESEND_AFTER
@@ -150,6 +156,7 @@
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
 VersionWatch = _versions.VersionWatch
+VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
 WaitingJob = _placement.WaitingJob
 WaitingTask = _placement.WaitingTask
 WireError = _exceptions.WireError
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -161,27 +161,6 @@
         job.waiting = set(range(len(job.request.tasks)))
         self._jobs[job.id] = job
 
-    def find_infeasible(self, job: _jobs.Job) -> int | None:
-        """Return the index of a task that no known target can run.
-
-        None is returned while no target of the service is known: then nothing
-        is proved.
-        """
-        offers = [
-            record.report.resources
-            for record in self._agents.values()
-            if record.report.service == job.service
-        ]
-        if not offers:
-            return None
-        for index, task in enumerate(job.request.tasks):
-            if not any(
-                _placement.fits_resources(offer, task.needs)
-                for offer in offers
-            ):
-                return index
-        return None
-
     def hear_report(
         self, report: _messages.Report, now: datetime.datetime
     ) -> list[LedgerAction]:
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_admission.py
@@ -0,0 +1,100 @@
+"""Tests of the decisions whether a job may enter."""
+
+import datetime
+
+import cowslipgate_core as core
+import pytest
+
+from cowslipgate_core.tests import builders
+
+SECOND = datetime.timedelta(seconds=1)
+SMALL = core.Resources(100, 0)
+LARGE = core.Resources(1000, 2)
+SETTLED = core.VIEW_SETTLES_AFTER
+
+
+def _request(needs: core.Resources) -> core.JobRequest:
+    return core.JobRequest((core.TaskRequest(), core.TaskRequest(needs=needs)))
+
+
+@pytest.mark.parametrize(
+    ("offers", "after", "needs", "index"),
+    [
+        ([], SETTLED, LARGE, None),
+        ([SMALL], SETTLED, LARGE, 1),
+        ([SMALL], SETTLED - SECOND, LARGE, None),
+        ([SMALL, LARGE], SETTLED, LARGE, None),
+        ([SMALL], SETTLED, SMALL, None),
+        ([SMALL], core.OFFERS_KEPT_FOR + SECOND, LARGE, None),
+    ],
+    ids=[
+        "no target is known",
+        "no target is large enough",
+        "the view has not settled",
+        "a target is large enough",
+        "every target is large enough",
+        "every target was last seen long ago",
+    ],
+)
+def test_infeasible_only_when_proved(
+    offers: list[core.Resources],
+    after: datetime.timedelta,
+    needs: core.Resources,
+    index: int | None,
+) -> None:
+    book = core.OfferBook()
+    for offer in offers:
+        book.note("print", offer, builders.NOW)
+    found = book.find_infeasible(
+        "print", _request(needs), builders.NOW + after
+    )
+    assert found == index
+
+
+def test_absent_target_may_come_back() -> None:
+    book = core.OfferBook()
+    book.note("print", LARGE, builders.NOW)
+    later = builders.NOW + core.OFFERS_KEPT_FOR - SECOND
+    book.note("print", SMALL, later)
+    assert book.find_infeasible("print", _request(LARGE), later) is None
+
+
+def test_offers_are_bounded_and_prove_nothing_when_full() -> None:
+    book = core.OfferBook()
+    for memory in range(2000):
+        offer = core.Resources(memory, 0)
+        book.note("print", offer, builders.NOW)
+    later = builders.NOW + SETTLED
+    assert book.find_infeasible("print", _request(LARGE), later) is None
+
+
+@pytest.mark.parametrize(
+    ("tasks", "waiting", "failure"),
+    [
+        (10, 90, None),
+        (11, 0, core.Failure.TOO_LARGE),
+        (10, 91, core.Failure.OVERLOADED),
+    ],
+)
+def test_limits(
+    tasks: int, waiting: int, failure: core.Failure | None
+) -> None:
+    service = core.Service(max_tasks=10, max_backlog=100)
+    refusal = core.check_limits(service, tasks, waiting)
+    assert (refusal.failure if refusal else None) == failure
+
+
+@pytest.mark.parametrize(
+    ("ahead", "capacity", "refused"),
+    [
+        (0.0, 8.0, False),
+        (8.0, 8.0, False),
+        (9.0, 8.0, True),
+        (9.0, 0.0, False),
+    ],
+)
+def test_wait_past_the_deadline_is_refused(
+    ahead: float, capacity: float, refused: bool
+) -> None:
+    refusal = core.check_wait(ahead, capacity, SECOND)
+    assert (refusal is not None) == refused
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_quotas.py
@@ -0,0 +1,175 @@
+"""Tests of the division of slots, against arbitrary interleavings."""
+
+import datetime
+
+import cowslipgate_core as core
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from cowslipgate_core.tests import builders
+
+TEAM = "hall"
+ENTRIES = 3
+
+
+class Row:
+    """The lease row, changed by compare-and-set."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.shares: dict[int, dict[str, core.Share]] = {}
+
+    def write(
+        self, entry: int, revision: int, shares: dict[str, core.Share]
+    ) -> bool:
+        """Store one entry's shares if the revision is current."""
+        if revision != self.revision:
+            return False
+        self.shares[entry] = shares
+        self.revision += 1
+        return True
+
+
+class Entry:
+    """An entry that uses as many slots as its limit and demand allow."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.book = core.QuotaBook()
+        self.demand = 0
+        self.active = 0
+        self.writing: tuple[int, dict[str, core.Share]] | None = None
+
+    def start_tasks(self) -> None:
+        """Use every slot that the limit allows."""
+        limit = self.book.limits.get(TEAM, 0)
+        self.active = max(self.active, min(limit, self.demand))
+
+    def end_tasks(self, count: int) -> None:
+        """End some tasks."""
+        self.active = max(0, self.active - count)
+
+    def read(self, row: Row, quota: int) -> None:
+        """Read the row and prepare a write."""
+        others = [s for n, s in row.shares.items() if n != self.number]
+        shares = self.book.plan(
+            {TEAM: quota},
+            row.shares.get(self.number, {}),
+            tuple(others),
+            {TEAM: self.demand},
+            {TEAM: self.active},
+        )
+        self.writing = (row.revision, shares)
+
+    def write(self, row: Row, answer_lost: bool) -> None:
+        """Try the write; its answer may be lost."""
+        if self.writing is None:
+            return
+        stored = row.write(self.number, *self.writing)
+        if stored and not answer_lost:
+            self.book.confirm()
+        if not answer_lost:
+            self.writing = None
+
+
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["demand", "read", "write", "lose", "start", "end"]
+        ),
+        strategies.integers(0, ENTRIES - 1),
+        strategies.integers(0, 30),
+    ),
+    max_size=120,
+)
+
+
+def _step(
+    row: Row, entry: Entry, action: str, amount: int, quota: int
+) -> None:
+    match action:
+        case "demand":
+            entry.demand = amount
+        case "read":
+            entry.read(row, quota)
+        case "write" | "lose":
+            entry.write(row, action == "lose")
+        case "start":
+            entry.start_tasks()
+        case "end":
+            entry.end_tasks(amount)
+
+
+@settings(derandomize=True, database=None, max_examples=400)
+@given(strategies.integers(1, 20), _STEPS)
+def test_slots_in_use_never_exceed_the_quota(
+    quota: int, steps: list[tuple[str, int, int]]
+) -> None:
+    row = Row()
+    entries = [Entry(number) for number in range(ENTRIES)]
+    for action, number, amount in steps:
+        _step(row, entries[number], action, amount, quota)
+        limits = sum(e.book.limits.get(TEAM, 0) for e in entries)
+        assert limits <= quota
+        assert sum(entry.active for entry in entries) <= quota
+
+
+@pytest.mark.parametrize(
+    ("quota", "demands", "expected"),
+    [
+        (12, [0, 0, 0], [4, 4, 4]),
+        (12, [50, 0, 0], [10, 1, 1]),
+        (12, [50, 50, 50], [4, 4, 4]),
+        (12, [2, 50, 50], [2, 5, 5]),
+        (1, [1, 0, 0], [1, 0, 0]),
+        (2, [9, 9, 9], [0, 1, 1]),
+    ],
+)
+def test_division_settles_by_demand(
+    quota: int, demands: list[int], expected: list[int]
+) -> None:
+    row = Row()
+    entries = [Entry(number) for number in range(ENTRIES)]
+    for entry, demand in zip(entries, demands, strict=True):
+        entry.demand = demand
+    for _ in range(4):
+        for entry in entries:
+            entry.read(row, quota)
+            entry.write(row, answer_lost=False)
+    limits = [entry.book.limits[TEAM] for entry in entries]
+    assert sum(limits) <= quota
+    assert sorted(limits) == sorted(expected)
+
+
+def test_greedy_entry_gives_up_slots_that_another_wants() -> None:
+    row = Row()
+    greedy, other = Entry(0), Entry(1)
+    greedy.demand = 100
+    for entry in (greedy, other, greedy):
+        entry.read(row, 12)
+        entry.write(row, answer_lost=False)
+    greedy.start_tasks()
+    other.demand = 100
+    for _ in range(12):
+        for entry in (other, greedy):
+            entry.end_tasks(1)
+            entry.start_tasks()
+            entry.read(row, 12)
+            entry.write(row, answer_lost=False)
+    assert greedy.book.limits == other.book.limits == {TEAM: 6}
+
+
+def test_lease_lapses_by_the_reader_clock_only() -> None:
+    watch = core.LeaseWatch()
+    member = core.Member(1, "tcp://127.0.0.1:1", "127.0.0.1:2", "seeb")
+    lease = core.Lease(member, 1)
+    now = builders.NOW
+    assert watch.keep_live((lease,), now) == (lease,)
+    now += core.LEASE_LAPSES_AFTER
+    assert watch.keep_live((lease,), now) == (lease,)
+    now += datetime.timedelta(seconds=1)
+    assert watch.keep_live((lease,), now) == ()
+    renewed = core.Lease(member, 2)
+    assert watch.keep_live((renewed,), now) == (renewed,)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -64,6 +64,8 @@
         self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
         self._waves: list[_Wave] = []
+        self._offers = core.OfferBook()
+        self._work: dict[str, float] = {}
         self._ended: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
@@ -106,8 +108,10 @@
         job = self._make_job(submission)
         refusal = self._find_refusal(job)
         if refusal is not None:
-            failure, message = refusal
-            answer = core.JobAnswer(job.id, failure=failure, message=message)
+            self._work.pop(job.id, None)
+            answer = core.JobAnswer(
+                job.id, failure=refusal.failure, message=refusal.message
+            )
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
         self.fire(_events.job_accepted(submission, job), "gateway")
@@ -223,6 +227,8 @@
 
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in an agent's heartbeat and answer it."""
+        if report.service:
+            self._offers.note(report.service, report.resources, now)
         self._perform(self._ledger.hear_report(report, now))
         self._hear_version(report.configuration_version)
         current = core.digest_members(self._members)
@@ -280,35 +286,75 @@
             traceparent=submission.traceparent,
         )
 
-    def _find_refusal(self, job: core.Job) -> tuple[core.Failure, str] | None:
+    def _find_refusal(self, job: core.Job) -> core.Refusal | None:
         if self._machine.get_attribute("accepts") != "yes":
-            if self._configuration is None:
-                return (
-                    core.Failure.NO_CONFIGURATION,
-                    "no configuration has been read yet; try again",
-                )
-            return core.Failure.STOPPING, "the entry is stopping; try again"
-        service = self._configuration.document.services.get(job.service)
+            return self._refuse_closed()
+        services = self._configuration.document.services
+        service = services.get(job.service)
         if service is None:
-            return (
+            return core.Refusal(
                 core.Failure.UNKNOWN_SERVICE,
                 f"there is no service {job.service!r}",
             )
-        if len(job.request.tasks) > service.max_tasks:
-            return (
-                core.Failure.TOO_LARGE,
-                f"a job may have {service.max_tasks} tasks",
+        waiting = self._ledger.count_waiting(job.service)
+        return (
+            core.check_limits(service, len(job.request.tasks), waiting)
+            or self._find_infeasible(job)
+            or self._check_wait(job)
+        )
+
+    def _refuse_closed(self) -> core.Refusal:
+        if self._configuration is None:
+            return core.Refusal(
+                core.Failure.NO_CONFIGURATION,
+                "no configuration has been read yet; try again",
             )
-        index = self._ledger.find_infeasible(job)
-        if index is not None:
-            return (
-                core.Failure.INFEASIBLE,
-                f"no target has what $.tasks[{index}].needs asks for",
+        return core.Refusal(
+            core.Failure.STOPPING, "the entry is stopping; try again"
+        )
+
+    def _find_infeasible(self, job: core.Job) -> core.Refusal | None:
+        index = self._offers.find_infeasible(
+            job.service, job.request, job.submitted_at
+        )
+        if index is None:
+            return None
+        return core.Refusal(
+            core.Failure.INFEASIBLE,
+            f"no target has what $.tasks[{index}].needs asks for",
+        )
+
+    def _check_wait(self, job: core.Job) -> core.Refusal | None:
+        own = self._estimate_work(job)
+        ahead = [
+            self._estimate_work(other)
+            for other in self._ledger.jobs.values()
+            if other.service == job.service and other.waiting
+        ]
+        shorter = sum(work for work in ahead if work <= own)
+        capacity = self._measure_capacity(job.service) if shorter else 0.0
+        return core.check_wait(
+            shorter, capacity, job.deadline - job.submitted_at
+        )
+
+    def _estimate_work(self, job: core.Job) -> float:
+        if job.id not in self._work:
+            self._work[job.id] = sum(
+                self._ledger.estimates.estimate_seconds(
+                    task.kind, task.size_ms
+                )
+                for task in job.request.tasks
             )
-        waiting = self._ledger.count_waiting(job.service)
-        if waiting + len(job.request.tasks) > service.max_backlog:
-            return core.Failure.OVERLOADED, "too many tasks wait; try later"
-        return None
+        tasks = len(job.request.tasks)
+        left = tasks - len(job.results)
+        return self._work[job.id] * left / tasks
+
+    def _measure_capacity(self, service: str) -> float:
+        return sum(
+            record.load.slots * self._ledger.estimates.get_speed(name)
+            for name, record in self._ledger.agents.items()
+            if record.report.service == service
+        )
 
     def _get_quotas(self) -> dict[str, int]:
         teams = self._configuration.document.teams
@@ -374,6 +420,7 @@
         )
 
     def _end_job(self, job: core.Job, answer: core.JobAnswer) -> None:
+        self._work.pop(job.id, None)
         self.fire(_events.job_answered(job, answer), "gateway")
         if not job.request.repeatable:
             failed = answer.failure is not None
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_peers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_peers.py
@@ -48,6 +48,7 @@
         self._context = zmq.Context.instance()
         self._numbers = itertools.count(1)
         self._membership = core.Membership()
+        self._membership.hear(member, clock.now())
         self._candidates = core.Candidates()
         self._sockets: dict[int, transport.MessageSocket] = {}
         self._version = -1
@@ -180,8 +181,12 @@
             sock.close()
 
     def _drop_superseded(self) -> None:
-        live = {m.incarnation for m in self._membership.get_members()}
-        wanted = live | {m.incarnation for m in self._candidates.get_members()}
+        known = self._membership.get_members() + self._candidates.get_members()
+        wanted = {
+            member.incarnation
+            for member in known
+            if not self._membership.is_superseded(member)
+        }
         for entry in set(self._sockets) - wanted:
             self._disconnect(entry)
 
