--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -17,7 +17,6 @@
 CHANNEL = "links"
 DISCOVERY_INTERVAL = datetime.timedelta(seconds=1)
 DISCOVERY_TIMEOUT = datetime.timedelta(seconds=3)
-ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
 
 
 @attrs.define(eq=False)
@@ -33,9 +32,6 @@
     heard_at: datetime.datetime
     """When the entry was last heard."""
 
-    connections: int = 0
-    """Number of times that the link was made."""
-
 
 class Links(circuits.BaseComponent):
     """Owns one link for each entry of the agent's subset."""
@@ -72,7 +68,7 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         for incarnation, link in list(self._links.items()):
-            if now - link.heard_at > ENTRY_LOST_AFTER:
+            if now - link.heard_at > self._settings.entry_lost_after:
                 self._drop(incarnation)
         if not self._links and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
@@ -95,6 +91,7 @@
             self._incarnation,
             self._executor.measure_load(action.entry),
             action.reports,
+            action.entry,
             self._executor.configuration_version,
         )
         self.fire(transport.send_message(b"", results), link.socket.channel)
@@ -104,7 +101,7 @@
         link = self._links.get(int(peer))
         if link is None:
             return
-        link.connections += 1
+        self._executor.connect(int(peer))
         self._report(int(peer), link)
 
     @circuits.handler("message_received", channel="*")
@@ -189,6 +186,6 @@
             executor.measure_load(incarnation),
             executor.configuration_version,
             core.digest_members(self._members),
-            link.connections,
+            executor.get_link(incarnation),
         )
         self.fire(transport.send_message(b"", report), link.socket.channel)
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -4,35 +4,40 @@
 """
 
 from cowslipgate_core import _admission
+from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
 from cowslipgate_core import _configuration
 from cowslipgate_core import _estimates
 from cowslipgate_core import _exceptions
 from cowslipgate_core import _executor
+from cowslipgate_core import _executor_actions
 from cowslipgate_core import _health
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
 from cowslipgate_core import _ledger
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
+from cowslipgate_core import _outcomes
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
+from cowslipgate_core import _screening
+from cowslipgate_core import _sessions
 from cowslipgate_core import _settings
+from cowslipgate_core import _traceparents
 from cowslipgate_core import _versions
 
 Acknowledge = _messages.Acknowledge
-AGENT_LOST_AFTER = _ledger.AGENT_LOST_AFTER
-AGENT_SUSPECT_AFTER = _ledger.AGENT_SUSPECT_AFTER
 AgentRecord = _ledger.AgentRecord
-Announcement = _executor.Announcement
+Announcement = _executor_actions.Announcement
 AnswerJob = _ledger.AnswerJob
 Assignment = _placement.Assignment
 Attempt = _jobs.Attempt
-AttemptKey = _executor.AttemptKey
+AttemptKey = _executor_actions.AttemptKey
 AttemptReport = _messages.AttemptReport
 Beat = _messages.Beat
 Bind = _settings.Bind
+BodyError = _exceptions.BodyError
 can_run = _placement.can_run
 CancelReply = _messages.CancelReply
 CancelRequest = _messages.CancelRequest
@@ -41,6 +46,7 @@
 ChartError = _exceptions.ChartError
 check_limits = _admission.check_limits
 check_wait = _admission.check_wait
+CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
 choose_slots = _quotas.choose_slots
@@ -53,28 +59,36 @@
 ConfigurationRequest = _messages.ConfigurationRequest
 CowslipgateError = _exceptions.CowslipgateError
 decode_message = _messages.decode_message
+derive_span = _traceparents.derive_span
+derive_traceparent = _traceparents.derive_traceparent
+describe_settings = _settings.describe_settings
 digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
 Document = _configuration.Document
+DROPPED_LIFETIME = _executor.DROPPED_LIFETIME
+encode_entry_identity = _screening.encode_entry_identity
 encode_identity = _messages.encode_identity
 encode_message = _messages.encode_message
+ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
 Estimates = _estimates.Estimates
 Executor = _executor.Executor
-ExecutorAction = _executor.ExecutorAction
+ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
 Failure = _jobs.Failure
-FAILURES_TO_QUARANTINE = _health.FAILURES_TO_QUARANTINE
+FAILURE_MEMORY = _health.FAILURE_MEMORY
 FailureWindow = _health.FailureWindow
 Fault = _exceptions.Fault
 find_holder = _configuration.find_holder
+find_message_fault = _screening.find_message_fault
 find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
 fits_resources = _placement.fits_resources
+FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 Gossip = _messages.Gossip
-INQUIRY_INTERVAL = _ledger.INQUIRY_INTERVAL
+HIDDEN = _settings.HIDDEN
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
@@ -98,13 +112,15 @@
 ManualClock = _clock.ManualClock
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
 MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
+MAX_EVICTED = _sessions.MAX_EVICTED
+MAX_KEPT_BYTES = _outcomes.MAX_KEPT_BYTES
 MAX_PORT = _settings.MAX_PORT
 MAX_RATIO = _estimates.MAX_RATIO
-MAX_REMEMBERED = _executor.MAX_REMEMBERED
-MAX_SESSIONS = _executor.MAX_SESSIONS
+MAX_REMEMBERED = _sessions.MAX_REMEMBERED
+MAX_SESSIONS = _sessions.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
-MAX_UNACKNOWLEDGED = _executor.MAX_UNACKNOWLEDGED
+MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
 Member = _messages.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
@@ -113,18 +129,28 @@
 name_flag = _settings.name_flag
 OfferBook = _admission.OfferBook
 OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
+name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
+OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
+parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
+parse_body = _bodies.parse_body
 parse_chart = _charts.parse_chart
 parse_choice = _settings.parse_choice
 parse_configuration = _configuration.parse_configuration
 parse_count = _settings.parse_count
+parse_curve_key = _settings.parse_curve_key
+parse_curve_keys = _settings.parse_curve_keys
 parse_digest = _settings.parse_digest
 parse_duration = _settings.parse_duration
-parse_job = _jobs.parse_job
+parse_fraction = _settings.parse_fraction
+parse_job = _bodies.parse_job
 parse_name = _settings.parse_name
+parse_positive = _settings.parse_positive
+parse_text = _settings.parse_text
+parse_traceparent = _traceparents.parse_traceparent
 Policy = _placement.Policy
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
@@ -132,29 +158,32 @@
 Refusal = _admission.Refusal
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
-RESEND_AFTER = _executor.RESEND_AFTER
+RESEND_AFTER = _outcomes.RESEND_AFTER
 Resources = _messages.Resources
 Results = _messages.Results
 RoundRobin = _placement.RoundRobin
 SendOrders = _ledger.SendOrders
-SendReports = _executor.SendReports
+SendReports = _executor_actions.SendReports
 SendWithdraw = _ledger.SendWithdraw
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
 setting = _settings.setting
+SettingDescription = _settings.SettingDescription
 SettingFault = _exceptions.SettingFault
 SettingsError = _exceptions.SettingsError
-SETTLE_TIMEOUT = _ledger.SETTLE_TIMEOUT
 Share = _quotas.Share
 share_equally = _quotas.share_equally
 Started = _jobs.Started
-StartTask = _executor.StartTask
+StartTask = _executor_actions.StartTask
 State = _charts.State
-StopTask = _executor.StopTask
+StopTask = _executor_actions.StopTask
 SystemClock = _clock.SystemClock
 TargetView = _placement.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
+Timing = _ledger.Timing
+Traceparent = _traceparents.Traceparent
+UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 VersionWatch = _versions.VersionWatch
 VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
 WaitingJob = _placement.WaitingJob
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
@@ -3,6 +3,7 @@
 import datetime
 
 import cowslipgate_core as core
+import msgspec
 
 NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
@@ -23,6 +24,25 @@
     )
 
 
+def build_marked_job(
+    ledger: core.Ledger, tasks: int, job_id: str, now: datetime.datetime
+) -> core.Job:
+    """Return a queued job whose payloads are ``"<job>/<index>"``."""
+    payloads = [f'"{job_id}/{n}"'.encode() for n in range(tasks)]
+    request = core.JobRequest(
+        tuple(core.TaskRequest(msgspec.Raw(raw)) for raw in payloads)
+    )
+    return core.Job(
+        job_id,
+        "hall",
+        "print",
+        request,
+        now,
+        now + datetime.timedelta(seconds=30),
+        ledger.make_machine(),
+    )
+
+
 def build_report(
     agent: str = "agent-1", incarnation: int = 1, slots: int = 8
 ) -> core.Report:
@@ -57,9 +77,15 @@
     return core.Dispatch(7, 1, version, orders)
 
 
+def build_announcement(
+    slots: int = 8, address: str = "http://127.0.0.1:1", connections: int = 64
+) -> core.Announcement:
+    """Return the announcement of a target."""
+    return core.Announcement("print", address, slots, connections)
+
+
 def build_executor(slots: int = 2, queue_limit: int = 1) -> core.Executor:
     """Return an executor of incarnation 1 whose target serves."""
     executor = core.Executor(1, queue_limit)
-    announcement = core.Announcement("print", "http://127.0.0.1:1", slots, 64)
-    executor.announce(announcement, NOW)
+    executor.announce(build_announcement(slots), NOW)
     return executor
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -66,18 +66,19 @@
     message: str,
     started: core.Started = core.Started.NONE,
     job: str = "",
+    path: str = "",
     further: dict[str, object] | None = None,
 ) -> transport.Answer:
     """Return the HTTP answer for a failed or refused job."""
-    body = {
-        "job": job,
-        "status": "failed",
-        "error": {
-            "type": failure.value,
-            "started": started.value,
-            "message": message,
-        },
-    } | (further or {})
+    error = {
+        "type": failure.value,
+        "started": started.value,
+        "message": message,
+    }
+    if path:
+        error["path"] = path
+    body = {"job": job, "status": "failed", "error": error}
+    body |= further or {}
     status = STATUSES[failure]
     headers = {}
     if status in (429, 503):
@@ -85,10 +86,26 @@
     return transport.Answer(status, msgspec.json.encode(body), headers)
 
 
-def answer_error(status: int, kind: str, message: str) -> transport.Answer:
+def answer_error(
+    status: int, kind: str, message: str, path: str = ""
+) -> transport.Answer:
     """Return the HTTP answer for a request that is not a submission."""
-    body = {"error": {"type": kind, "message": message}}
-    return transport.Answer(status, msgspec.json.encode(body))
+    error = {"type": kind, "message": message}
+    if path:
+        error["path"] = path
+    return transport.Answer(status, msgspec.json.encode({"error": error}))
+
+
+def answer_cancellation(
+    cancellation: _requests.Cancellation, count: int
+) -> transport.Answer:
+    """Return the HTTP answer to a cancellation."""
+    body: dict[str, object] = {"cancelled": count}
+    if count or not cancellation.job:
+        return transport.Answer(200, msgspec.json.encode(body))
+    message = "the team has no such job in flight"
+    body["error"] = {"type": "unknown_job", "message": message}
+    return transport.Answer(404, msgspec.json.encode(body))
 
 
 def answer_patch(outcome: _requests.PatchOutcome) -> transport.Answer:
