Keep half of an equal share as the floor of every entry

Seen: after a burst that ended at one entry it held all slots; with the table service down the others then had none and answered 504 (12 of 12 jobs, test test_quota_holds_while_the_store_is_down_and_an_entry_is_frozen). Floor of a quarter of an equal share, rounded down, was zero for a quota of 6; now half and at least one.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_configuration_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_configuration_faults.py
@@ -18,16 +18,26 @@
     with builders.build_cluster(tmp_path) as cluster:
         frozen, other, third = cluster.entries
         frozen.process.send_signal(signal.SIGSTOP)
-        for version in (1, 2):
-            reply = builders.send_patch(
-                cluster,
-                other.port,
-                version,
-                f"k{version}",
-                _change(1000 + version),
-            )
-            assert reply.status == 200
-            assert len(reply.body["lapsed"]) == 1
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            patches = []
+            for version in (1, 2):
+                patches.append(
+                    pool.submit(
+                        builders.send_patch,
+                        cluster,
+                        other.port,
+                        version,
+                        f"key-{version}",
+                        _change(1000 + version),
+                    )
+                )
+                _cluster.wait_until(
+                    lambda v=version: _get_stored_version(cluster) == v + 1,
+                    "the write",
+                )
+            replies = [patch.result() for patch in patches]
+        assert [reply.status for reply in replies] == [200, 200]
+        assert [len(reply.body["lapsed"]) for reply in replies] == [1, 1]
         _cluster.wait_until(
             lambda: _sees_version(cluster, other.port, 3), "version at agent"
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_quotas.py
@@ -15,7 +15,7 @@
 UNLIMITED_SLOTS = 1_000_000
 LEASE_LAPSES_AFTER = datetime.timedelta(seconds=30)
 LIMITS_VALID_FOR = datetime.timedelta(seconds=20)
-FLOOR_DIVISOR = 4
+FLOOR_DIVISOR = 2
 
 
 @attrs.frozen
@@ -143,9 +143,11 @@
 
 def choose_target(quota: int, own: int, others: list[int]) -> int:
     """Return the slots that an entry should hold, by every entry's demand."""
-    # Max-min fairness above a floor that answers the first tasks of a burst.
+    # Max-min fairness above a floor, which is what an entry still has when
+    # the table service goes down while its team has no work here.
     entries = len(others) + 1
-    floor = quota // entries // FLOOR_DIVISOR
+    equal = quota // entries
+    floor = max(equal // FLOOR_DIVISOR, min(equal, 1))
     wanted = [max(demand - floor, 0) for demand in [*others, own]]
     rest = quota - floor * entries
     granted = _fill(rest, wanted)
