Answer a cancellation once its jobs are settled, and name silent entries

Before, the answer came while withdrawals were on their way, and entries that did not answer were passed over in silence. Status names the agents behind.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -97,12 +97,23 @@
 
 
 def answer_cancellation(
-    cancellation: _requests.Cancellation, count: int
+    cancellation: _requests.Cancellation,
+    count: int,
+    silent: tuple[int, ...] = (),
 ) -> transport.Answer:
-    """Return the HTTP answer to a cancellation."""
+    """Return the HTTP answer to a cancellation.
+
+    :param silent: entries that did not answer, which may still run jobs
+    """
     body: dict[str, object] = {"cancelled": count}
+    if silent:
+        body["silent"] = [str(entry) for entry in silent]
     if count or not cancellation.job:
         return transport.Answer(200, msgspec.json.encode(body))
+    if silent:
+        message = "the entry that owns the job did not answer; try again"
+        body["error"] = {"type": "entry_silent", "message": message}
+        return transport.Answer(503, msgspec.json.encode(body))
     message = "the team has no such job in flight"
     body["error"] = {"type": "unknown_job", "message": message}
     return transport.Answer(404, msgspec.json.encode(body))
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_cancellations.py
@@ -43,6 +43,11 @@
         self._spreads: dict[int, _Spread] = {}
         self._remote: dict[_requests.Cancellation, core.CancelRequest] = {}
 
+    @property
+    def waiting(self) -> int:
+        """Number of cancellations that are not answered yet."""
+        return len(self._spreads) + len(self._remote)
+
     @circuits.handler("members_changed")
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
@@ -122,5 +127,8 @@
         if spread.pending and self._clock.now() < spread.until:
             return
         del self._spreads[number]
-        event = _events.jobs_cancelled(spread.cancellation, spread.cancelled)
+        silent = tuple(sorted(spread.pending))
+        event = _events.cancellation_answered(
+            spread.cancellation, spread.cancelled, silent
+        )
         self.fire(event, "gateway")
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -144,7 +144,7 @@
             answer = core.JobAnswer(
                 job.id,
                 failure=core.Failure.STORE_UNAVAILABLE,
-                message="nothing ran; send it again later with a new key",
+                message="the claim was not confirmed; send it again later",
             )
         self._end_job(job, answer)
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -35,6 +35,10 @@
     """Jobs were cancelled; arguments are Cancellation and their number."""
 
 
+class cancellation_answered(circuits.Event):
+    """Every entry that answers did; Cancellation, jobs and silent entries."""
+
+
 class assign_tasks(circuits.Event):
     """Asks to choose targets for waiting tasks."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -117,14 +117,17 @@
             reply = _answers.answer_job(answer)
             self.fire(transport.answer_http(exchange, reply))
 
-    @circuits.handler("jobs_cancelled")
-    def _on_jobs_cancelled(
-        self, cancellation: _requests.Cancellation, count: int
+    @circuits.handler("cancellation_answered")
+    def _on_cancellation_answered(
+        self,
+        cancellation: _requests.Cancellation,
+        count: int,
+        silent: tuple[int, ...],
     ) -> None:
         exchange = self._cancellations.pop(cancellation.number, None)
         if exchange is None:
             return
-        answer = _answers.answer_cancellation(cancellation, count)
+        answer = _answers.answer_cancellation(cancellation, count, silent)
         self.fire(transport.answer_http(exchange, answer))
 
     @circuits.handler("patch_decided")
@@ -310,9 +313,20 @@
             "jobs": len(ledger.jobs),
             "counters": ledger.counters,
             "agents": [record.report for record in ledger.agents.values()],
+            "agents_behind": self._find_behind(),
         }
         return transport.Answer(200, msgspec.json.encode(body))
 
+    def _find_behind(self) -> list[str]:
+        configuration = self._configuration
+        version = configuration.version if configuration is not None else 0
+        agents = self._dispatcher.ledger.agents
+        return sorted(
+            name
+            for name, record in agents.items()
+            if record.report.configuration_version < version
+        )
+
     def _find_team(self, exchange: transport.Exchange) -> str:
         return core.find_holder(
             self._configuration.document.teams, _get_token(exchange)
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_cancellations.py
@@ -0,0 +1,135 @@
+"""Tests of cancellations through any entry, and of waves."""
+
+import datetime
+
+import cowslipgate_core as core
+
+from cowslipgate_entry import _cancellations
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+from cowslipgate_entry.tests import builders
+from cowslipgate_entry.tests import control_builders
+
+WAVE = 1000
+PEERS = 3
+AGENTS = 4
+LABEL = "hall-7"
+
+
+def _build_asking() -> control_builders.ComponentBench:
+    bench = control_builders.ComponentBench("peers", "dispatcher", "gateway")
+    component = _cancellations.Cancellations(builders.MEMBER, bench.clock)
+    component.register(bench.root)
+    members = [
+        control_builders.build_member(n, 2000 + 2 * n)
+        for n in range(10, 10 + PEERS)
+    ]
+    event = _events.members_changed((builders.MEMBER, *members))
+    bench.tell(event, "cancellations")
+    return bench
+
+
+def _ask(bench: control_builders.ComponentBench) -> _requests.Cancellation:
+    cancellation = _requests.Cancellation(
+        1, "hall", service="print", label=LABEL
+    )
+    event = _events.spread_cancellation(cancellation)
+    bench.tell(event, "cancellations")
+    return cancellation
+
+
+def test_each_peer_gets_one_message() -> None:
+    bench = _build_asking()
+    _ask(bench)
+    told = bench.recorders["peers"].take("tell_peer")
+    assert [entry for entry, _ in told] == [10, 11, 12]
+
+
+def test_answer_waits_for_every_peer() -> None:
+    bench = _build_asking()
+    cancellation = _ask(bench)
+    bench.tell(_events.jobs_cancelled(cancellation, 5), "cancellations")
+    for entry in (10, 11):
+        reply = core.CancelReply(1, entry, 7)
+        bench.tell(_events.peer_heard(reply), "cancellations")
+    assert bench.recorders["gateway"].take("cancellation_answered") == []
+    reply = core.CancelReply(1, 12, 7)
+    bench.tell(_events.peer_heard(reply), "cancellations")
+    ((_, count, silent),) = bench.recorders["gateway"].take(
+        "cancellation_answered"
+    )
+    assert (count, silent) == (26, ())
+
+
+def test_entry_that_does_not_answer_is_named() -> None:
+    bench = _build_asking()
+    cancellation = _ask(bench)
+    bench.tell(_events.jobs_cancelled(cancellation, 5), "cancellations")
+    bench.clock.advance(datetime.timedelta(seconds=3))
+    bench.tell(_events.tick(), "cancellations")
+    ((_, count, silent),) = bench.recorders["gateway"].take(
+        "cancellation_answered"
+    )
+    assert (count, silent) == (5, (10, 11, 12))
+
+
+def test_requests_of_dead_entries_are_forgotten() -> None:
+    bench = _build_asking()
+    for number in range(WAVE):
+        request = core.CancelRequest(number, 10, "hall", label=LABEL)
+        bench.tell(_events.peer_heard(request), "cancellations")
+    for (cancellation,) in bench.recorders["dispatcher"].take("cancel_jobs"):
+        event = _events.jobs_cancelled(cancellation, 0)
+        bench.tell(event, "cancellations")
+    (component,) = bench.root.components - set(bench.recorders.values())
+    assert component.waiting == 0
+
+
+def _build_wave() -> tuple[builders.DispatcherBench, object]:
+    bench = builders.DispatcherBench()
+    recorder = control_builders.Recorder("cancellations")
+    recorder.register(bench.root)
+    for number in range(AGENTS):
+        bench.hear(builders.build_report(f"agent-{number}"))
+    for _ in range(WAVE):
+        request = core.JobRequest((core.TaskRequest(),), label=LABEL)
+        submission = _requests.Submission(
+            None, "hall", "print", request, "", ""
+        )
+        bench.tell(_events.submit_job(submission))
+    cancellation = _requests.Cancellation(
+        1, "hall", service="print", label=LABEL
+    )
+    bench.tell(_events.cancel_jobs(cancellation))
+    return bench, recorder
+
+
+def test_wave_withdraws_with_one_message_for_each_agent() -> None:
+    bench, _ = _build_wave()
+    withdrawn = bench.outbox.take(core.Withdraw)
+    assert len(withdrawn) == AGENTS
+    assert sum(len(message.attempts) for message in withdrawn) == AGENTS * 8
+
+
+def test_wave_is_answered_when_its_attempts_are_settled() -> None:
+    bench, recorder = _build_wave()
+    assert recorder.take("jobs_cancelled") == []
+    for message in bench.outbox.take(core.Dispatch):
+        reports = tuple(
+            core.AttemptReport(order.attempt, core.Outcome.NOT_STARTED)
+            for order in message.orders
+        )
+        agent = _find_agent(bench, message.orders[0].attempt)
+        load = core.Load(8, 0, 0)
+        bench.hear(core.Results(agent, 1, load, reports))
+    ((_, count),) = recorder.take("jobs_cancelled")
+    assert count == WAVE
+
+
+def _find_agent(bench: builders.DispatcherBench, attempt: int) -> str:
+    agents = bench.dispatcher.ledger.agents
+    return next(
+        name
+        for name, record in agents.items()
+        if attempt in record.outstanding
+    )
