--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,6 +3,7 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _admission
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
@@ -45,6 +46,8 @@
 Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
+check_limits = _admission.check_limits
+check_wait = _admission.check_wait
 CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
@@ -130,6 +133,8 @@
 merge_withdraws = _ledger.merge_withdraws
 MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
+OfferBook = _admission.OfferBook
+OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
 name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
@@ -158,6 +163,7 @@
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
+Refusal = _admission.Refusal
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
 RESEND_AFTER = _outcomes.RESEND_AFTER
@@ -192,6 +198,7 @@
 Traceparent = _traceparents.Traceparent
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 VersionWatch = _versions.VersionWatch
+VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
 WaitingJob = _placement.WaitingJob
 WaitingTask = _placement.WaitingTask
 WireError = _exceptions.WireError
