--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,6 +3,8 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _acknowledgements
+from cowslipgate_core import _backlog
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
 from cowslipgate_core import _configuration
@@ -12,17 +14,24 @@
 from cowslipgate_core import _health
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
+from cowslipgate_core import _late_binding
+from cowslipgate_core import _least_completion
 from cowslipgate_core import _ledger
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
+from cowslipgate_core import _roster
+from cowslipgate_core import _round_robin
 from cowslipgate_core import _settings
+from cowslipgate_core import _targets
 
 Acknowledge = _messages.Acknowledge
+ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
+Acknowledgements = _acknowledgements.Acknowledgements
 AGENT_LOST_AFTER = _ledger.AGENT_LOST_AFTER
 AGENT_SUSPECT_AFTER = _ledger.AGENT_SUSPECT_AFTER
-AgentRecord = _ledger.AgentRecord
+AgentRecord = _roster.AgentRecord
 Announcement = _executor.Announcement
 AnswerJob = _ledger.AnswerJob
 Assignment = _placement.Assignment
@@ -63,7 +72,7 @@
 Fault = _exceptions.Fault
 find_holder = _configuration.find_holder
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
-fits_resources = _placement.fits_resources
+fits_resources = _targets.fits_resources
 Gossip = _messages.Gossip
 INQUIRY_INTERVAL = _ledger.INQUIRY_INTERVAL
 Job = _jobs.Job
@@ -71,8 +80,8 @@
 JobRequest = _jobs.JobRequest
 JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
 LAPSE_AFTER = _membership.LAPSE_AFTER
-LateBinding = _placement.LateBinding
-LEARNING_RATE = _estimates.LEARNING_RATE
+LateBinding = _late_binding.LateBinding
+LeastCompletion = _least_completion.LeastCompletion
 Ledger = _ledger.Ledger
 LedgerAction = _ledger.LedgerAction
 LedgerCounters = _ledger.LedgerCounters
@@ -83,9 +92,8 @@
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
-MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
+Matching = _late_binding.Matching
 MAX_PORT = _settings.MAX_PORT
-MAX_RATIO = _estimates.MAX_RATIO
 MAX_REMEMBERED = _executor.MAX_REMEMBERED
 MAX_SESSIONS = _executor.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
@@ -95,7 +103,6 @@
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
 merge_withdraws = _ledger.merge_withdraws
-MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
 Operator = _configuration.Operator
 Order = _messages.Order
@@ -110,6 +117,7 @@
 parse_job = _jobs.parse_job
 parse_name = _settings.parse_name
 Policy = _placement.Policy
+Pool = _targets.Pool
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
 Report = _messages.Report
@@ -117,7 +125,7 @@
 RESEND_AFTER = _executor.RESEND_AFTER
 Resources = _messages.Resources
 Results = _messages.Results
-RoundRobin = _placement.RoundRobin
+RoundRobin = _round_robin.RoundRobin
 SendOrders = _ledger.SendOrders
 SendReports = _executor.SendReports
 SendWithdraw = _ledger.SendWithdraw
@@ -133,10 +141,10 @@
 State = _charts.State
 StopTask = _executor.StopTask
 SystemClock = _clock.SystemClock
-TargetView = _placement.TargetView
+TargetView = _targets.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
-WaitingJob = _placement.WaitingJob
-WaitingTask = _placement.WaitingTask
+WaitingJob = _backlog.WaitingJob
+WaitingTask = _backlog.WaitingTask
 WireError = _exceptions.WireError
 Withdraw = _messages.Withdraw
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -0,0 +1,135 @@
+"""Which waiting tasks go where, kept up to date as things happen."""
+
+import collections
+import datetime
+
+import attrs
+
+from cowslipgate_core import _backlog
+from cowslipgate_core import _estimates
+from cowslipgate_core import _jobs
+from cowslipgate_core import _placement
+from cowslipgate_core import _roster
+
+
+@attrs.define(eq=False)
+class _Plan:
+    """A job as the policy sees it."""
+
+    view: _backlog.WaitingJob
+    """The part of it that waits."""
+
+    tasks: tuple[_backlog.WaitingTask, ...]
+    """Every task by index."""
+
+
+class Assigner:
+    """Owns the view of the backlog; the ledger tells it what happened."""
+
+    def __init__(
+        self,
+        policy: _placement.Policy,
+        roster: _roster.Roster,
+        estimates: _estimates.Estimates,
+    ) -> None:
+        self._policy = policy
+        self._roster = roster
+        self._estimates = estimates
+        self._plans: dict[str, _Plan] = {}
+        self._waiting: dict[str, dict[str, _backlog.WaitingJob]] = {}
+        self._active: collections.Counter[str] = collections.Counter()
+
+    def add_job(self, job: _jobs.Job) -> None:
+        """Take in a job all of whose tasks wait."""
+        tasks = tuple(
+            self._view_task(job, index)
+            for index in range(len(job.request.tasks))
+        )
+        view = _backlog.WaitingJob(
+            job.id, job.team, job.submitted_at, list(tasks)
+        )
+        self._plans[job.id] = _Plan(view, tasks)
+        self._waiting.setdefault(job.service, {})[job.id] = view
+
+    def drop_job(self, job: _jobs.Job) -> None:
+        """Forget a job whose tasks are no longer sent."""
+        self._plans.pop(job.id, None)
+        self._waiting.get(job.service, {}).pop(job.id, None)
+
+    def start_attempt(self, attempt: _jobs.Attempt) -> None:
+        """Take in that an attempt was sent."""
+        self._active[attempt.job.team] += 1
+
+    def close_attempt(self, attempt: _jobs.Attempt) -> None:
+        """Take in that an attempt is final."""
+        team = attempt.job.team
+        self._active[team] -= 1
+        if not self._active[team]:
+            del self._active[team]
+
+    def put_back(self, attempt: _jobs.Attempt) -> None:
+        """Take in that an attempt did not start: its task waits again."""
+        job = attempt.job
+        plan = self._plans.get(job.id)
+        if plan is not None:
+            plan.view.put_back(plan.tasks[attempt.index])
+            self._waiting.setdefault(job.service, {})[job.id] = plan.view
+
+    def finish_task(self, attempt: _jobs.Attempt) -> None:
+        """Take in that a task has finished."""
+        plan = self._plans.get(attempt.job.id)
+        if plan is not None:
+            task = plan.tasks[attempt.index]
+            plan.view.remaining_seconds -= task.seconds
+
+    def choose(
+        self, now: datetime.datetime, quotas: dict[str, int], entries: int
+    ) -> list[_placement.Assignment]:
+        """Return the tasks to send now.
+
+        :param quotas: slots that each team may use at this entry
+        :param entries: number of entries that share the targets
+        """
+        allowances = {
+            team: quota - self._active.get(team, 0)
+            for team, quota in quotas.items()
+        }
+        chosen: list[_placement.Assignment] = []
+        for service, waiting in self._waiting.items():
+            if not waiting:
+                continue
+            pool = self._roster.get_pool(service, now)
+            if pool is None:
+                continue
+            chosen.extend(
+                _placement.choose_assignments(
+                    self._policy,
+                    list(waiting.values()),
+                    pool,
+                    allowances,
+                    now,
+                    entries,
+                )
+            )
+        self._drop_empty(chosen)
+        return chosen
+
+    def _drop_empty(self, chosen: list[_placement.Assignment]) -> None:
+        for job_id in {assignment.job for assignment in chosen}:
+            if self._plans[job_id].view.tasks:
+                continue
+            for waiting in self._waiting.values():
+                waiting.pop(job_id, None)
+
+    def _view_task(self, job: _jobs.Job, index: int) -> _backlog.WaitingTask:
+        request = job.request.tasks[index]
+        size = self._estimates.estimate_size(
+            job.team, request.kind, request.size_ms
+        )
+        return _backlog.WaitingTask(
+            job.id,
+            index,
+            size.mean_seconds,
+            request.needs,
+            size.upper_seconds,
+        )
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
@@ -0,0 +1,105 @@
+"""Tasks that wait at an entry, in the order that decisions need."""
+
+import bisect
+import datetime
+
+import attrs
+
+from cowslipgate_core import _messages
+from cowslipgate_core import _targets
+
+
+@attrs.frozen
+class WaitingTask:
+    """A task without an attempt under way."""
+
+    job: str
+    """Id of its job."""
+
+    index: int
+    """Index in the job."""
+
+    seconds: float
+    """Expected run time on a target of speed one."""
+
+    needs: _messages.Resources = _messages.Resources()
+    """What it needs of its target."""
+
+    upper_seconds: float = 0.0
+    """Run time at speed one that few tasks like it exceed."""
+
+
+@attrs.define(eq=False)
+class WaitingJob:
+    """A job with tasks that wait."""
+
+    job: str
+    """Id of the job."""
+
+    team: str
+    """Team of its caller."""
+
+    submitted_at: datetime.datetime
+    """When it was accepted."""
+
+    tasks: list[WaitingTask]
+    """Waiting tasks, the shortest first."""
+
+    remaining_seconds: float = 0.0
+    """Expected run time at speed one of its unfinished tasks."""
+
+    needs: frozenset[_messages.Resources] = attrs.field(init=False)
+    """The different needs of its tasks."""
+
+    waiting_seconds: float = attrs.field(init=False)
+    """Expected run time at speed one of its waiting tasks."""
+
+    def __attrs_post_init__(self) -> None:
+        self.tasks.sort(key=_get_order)
+        self.needs = frozenset(task.needs for task in self.tasks)
+        self.waiting_seconds = sum(task.seconds for task in self.tasks)
+        if not self.remaining_seconds:
+            self.remaining_seconds = self.waiting_seconds
+
+    @property
+    def longest_seconds(self) -> float:
+        """Upper run time at speed one of its longest waiting task."""
+        return self.tasks[-1].upper_seconds
+
+    @property
+    def mean_seconds(self) -> float:
+        """Mean run time at speed one of its waiting tasks."""
+        return self.waiting_seconds / len(self.tasks)
+
+    def find_longest(
+        self, limit_seconds: float, offer: _messages.Resources
+    ) -> int | None:
+        """Return the position of the longest task that fits.
+
+        :param limit_seconds: upper run time at speed one that is allowed
+        :param offer: what the target lets one task use
+        """
+        if not self.tasks or self.tasks[0].upper_seconds > limit_seconds:
+            return None
+        end = bisect.bisect_right(
+            self.tasks, limit_seconds, key=lambda task: task.upper_seconds
+        )
+        for position in range(end - 1, -1, -1):
+            if _targets.fits_resources(offer, self.tasks[position].needs):
+                return position
+        return None
+
+    def take(self, position: int) -> WaitingTask:
+        """Take the task at a position out."""
+        task = self.tasks.pop(position)
+        self.waiting_seconds -= task.seconds
+        return task
+
+    def put_back(self, task: WaitingTask) -> None:
+        """Let a task wait again."""
+        self.waiting_seconds += task.seconds
+        bisect.insort(self.tasks, task, key=_get_order)
+
+
+def _get_order(task: WaitingTask) -> tuple[float, int]:
+    return (task.upper_seconds, -task.index)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -16,7 +16,7 @@
 MAX_REMEMBERED = 4_096
 MAX_SESSIONS = 256
 MAX_UNACKNOWLEDGED = 10_000
-RESEND_AFTER = datetime.timedelta(seconds=1)
+RESEND_AFTER = datetime.timedelta(milliseconds=1800)
 
 
 @attrs.frozen
@@ -261,6 +261,7 @@
     def hear_beat(self, beat: _messages.Beat) -> None:
         """Take in an entry's heartbeat."""
         self._learn_version(beat.configuration_version)
+        self.acknowledge(beat.entry, beat.acknowledged)
 
     def end_task(
         self,
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_least_completion.py
@@ -0,0 +1,52 @@
+"""Tasks pushed at once to the target that is expected to end them first."""
+
+import datetime
+
+import attrs
+
+from cowslipgate_core import _backlog
+from cowslipgate_core import _placement
+from cowslipgate_core import _targets
+
+
+@attrs.frozen
+class LeastCompletion(_placement.Policy):
+    """Push each task at once where it is expected to end first."""
+
+
+@_placement.choose_assignments.register
+def choose_least_completion(
+    policy: LeastCompletion,
+    jobs: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+    entries: int = 1,
+) -> list[_placement.Assignment]:
+    """Return an assignment for each task, the longest of a job first."""
+    usable = [target for target in pool.ranked if target.is_usable(now)]
+    assignments = []
+    for job in jobs:
+        for position in range(len(job.tasks) - 1, -1, -1):
+            if allowances.get(job.team, 0) <= 0:
+                break
+            task = job.tasks[position]
+            fitting = [t for t in usable if _placement.can_run(t, task)]
+            if not fitting:
+                continue
+            target = min(fitting, key=lambda t: expect_seconds(t, task))
+            assignments.append(
+                _placement.take_task(job, position, target, pool, allowances)
+            )
+    return assignments
+
+
+def expect_seconds(
+    target: _targets.TargetView, task: _backlog.WaitingTask
+) -> float:
+    """Return the time until ``target`` would have run ``task``.
+
+    The tasks before it are taken to be as long as the task itself.
+    """
+    ahead = max(0, target.occupied - target.slots + 1)
+    return task.seconds / target.speed * (1 + ahead / target.slots)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -9,15 +9,19 @@
 
 import attrs
 
+from cowslipgate_core import _assignment
 from cowslipgate_core import _charts
 from cowslipgate_core import _estimates
 from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
+from cowslipgate_core import _roster
+from cowslipgate_core import _targets
 
 SETTLE_TIMEOUT = datetime.timedelta(seconds=1)
 INQUIRY_INTERVAL = datetime.timedelta(seconds=2)
-AGENT_SUSPECT_AFTER = datetime.timedelta(seconds=5)
+LONG_INQUIRY_INTERVAL = datetime.timedelta(seconds=15)
+AGENT_SUSPECT_AFTER = _targets.SUSPECT_AFTER
 AGENT_LOST_AFTER = datetime.timedelta(seconds=20)
 
 
@@ -66,23 +70,6 @@
 LedgerAction = SendOrders | SendWithdraw | AnswerJob
 
 
-@attrs.define(eq=False)
-class AgentRecord:
-    """What the entry knows of one agent."""
-
-    report: _messages.Report
-    """Its last report."""
-
-    heard_at: datetime.datetime
-    """When it was last heard."""
-
-    load: _messages.Load
-    """Its last load."""
-
-    outstanding: set[int] = attrs.Factory(set)
-    """Sequence numbers of attempts sent and not final."""
-
-
 @attrs.define
 class LedgerCounters:
     """What the ledger has counted."""
@@ -105,19 +92,65 @@
     failed: int = 0
     """Jobs failed after they were accepted."""
 
+    dispatches: int = 0
+    """Messages that carried attempts."""
+
+    results: int = 0
+    """Messages that carried the result of a task."""
+
+    refusals: int = 0
+    """Messages of outcomes that told of refusals and carried no result."""
+
+    idle_results: int = 0
+    """Other messages of outcomes that carried no result."""
+
+    withdrawals: int = 0
+    """Messages that withdrew attempts."""
+
+    inquiry_messages: int = 0
+    """Messages that asked about attempts."""
+
+    acknowledgements: int = 0
+    """Messages that did nothing but acknowledge."""
+
+    heartbeats: int = 0
+    """Heartbeats of agents and the answers to them."""
+
+    def note_withdraw(self, stop: bool) -> None:
+        """Count a message that withdraws or asks about attempts."""
+        if stop:
+            self.withdrawals += 1
+        else:
+            self.inquiry_messages += 1
+
+    def note_results(
+        self, reports: tuple[_messages.AttemptReport, ...]
+    ) -> None:
+        """Count a message of outcomes by whether it carried a result."""
+        outcomes = {report.outcome for report in reports}
+        if outcomes & {_messages.Outcome.FINISHED, _messages.Outcome.FAILED}:
+            self.results += 1
+        elif _messages.Outcome.NOT_STARTED in outcomes:
+            self.refusals += 1
+        else:
+            self.idle_results += 1
+
 
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
     def __init__(self, policy: _placement.Policy) -> None:
-        self._policy = policy
         self._job_chart = _charts.load_chart("job")
         self._attempt_chart = _charts.load_chart("attempt")
         self._jobs: dict[str, _jobs.Job] = {}
         self._attempts: dict[int, _jobs.Attempt] = {}
-        self._agents: dict[str, AgentRecord] = {}
         self._sequence = 0
         self.estimates = _estimates.Estimates()
+        self._roster = _roster.Roster(self.estimates.get_speed, policy.margin)
+        self._agents = self._roster.agents
+        self._assigner = _assignment.Assigner(
+            policy, self._roster, self.estimates
+        )
         self.counters = LedgerCounters()
 
     @property
@@ -126,7 +159,7 @@
         return self._jobs
 
     @property
-    def agents(self) -> dict[str, AgentRecord]:
+    def agents(self) -> dict[str, _roster.AgentRecord]:
         """Known agents by name."""
         return self._agents
 
@@ -153,6 +186,7 @@
         """Take a job into the backlog."""
         job.waiting = set(range(len(job.request.tasks)))
         self._jobs[job.id] = job
+        self._assigner.add_job(job)
 
     def find_infeasible(self, job: _jobs.Job) -> int | None:
         """Return the index of a task that no known target can run.
@@ -169,8 +203,7 @@
             return None
         for index, task in enumerate(job.request.tasks):
             if not any(
-                _placement.fits_resources(offer, task.needs)
-                for offer in offers
+                _targets.fits_resources(offer, task.needs) for offer in offers
             ):
                 return index
         return None
@@ -181,8 +214,8 @@
         """Take in an agent's heartbeat."""
         record = self._agents.get(report.agent)
         if record is None:
-            record = AgentRecord(report, now, report.load)
-            self._agents[report.agent] = record
+            record = _roster.AgentRecord(report, now, report.load)
+            self._roster.add(record)
             return []
         known = record.report
         if report.incarnation < known.incarnation:
@@ -191,9 +224,8 @@
         if report.incarnation > known.incarnation:
             actions = self._lose_attempts(record, now)
         reconnected = report.link != known.link
-        record.report = report
-        record.load = report.load
         record.heard_at = now
+        self._roster.replace_report(record, report)
         if reconnected and record.outstanding:
             actions.extend(self._inquire(record, now, set(record.outstanding)))
         return actions
@@ -202,6 +234,7 @@
         self, results: _messages.Results, now: datetime.datetime
     ) -> list[LedgerAction]:
         """Take in the outcomes of attempts."""
+        self.counters.note_results(results.reports)
         record = self._agents.get(results.agent)
         if record is None or (
             record.report.incarnation != results.incarnation
@@ -209,6 +242,7 @@
             self.counters.unmatched += len(results.reports)
             return []
         record.heard_at = now
+        record.held = False
         actions: list[LedgerAction] = []
         for report in results.reports:
             attempt = self._attempts.get(report.attempt)
@@ -217,6 +251,7 @@
                 continue
             actions.extend(self._apply(attempt, report, now))
         record.load = results.load
+        self._roster.update(record)
         return actions
 
     def hear_unsent(
@@ -235,6 +270,7 @@
         record = self._agents.get(agent)
         if record is not None:
             record.heard_at = now - AGENT_SUSPECT_AFTER
+            self._roster.update(record)
         return actions
 
     def cancel(
@@ -270,6 +306,7 @@
         job.failure = failure
         job.message = message
         job.waiting.clear()
+        self._assigner.drop_job(job)
         job.settle_by = now + SETTLE_TIMEOUT
         actions = self._withdraw(list(job.active.values()), now, stop=True)
         return actions + self._settle(job, now)
@@ -293,63 +330,18 @@
         return merge_withdraws(actions)
 
     def assign(
-        self, now: datetime.datetime, quotas: dict[str, int]
+        self,
+        now: datetime.datetime,
+        quotas: dict[str, int],
+        entries: int = 1,
     ) -> list[LedgerAction]:
         """Choose targets for waiting tasks and return the dispatches.
 
         :param quotas: slots that each team may use at this entry
+        :param entries: number of entries that share the targets
         """
-        by_service: dict[str, list[_jobs.Job]] = {}
-        for job in self._jobs.values():
-            if job.waiting:
-                by_service.setdefault(job.service, []).append(job)
-        allowances = dict(quotas)
-        for job in self._jobs.values():
-            if job.team in allowances:
-                allowances[job.team] -= len(job.active)
-        actions: list[LedgerAction] = []
-        for service, jobs in by_service.items():
-            targets = self._view_targets(service, now)
-            chosen = _placement.choose_assignments(
-                self._policy,
-                [self._view_job(job) for job in jobs],
-                targets,
-                allowances,
-                now,
-            )
-            actions.extend(self._send(chosen, now))
-        return actions
-
-    def _view_targets(
-        self, service: str, now: datetime.datetime
-    ) -> list[_placement.TargetView]:
-        return [
-            _placement.TargetView(
-                name,
-                record.report.resources,
-                record.load.slots,
-                record.load.others + len(record.outstanding),
-                self.estimates.get_speed(name),
-            )
-            for name, record in self._agents.items()
-            if record.report.service == service
-            and now - record.heard_at < AGENT_SUSPECT_AFTER
-        ]
-
-    def _view_job(self, job: _jobs.Job) -> _placement.WaitingJob:
-        tasks = [self._view_task(job, index) for index in job.waiting]
-        tasks.sort(key=lambda task: -task.seconds)
-        remaining = sum(task.seconds for task in tasks)
-        return _placement.WaitingJob(
-            job.id, job.team, job.submitted_at, remaining, tuple(tasks)
-        )
-
-    def _view_task(self, job: _jobs.Job, index: int) -> _placement.WaitingTask:
-        request = job.request.tasks[index]
-        seconds = self.estimates.estimate_seconds(
-            request.kind, request.size_ms
-        )
-        return _placement.WaitingTask(job.id, index, seconds, request.needs)
+        chosen = self._assigner.choose(now, quotas, entries)
+        return self._send(chosen, now)
 
     def _send(
         self, chosen: list[_placement.Assignment], now: datetime.datetime
@@ -387,6 +379,7 @@
         job.active[attempt.sequence] = attempt
         self._attempts[attempt.sequence] = attempt
         record.outstanding.add(attempt.sequence)
+        self._assigner.start_attempt(attempt)
         self.counters.dispatched += 1
         request = job.request.tasks[assignment.index]
         return _messages.Order(
@@ -416,9 +409,11 @@
         job = attempt.job
         del self._attempts[attempt.sequence]
         job.active.pop(attempt.sequence, None)
+        self._assigner.close_attempt(attempt)
         record = self._agents.get(attempt.agent)
         if record is not None:
             record.outstanding.discard(attempt.sequence)
+            self._roster.update(record)
         started = attempt.machine.get_attribute("started")
         job.known_started |= started == "yes"
         job.maybe_started |= started == "unknown"
@@ -435,8 +430,10 @@
                 return self._finish_task(attempt, report)
             case _messages.Outcome.NOT_STARTED:
                 self.counters.refused += 1
+                self._hold_agent(attempt, report)
                 if job.failure is None:
                     job.waiting.add(attempt.index)
+                    self._assigner.put_back(attempt)
                 return []
             case _messages.Outcome.FAILED:
                 detail = report.result.decode(errors="replace")[:200]
@@ -445,14 +442,28 @@
         message = f"what became of task {attempt.index} is not known"
         return self.fail(job, _jobs.Failure.OUTCOME_UNKNOWN, message, now)
 
+    def _hold_agent(
+        self, attempt: _jobs.Attempt, report: _messages.AttemptReport
+    ) -> None:
+        # Sending again what the agent has just refused would be a hot loop.
+        record = self._agents.get(attempt.agent)
+        if record is not None and report.reason in _HOLDING_REASONS:
+            record.held = True
+            self._roster.update(record)
+
     def _finish_task(
         self, attempt: _jobs.Attempt, report: _messages.AttemptReport
     ) -> list[LedgerAction]:
         job = attempt.job
         request = job.request.tasks[attempt.index]
         self.estimates.observe(
-            attempt.agent, request.kind, request.size_ms, report.run_ms
+            attempt.agent,
+            job.team,
+            request.kind,
+            request.size_ms,
+            report.run_ms,
         )
+        self._assigner.finish_task(attempt)
         if job.failure is not None:
             return []
         job.results[attempt.index] = report.result
@@ -461,6 +472,7 @@
         job.machine.fire("finish")
         self.counters.complete += 1
         del self._jobs[job.id]
+        self._assigner.drop_job(job)
         results = tuple(job.results[i] for i in range(len(job.results)))
         return [AnswerJob(job, _jobs.JobAnswer(job.id, results))]
 
@@ -495,20 +507,34 @@
         ]
 
     def _watch_agent(
-        self, name: str, record: AgentRecord, now: datetime.datetime
+        self, name: str, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
         if now - record.heard_at > AGENT_LOST_AFTER:
-            del self._agents[name]
+            self._roster.remove(name)
             return self._lose_attempts(record, now)
-        overdue = {
+        overdue = self._list_silent(record, now, INQUIRY_INTERVAL)
+        if record.load.own >= len(overdue):
+            # The agent holds as many attempts as were sent to it.
+            overdue = self._list_silent(record, now, LONG_INQUIRY_INTERVAL)
+        return self._inquire(record, now, overdue)
+
+    def _list_silent(
+        self,
+        record: _roster.AgentRecord,
+        now: datetime.datetime,
+        silence: datetime.timedelta,
+    ) -> set[int]:
+        return {
             sequence
             for sequence in record.outstanding
-            if now - self._attempts[sequence].asked_at > INQUIRY_INTERVAL
+            if now - self._attempts[sequence].asked_at > silence
         }
-        return self._inquire(record, now, overdue)
 
     def _inquire(
-        self, record: AgentRecord, now: datetime.datetime, overdue: set[int]
+        self,
+        record: _roster.AgentRecord,
+        now: datetime.datetime,
+        overdue: set[int],
     ) -> list[LedgerAction]:
         self.counters.inquiries += len(overdue)
         attempts = [self._attempts[sequence] for sequence in sorted(overdue)]
@@ -518,7 +544,7 @@
         return actions + self._withdraw(ended, now, stop=True)
 
     def _lose_attempts(
-        self, record: AgentRecord, now: datetime.datetime
+        self, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
         actions: list[LedgerAction] = []
         for sequence in sorted(record.outstanding):
@@ -533,6 +559,14 @@
         return actions
 
 
+_HOLDING_REASONS = frozenset(
+    (
+        _messages.Reason.BUSY,
+        _messages.Reason.NOT_SERVING,
+        _messages.Reason.STALE_CONFIGURATION,
+    )
+)
+
 _EVENTS = {
     _messages.Outcome.FINISHED: "finish",
     _messages.Outcome.FAILED: "break",
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -245,6 +245,9 @@
     leaving: bool = False
     """Whether the entry is stopping."""
 
+    acknowledged: tuple[int, ...] = ()
+    """Attempts whose outcome the entry has received."""
+
 
 @attrs.frozen
 class Gossip:
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -0,0 +1,113 @@
+"""The agents that an entry knows, and the pools that they form."""
+
+from collections.abc import Callable
+import datetime
+
+import attrs
+
+from cowslipgate_core import _messages
+from cowslipgate_core import _targets
+
+RANKING_INTERVAL = datetime.timedelta(milliseconds=500)
+
+
+@attrs.define(eq=False)
+class AgentRecord:
+    """What the entry knows of one agent."""
+
+    report: _messages.Report
+    """Its last report."""
+
+    heard_at: datetime.datetime
+    """When it was last heard."""
+
+    load: _messages.Load
+    """Its last load."""
+
+    outstanding: set[int] = attrs.Factory(set)
+    """Sequence numbers of attempts sent and not final."""
+
+    held: bool = False
+    """Whether it refused a task and has not told its load since."""
+
+
+class Roster:
+    """Agents by name, kept in step with a pool for each service.
+
+    :param get_speed: returns the learned speed of an agent's target
+    :param margin: tasks that may queue at a target beyond its slots
+    """
+
+    def __init__(self, get_speed: Callable[[str], float], margin: int) -> None:
+        self._get_speed = get_speed
+        self._margin = margin
+        self._pools: dict[str, _targets.Pool] = {}
+        self._ranked_at: dict[str, datetime.datetime] = {}
+        self.agents: dict[str, AgentRecord] = {}
+
+    def add(self, record: AgentRecord) -> None:
+        """Take in an agent that was not known."""
+        self.agents[record.report.agent] = record
+        self.update(record)
+
+    def remove(self, agent: str) -> None:
+        """Forget an agent."""
+        record = self.agents.pop(agent)
+        pool = self._pools.get(record.report.service)
+        if pool is not None:
+            pool.remove(agent)
+
+    def replace_report(
+        self, record: AgentRecord, report: _messages.Report
+    ) -> None:
+        """Take in a report; the agent may have changed its service."""
+        if record.report.service != report.service:
+            pool = self._pools.get(record.report.service)
+            if pool is not None:
+                pool.remove(report.agent)
+        record.report = report
+        record.load = report.load
+        record.held = False
+        self.update(record)
+
+    def update(self, record: AgentRecord) -> None:
+        """Bring the pool in step with what is known of an agent."""
+        report = record.report
+        pool = self._pools.get(report.service)
+        if pool is None:
+            pool = _targets.Pool(margin=self._margin)
+            self._pools[report.service] = pool
+        view = pool.get(report.agent)
+        occupied = record.load.others + len(record.outstanding)
+        if view is None:
+            view = _targets.TargetView(
+                report.agent,
+                report.resources,
+                record.load.slots,
+                occupied,
+                self._get_speed(report.agent),
+                record.heard_at,
+            )
+            pool.add(view)
+            return
+        view.resources = report.resources
+        view.slots = record.load.slots
+        view.occupied = occupied
+        view.heard_at = record.heard_at
+        view.held = record.held
+        pool.update(view)
+
+    def get_pool(
+        self, service: str, now: datetime.datetime
+    ) -> _targets.Pool | None:
+        """Return the targets of a service, ranked not long ago."""
+        pool = self._pools.get(service)
+        if pool is None:
+            return None
+        ranked_at = self._ranked_at.get(service)
+        if ranked_at is None or now - ranked_at >= RANKING_INTERVAL:
+            self._ranked_at[service] = now
+            for view in pool.ranked:
+                view.speed = self._get_speed(view.agent)
+            pool.rank_targets()
+        return pool
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_round_robin.py
@@ -0,0 +1,55 @@
+"""The naive baseline: each task goes at once to the next target in turn."""
+
+import datetime
+
+import attrs
+
+from cowslipgate_core import _backlog
+from cowslipgate_core import _placement
+from cowslipgate_core import _targets
+
+
+@attrs.frozen
+class RoundRobin(_placement.Policy):
+    """Push each task at once to the next target, however busy it is."""
+
+
+@_placement.choose_assignments.register
+def choose_in_turn(
+    policy: RoundRobin,
+    jobs: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+    entries: int = 1,
+) -> list[_placement.Assignment]:
+    """Return an assignment for each task that some target can run."""
+    ring = sorted(pool.ranked, key=lambda target: target.agent)
+    ring = [target for target in ring if target.is_usable(now)]
+    assignments = []
+    for job in jobs:
+        ordered = sorted(job.tasks, key=lambda task: task.index)
+        for task in ordered:
+            if allowances.get(job.team, 0) <= 0:
+                break
+            target = _find_next(ring, pool, task)
+            if target is None:
+                continue
+            position = job.tasks.index(task)
+            assignments.append(
+                _placement.take_task(job, position, target, pool, allowances)
+            )
+    return assignments
+
+
+def _find_next(
+    ring: list[_targets.TargetView],
+    pool: _targets.Pool,
+    task: _backlog.WaitingTask,
+) -> _targets.TargetView | None:
+    for _ in ring:
+        target = ring[pool.turn % len(ring)]
+        pool.turn += 1
+        if _placement.can_run(target, task):
+            return target
+    return None
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -0,0 +1,178 @@
+"""What an entry knows of the targets of one service."""
+
+import bisect
+import datetime
+
+import attrs
+
+from cowslipgate_core import _messages
+
+SUSPECT_AFTER = datetime.timedelta(seconds=5)
+
+
+@attrs.define(eq=False)
+class TargetView:
+    """What an entry knows of one agent and its target."""
+
+    agent: str
+    """Name of the agent."""
+
+    resources: _messages.Resources
+    """What one task may use."""
+
+    slots: int
+    """Slots open to work."""
+
+    occupied: int
+    """Tasks running or queued, those of other entries included."""
+
+    speed: float
+    """Learned speed; a target of speed two halves the run time."""
+
+    heard_at: datetime.datetime | None = None
+    """When the agent was last heard, or None when that does not matter."""
+
+    held: bool = False
+    """Whether it refused a task and has not told its load since."""
+
+    rank: int = 0
+    """Position in the pool, the fastest target first."""
+
+    listed: bool = False
+    """Whether the pool lists it as open."""
+
+    @property
+    def free(self) -> int:
+        """Number of slots that are likely free."""
+        return self.slots - self.occupied
+
+    def is_usable(self, now: datetime.datetime) -> bool:
+        """Tell whether work may be sent to it."""
+        if self.held or not self.slots:
+            return False
+        return self.heard_at is None or now - self.heard_at < SUSPECT_AFTER
+
+
+class Pool:
+    """Targets of one service in the order of their speeds.
+
+    :param margin: tasks that may queue at a target that is listed as open
+    """
+
+    def __init__(
+        self, targets: list[TargetView] | None = None, margin: int = 0
+    ) -> None:
+        self._views: dict[str, TargetView] = {}
+        self._ranked: list[TargetView] = []
+        self._open: list[int] = []
+        self._fastest: dict[_messages.Resources, float] = {}
+        self._margin = margin
+        self.capacity = 0.0
+        self.slots = 0
+        self.turn = 0
+        for target in targets or ():
+            self._views[target.agent] = target
+        self.rank_targets()
+
+    @property
+    def ranked(self) -> list[TargetView]:
+        """Targets, the fastest first."""
+        return self._ranked
+
+    def __contains__(self, agent: str) -> bool:
+        return agent in self._views
+
+    def __len__(self) -> int:
+        return len(self._views)
+
+    def get(self, agent: str) -> TargetView | None:
+        """Return the view of an agent's target."""
+        return self._views.get(agent)
+
+    def add(self, target: TargetView) -> None:
+        """Take in a target; it is ranked last until the next ranking."""
+        self._views[target.agent] = target
+        target.rank = len(self._ranked)
+        self._ranked.append(target)
+        self._fastest.clear()
+        self.update(target)
+
+    def remove(self, agent: str) -> None:
+        """Forget a target."""
+        if self._views.pop(agent, None) is not None:
+            self.rank_targets()
+
+    def set_margin(self, margin: int) -> None:
+        """Change the number of tasks that may queue at an open target."""
+        if margin != self._margin:
+            self._margin = margin
+            self.rank_targets()
+
+    def rank_targets(self) -> None:
+        """Order the targets by their present speeds."""
+        self._ranked = sorted(
+            self._views.values(), key=lambda view: (-view.speed, view.agent)
+        )
+        self._fastest.clear()
+        self._open.clear()
+        for rank, view in enumerate(self._ranked):
+            view.rank = rank
+            view.listed = False
+            self.update(view)
+        self.slots = sum(view.slots for view in self._ranked)
+        self.capacity = sum(view.slots * view.speed for view in self._ranked)
+
+    def update(self, target: TargetView) -> None:
+        """Take in that a target's load has changed."""
+        is_open = target.free + self._margin > 0 and target.slots > 0
+        if is_open == target.listed:
+            return
+        target.listed = is_open
+        position = bisect.bisect_left(self._open, target.rank)
+        if is_open:
+            self._open.insert(position, target.rank)
+        else:
+            del self._open[position]
+
+    def occupy(self, target: TargetView) -> None:
+        """Take in that a task goes to a target."""
+        target.occupied += 1
+        self.update(target)
+
+    def list_open(self, now: datetime.datetime) -> list[TargetView]:
+        """Return the targets that may take a task, the fastest first."""
+        views = (self._ranked[rank] for rank in self._open)
+        return [view for view in views if view.is_usable(now)]
+
+    def get_fastest(self, needs: _messages.Resources) -> float:
+        """Return the speed of the fastest target that covers ``needs``."""
+        known = self._fastest.get(needs)
+        if known is None:
+            known = self._find_fastest(needs)
+            self._fastest[needs] = known
+        return known
+
+    def _find_fastest(self, needs: _messages.Resources) -> float:
+        for view in self._ranked:
+            if view.slots and fits_resources(view.resources, needs):
+                return view.speed
+        return 0.0
+
+    def is_faster_busy(self, target: TargetView) -> bool:
+        """Tell whether a faster target has tasks under way."""
+        for view in self._ranked:
+            if view.speed <= target.speed:
+                return False
+            if view.occupied and view.slots:
+                return True
+        return False
+
+
+def fits_resources(
+    offer: _messages.Resources, needs: _messages.Resources
+) -> bool:
+    """Tell whether ``offer`` covers ``needs``."""
+    return (
+        needs.memory_mb <= offer.memory_mb
+        and needs.accelerators <= offer.accelerators
+    )
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/builders.py
@@ -24,7 +24,10 @@
 
 
 def build_report(
-    agent: str = "agent-1", incarnation: int = 1, slots: int = 8
+    agent: str = "agent-1",
+    incarnation: int = 1,
+    slots: int = 8,
+    own: int = 0,
 ) -> core.Report:
     """Return the heartbeat of a serving agent."""
     return core.Report(
@@ -34,7 +37,7 @@
         "kaai-zuid",
         "serving",
         core.Resources(1000, 0),
-        core.Load(slots, 0, 0),
+        core.Load(slots, own, 0),
         1,
         "",
     )
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
@@ -0,0 +1,176 @@
+"""Naive twins of the policies: plain scans that are easy to check."""
+
+import datetime
+import math
+
+import cowslipgate_core as core
+
+
+def choose_in_turn(
+    jobs: list[core.WaitingJob],
+    pool: core.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+) -> list[core.Assignment]:
+    """Return the assignments of the round robin."""
+    ring = sorted(
+        (t for t in pool.ranked if t.is_usable(now)), key=lambda t: t.agent
+    )
+    chosen = []
+    turn = pool.turn
+    for job in jobs:
+        for task in sorted(job.tasks, key=lambda task: task.index):
+            if allowances[job.team] <= 0:
+                continue
+            for step in range(len(ring)):
+                target = ring[(turn + step) % len(ring)]
+                if core.can_run(target, task):
+                    turn += step + 1
+                    allowances[job.team] -= 1
+                    chosen.append(_assign(task, target))
+                    break
+            else:
+                turn += len(ring)
+    return chosen
+
+
+def choose_least_completion(
+    jobs: list[core.WaitingJob],
+    pool: core.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+) -> list[core.Assignment]:
+    """Return the assignments of the push to the least completion."""
+    occupied = {target.agent: target.occupied for target in pool.ranked}
+    chosen = []
+    for job in jobs:
+        for task in _sort_longest_first(job.tasks):
+            best = None
+            for target in pool.ranked:
+                if not target.is_usable(now):
+                    continue
+                if not core.can_run(target, task):
+                    continue
+                ahead = max(0, occupied[target.agent] - target.slots + 1)
+                seconds = task.seconds / target.speed
+                seconds *= 1 + ahead / target.slots
+                if best is None or seconds < best[0]:
+                    best = (seconds, target)
+            if best is not None and allowances[job.team] > 0:
+                occupied[best[1].agent] += 1
+                allowances[job.team] -= 1
+                chosen.append(_assign(task, best[1]))
+    return chosen
+
+
+def choose_late_binding(
+    policy: core.LateBinding,
+    jobs: list[core.WaitingJob],
+    pool: core.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+    entries: int,
+) -> list[core.Assignment]:
+    """Return the assignments of late binding, with or without matching."""
+    left = {job.job: list(job.tasks) for job in jobs}
+    occupied = {target.agent: target.occupied for target in pool.ranked}
+    horizons = {
+        job.job: _find_horizon(policy, job, pool, now, entries)
+        for job in jobs
+        if job.tasks
+    }
+    ordered = sorted(jobs, key=lambda job: _rank(policy, job, now))
+    chosen: list[core.Assignment] = []
+    for target in pool.ranked:
+        if not target.is_usable(now):
+            continue
+        room = target.slots + policy.margin - occupied[target.agent]
+        for _ in range(room):
+            faster_busy = any(
+                occupied[t.agent] and t.slots and t.speed > target.speed
+                for t in pool.ranked
+            )
+            task = None
+            for job in ordered:
+                limit = horizons.get(job.job, 0.0) * target.speed
+                task = task or _pick(left, job, target, allowances, limit)
+            for job in ordered if not faster_busy else []:
+                task = task or _pick(left, job, target, allowances, math.inf)
+            if task is None:
+                break
+            team = next(j.team for j in jobs if j.job == task.job)
+            allowances[team] -= 1
+            left[task.job].remove(task)
+            occupied[target.agent] += 1
+            chosen.append(_assign(task, target))
+    return chosen
+
+
+def _pick(
+    left: dict[str, list[core.WaitingTask]],
+    job: core.WaitingJob,
+    target: core.TargetView,
+    allowances: dict[str, int],
+    limit: float,
+) -> core.WaitingTask | None:
+    if allowances[job.team] <= 0:
+        return None
+    for task in _sort_longest_first(left[job.job]):
+        if task.upper_seconds <= limit and core.can_run(target, task):
+            return task
+    return None
+
+
+def _find_horizon(
+    policy: core.LateBinding,
+    job: core.WaitingJob,
+    pool: core.Pool,
+    now: datetime.datetime,
+    entries: int,
+) -> float:
+    if not isinstance(policy, core.Matching):
+        return math.inf
+    if now - job.submitted_at > policy.ageing:
+        return math.inf
+    needs = [task.needs for task in job.tasks]
+    fastest = min(
+        max(
+            [
+                t.speed
+                for t in pool.ranked
+                if t.slots and core.fits_resources(t.resources, need)
+            ],
+            default=0.0,
+        )
+        for need in needs
+    )
+    capacity = sum(t.slots * t.speed for t in pool.ranked)
+    slots = sum(t.slots for t in pool.ranked)
+    if not fastest or not capacity:
+        return math.inf
+    longest = max(task.upper_seconds for task in job.tasks)
+    mean = sum(task.seconds for task in job.tasks) / len(job.tasks)
+    alone = longest / fastest + mean / (fastest * slots)
+    shared = job.remaining_seconds / (capacity / entries)
+    return policy.horizon_factor * max(alone, shared)
+
+
+def _rank(
+    policy: core.LateBinding, job: core.WaitingJob, now: datetime.datetime
+) -> tuple[bool, float]:
+    waited = now - job.submitted_at
+    if waited > policy.ageing:
+        return (False, -waited.total_seconds())
+    return (True, job.remaining_seconds)
+
+
+def _sort_longest_first(
+    tasks: list[core.WaitingTask],
+) -> list[core.WaitingTask]:
+    return sorted(tasks, key=lambda task: (-task.upper_seconds, task.index))
+
+
+def _assign(
+    task: core.WaitingTask, target: core.TargetView
+) -> core.Assignment:
+    return core.Assignment(task.job, task.index, target.agent)
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_estimates.py
@@ -0,0 +1,68 @@
+"""Tests of what is learned from finished tasks."""
+
+import math
+import random
+
+import cowslipgate_core as core
+import pytest
+
+SPEEDS = {"slow": 0.5, "even": 1.0, "fast": 2.0}
+SIGMA = 0.8
+
+
+def _learn(
+    estimates: core.Estimates, runs: int, errors: dict[str, float]
+) -> None:
+    """Run tasks whose declarations are off, some teams' always."""
+    source = random.Random(1)
+    for _ in range(runs):
+        true_ms = math.exp(source.uniform(math.log(50), math.log(1000)))
+        team = source.choice(tuple(errors))
+        error = math.exp(source.gauss(0, SIGMA)) * errors[team]
+        agent = source.choice(tuple(SPEEDS))
+        estimates.observe(
+            agent, team, "tag", true_ms * error, true_ms / SPEEDS[agent]
+        )
+
+
+@pytest.mark.parametrize("errors", [{"hall": 1.0}, {"hall": 1, "ward": 50}])
+def test_speeds_are_learned_whatever_callers_declare(
+    errors: dict[str, float],
+) -> None:
+    estimates = core.Estimates()
+    _learn(estimates, 3000, errors)
+    for agent, speed in SPEEDS.items():
+        learned = estimates.get_speed(agent) / estimates.get_speed("even")
+        assert learned == pytest.approx(speed, rel=0.2)
+
+
+def test_sizes_are_corrected_for_a_team_that_exaggerates() -> None:
+    estimates = core.Estimates()
+    _learn(estimates, 4000, {"hall": 1, "ward": 50})
+    size = estimates.estimate_size("ward", "tag", 250 * 50)
+    seconds = size.mean_seconds / estimates.get_speed("even")
+    assert 0.15 < seconds < 0.6
+
+
+def test_upper_size_is_exceeded_by_few() -> None:
+    estimates = core.Estimates()
+    for number in range(1000):
+        run_ms = 1000 if number % 10 == 0 else 100
+        estimates.observe("even", "hall", "tag", 200, run_ms)
+    size = estimates.estimate_size("hall", "tag", 200)
+    assert size.mean_seconds == pytest.approx(0.19, rel=0.1)
+    assert size.upper_seconds < 0.5
+
+
+def test_unknown_task_is_taken_at_its_declaration() -> None:
+    size = core.Estimates().estimate_size("hall", "tag", 250)
+    assert size.mean_seconds == size.upper_seconds == 0.25
+
+
+def test_target_that_becomes_slow_is_noticed_within_some_runs() -> None:
+    estimates = core.Estimates()
+    _learn(estimates, 3000, {"hall": 1.0})
+    before = estimates.get_speed("fast")
+    for _ in range(30):
+        estimates.observe("fast", "hall", "tag", 250, 2500 / 2)
+    assert estimates.get_speed("fast") < before / 4
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
@@ -101,3 +101,58 @@
     ledger.assign(builders.NOW, QUOTAS)
     (action,) = ledger.cancel_all(jobs, builders.NOW)
     assert len(action.attempts) == len(jobs)
+
+
+@pytest.mark.parametrize(
+    ("reason", "sends"),
+    [
+        (core.Reason.BUSY, 0),
+        (core.Reason.STALE_CONFIGURATION, 0),
+        (core.Reason.WITHDRAWN, 1),
+    ],
+)
+def test_agent_that_refuses_is_held_until_it_tells_its_load(
+    reason: core.Reason, sends: int
+) -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _, orders = _dispatch_one(ledger)
+    report = core.AttemptReport(
+        orders[0].attempt, core.Outcome.NOT_STARTED, reason
+    )
+    ledger.hear_results(builders.build_results(report), builders.NOW)
+    assert len(ledger.assign(builders.NOW, QUOTAS)) == sends
+    ledger.hear_report(builders.build_report(), builders.NOW)
+    assert len(ledger.assign(builders.NOW, QUOTAS)) == 1 - sends
+
+
+@pytest.mark.parametrize(("held", "inquiries"), [(1, 0), (0, 1)])
+def test_agent_is_asked_only_about_attempts_that_it_may_not_hold(
+    held: int, inquiries: int
+) -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _dispatch_one(ledger)
+    later = builders.NOW + datetime.timedelta(seconds=3)
+    report = builders.build_report(own=held)
+    ledger.hear_report(report, later)
+    assert len(ledger.tick(later)) == inquiries
+
+
+def test_attempts_that_look_held_are_asked_about_in_the_end() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    _dispatch_one(ledger)
+    later = builders.NOW + datetime.timedelta(seconds=16)
+    ledger.hear_report(builders.build_report(own=1), later)
+    assert len(ledger.tick(later)) == 1
+
+
+def test_job_whose_long_tasks_run_does_not_go_first() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    ledger.hear_report(builders.build_report(slots=4), builders.NOW)
+    first = builders.build_job(ledger, 5, "job-long")
+    ledger.submit(first)
+    ledger.assign(builders.NOW, QUOTAS)
+    second = builders.build_job(ledger, 2, "job-short")
+    ledger.submit(second)
+    ledger.hear_report(builders.build_report(slots=5), builders.NOW)
+    (action,) = ledger.assign(builders.NOW, QUOTAS)
+    assert action.orders[0].task.startswith("job-short")
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
@@ -0,0 +1,184 @@
+"""Differential tests of the policies, and what each of them promises."""
+
+import copy
+import datetime
+
+import cowslipgate_core as core
+from cowslipgate_core.tests import builders
+from cowslipgate_core.tests import naive_placement
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, max_examples=150, deadline=None
+)
+# Whole eighths add up without rounding, whatever the order.
+_SECONDS = strategies.integers(1, 64).map(lambda eighths: eighths / 8)
+_MEMORY = strategies.sampled_from((0, 100, 200))
+
+
+@strategies.composite
+def _make_jobs(draw: strategies.DrawFn) -> list[core.WaitingJob]:
+    jobs = []
+    for number in range(draw(strategies.integers(0, 4))):
+        tasks = []
+        for index in range(draw(strategies.integers(1, 5))):
+            seconds = draw(_SECONDS)
+            tasks.append(
+                core.WaitingTask(
+                    f"job-{number}",
+                    index,
+                    seconds,
+                    core.Resources(draw(_MEMORY)),
+                    seconds * draw(strategies.sampled_from((1, 2))),
+                )
+            )
+        waited = datetime.timedelta(seconds=draw(strategies.integers(0, 20)))
+        team = draw(strategies.sampled_from(("hall", "ward")))
+        jobs.append(
+            core.WaitingJob(
+                f"job-{number}", team, builders.NOW - waited, tasks
+            )
+        )
+    return jobs
+
+
+@strategies.composite
+def _make_pool(draw: strategies.DrawFn) -> core.Pool:
+    targets = []
+    for number in range(draw(strategies.integers(1, 4))):
+        targets.append(
+            core.TargetView(
+                f"agent-{number}",
+                core.Resources(draw(_MEMORY)),
+                draw(strategies.integers(0, 3)),
+                draw(strategies.integers(0, 3)),
+                draw(strategies.sampled_from((0.5, 1.0, 2.0))),
+                held=draw(strategies.booleans()),
+            )
+        )
+    margin = draw(strategies.integers(0, 1))
+    return core.Pool(targets, margin)
+
+
+_ALLOWANCES = strategies.fixed_dictionaries(
+    {team: strategies.integers(0, 6) for team in ("hall", "ward")}
+)
+
+
+@SETTINGS
+@hypothesis.given(_make_jobs(), _make_pool(), _ALLOWANCES)
+def test_round_robin_says_the_same_as_its_twin(
+    jobs: list[core.WaitingJob], pool: core.Pool, allowances: dict[str, int]
+) -> None:
+    expected = naive_placement.choose_in_turn(
+        copy.deepcopy(jobs), pool, dict(allowances), builders.NOW
+    )
+    assert expected == core.choose_assignments(
+        core.RoundRobin(), jobs, pool, allowances, builders.NOW
+    )
+
+
+@SETTINGS
+@hypothesis.given(_make_jobs(), _make_pool(), _ALLOWANCES)
+def test_least_completion_says_the_same_as_its_twin(
+    jobs: list[core.WaitingJob], pool: core.Pool, allowances: dict[str, int]
+) -> None:
+    expected = naive_placement.choose_least_completion(
+        copy.deepcopy(jobs), pool, dict(allowances), builders.NOW
+    )
+    assert expected == core.choose_assignments(
+        core.LeastCompletion(), jobs, pool, allowances, builders.NOW
+    )
+
+
+@pytest.mark.parametrize("kind", [core.LateBinding, core.Matching])
+@SETTINGS
+@hypothesis.given(_make_jobs(), _make_pool(), _ALLOWANCES)
+def test_late_binding_says_the_same_as_its_twin(
+    kind: type[core.LateBinding],
+    jobs: list[core.WaitingJob],
+    pool: core.Pool,
+    allowances: dict[str, int],
+) -> None:
+    policy = kind(queue_allowance=1)
+    pool.set_margin(policy.margin)
+    expected = naive_placement.choose_late_binding(
+        policy,
+        copy.deepcopy(jobs),
+        pool,
+        dict(allowances),
+        builders.NOW,
+        entries=2,
+    )
+    assert expected == core.choose_assignments(
+        policy, jobs, pool, allowances, builders.NOW, 2
+    )
+
+
+def _build_target(agent: str, speed: float, occupied: int = 0) -> object:
+    return core.TargetView(agent, core.Resources(), 1, occupied, speed)
+
+
+def _build_job(seconds: float, waited_seconds: float = 0) -> core.WaitingJob:
+    task = core.WaitingTask("job-1", 0, seconds, upper_seconds=seconds)
+    waited = datetime.timedelta(seconds=waited_seconds)
+    return core.WaitingJob("job-1", "hall", builders.NOW - waited, [task])
+
+
+@pytest.mark.parametrize(
+    ("occupied", "waited_seconds", "agents"),
+    [
+        (0, 0, ["fast"]),
+        (1, 0, []),
+        (1, 30, ["slow"]),
+    ],
+)
+def test_matching_waits_for_a_fast_slot_until_the_job_has_aged(
+    occupied: int, waited_seconds: float, agents: list[str]
+) -> None:
+    pool = core.Pool(
+        [_build_target("fast", 2.0, occupied), _build_target("slow", 0.5)]
+    )
+    job = _build_job(1.0, waited_seconds)
+    chosen = core.choose_assignments(
+        core.Matching(), [job], pool, {"hall": 9}, builders.NOW
+    )
+    assert [assignment.agent for assignment in chosen] == agents
+
+
+def test_matching_uses_a_slow_slot_when_no_faster_one_is_at_work() -> None:
+    pool = core.Pool([_build_target("slow", 0.5)])
+    fast = _build_target("fast", 2.0)
+    fast.held = True
+    pool.add(fast)
+    pool.rank_targets()
+    chosen = core.choose_assignments(
+        core.Matching(), [_build_job(1.0)], pool, {"hall": 9}, builders.NOW
+    )
+    assert [assignment.agent for assignment in chosen] == ["slow"]
+
+
+@SETTINGS
+@hypothesis.given(
+    _make_pool(),
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 3), strategies.integers(0, 4))
+    ),
+)
+def test_pool_lists_what_a_scan_would_find_open(
+    pool: core.Pool, changes: list[tuple[int, int]]
+) -> None:
+    pool.set_margin(1)
+    for number, occupied in changes:
+        view = pool.get(f"agent-{number}")
+        if view is not None:
+            view.occupied = occupied
+            pool.update(view)
+    scanned = [
+        view
+        for view in pool.ranked
+        if view.slots and view.free + 1 > 0 and not view.held
+    ]
+    assert pool.list_open(builders.NOW) == scanned
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -1,11 +1,11 @@
 """The component that owns the ledger: jobs, attempts, view of agents."""
 
-import collections
 import datetime
 import functools
 import itertools
 import secrets
 
+import attrs
 import circuits
 
 import cowslipgate_core as core
@@ -15,7 +15,6 @@
 
 CHANNEL = "dispatcher"
 AGENTS_CHANNEL = "internal"
-ACKNOWLEDGE_INTERVAL = datetime.timedelta(milliseconds=300)
 
 
 class Dispatcher(circuits.BaseComponent):
@@ -35,10 +34,7 @@
         self._configuration: core.Configuration | None = None
         self._members: tuple[core.Member, ...] = (member,)
         self._shares: dict[str, int] = {}
-        self._unacknowledged: dict[str, list[int]] = collections.defaultdict(
-            list
-        )
-        self._next_acknowledgement = clock.now()
+        self._acknowledgements = core.Acknowledgements()
         self._assigning = False
         self._claims: dict[str, _requests.Claim] = {}
 
@@ -149,15 +145,13 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         self._perform(self._ledger.tick(now))
-        if now >= self._next_acknowledgement:
-            self._next_acknowledgement = now + ACKNOWLEDGE_INTERVAL
-            self._acknowledge()
+        self._acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
         if self._machine.state == "draining" and not (
             self._ledger.jobs or self._claims
         ):
             self._machine.fire("empty")
-            self._acknowledge()
+            self._acknowledge(self._acknowledgements.list_agents())
             for name in self._ledger.agents:
                 self._send(name, self._make_beat(with_members=False))
             self.fire(_events.entry_drained(), "process")
@@ -173,7 +167,9 @@
         if self._configuration is None:
             return
         self._perform(
-            self._ledger.assign(self._clock.now(), self._get_quotas())
+            self._ledger.assign(
+                self._clock.now(), self._get_quotas(), len(self._members)
+            )
         )
 
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
@@ -183,7 +179,11 @@
         if version > self._get_version():
             self.fire(_events.configuration_wanted(version), "keeper")
         current = core.digest_members(self._members)
-        beat = self._make_beat(report.members_digest != current)
+        beat = attrs.evolve(
+            self._make_beat(report.members_digest != current),
+            acknowledged=self._acknowledgements.take(report.agent),
+        )
+        self._ledger.counters.heartbeats += 2
         self._send(report.agent, beat)
         self._schedule()
 
@@ -196,18 +196,18 @@
             for report in results.reports
             if report.outcome is not core.Outcome.RUNNING
         ]
-        self._unacknowledged[results.agent].extend(kept)
+        self._acknowledgements.add(results.agent, kept, now)
         self._perform(self._ledger.hear_results(results, now))
         self._schedule()
 
-    def _acknowledge(self) -> None:
-        # Most acknowledgements have travelled on a dispatch by now.
-        for agent, attempts in self._unacknowledged.items():
+    def _acknowledge(self, agents: list[str]) -> None:
+        # Most acknowledgements have travelled on other messages by now.
+        for agent in agents:
             message = core.Acknowledge(
-                self._member.incarnation, tuple(attempts)
+                self._member.incarnation, self._acknowledgements.take(agent)
             )
             self._send(agent, message)
-        self._unacknowledged.clear()
+            self._ledger.counters.acknowledgements += 1
 
     def _make_job(self, submission: _requests.Submission) -> core.Job:
         now = self._clock.now()
@@ -297,6 +297,7 @@
                         action.attempts,
                         action.stop,
                     )
+                    self._ledger.counters.note_withdraw(action.stop)
                     self._send_to(action.agent, action.incarnation, message)
                 case core.AnswerJob():
                     self.fire(
@@ -310,8 +311,9 @@
             action.incarnation,
             self._get_version(),
             action.orders,
-            tuple(self._unacknowledged.pop(action.agent, ())),
+            self._acknowledgements.take(action.agent),
         )
+        self._ledger.counters.dispatches += 1
         self._send_to(action.agent, action.incarnation, message)
 
     def _send(self, agent: str, message: object) -> None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -22,6 +22,8 @@
 
 _POLICIES = {
     "late_binding": core.LateBinding(),
+    "least_completion": core.LeastCompletion(),
+    "matching": core.Matching(),
     "round_robin": core.RoundRobin(),
 }
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
@@ -9,6 +9,7 @@
 _NAME = "1 to 64 letters, digits, dots, dashes or underscores"
 _BIND = "an IP number and port such as 10.0.0.1:8080"
 _DURATION = "a duration such as 500ms or 10s"
+POLICIES = ("late_binding", "least_completion", "matching", "round_robin")
 _COUNT = "a whole number, 1 or more"
 
 
@@ -58,8 +59,8 @@
     """Digest of a token that is always an operator's, or empty."""
 
     policy: str = core.setting(
-        core.parse_choice("late_binding", "round_robin"),
-        "late_binding or round_robin",
+        core.parse_choice(*POLICIES),
+        ", ".join(POLICIES),
         "how targets are chosen",
         "late_binding",
     )
