--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := core transport entry agent bench
 BENCH_FLAGS ?=
 
-.PHONY: setup test demo bench lint format check-format
+.PHONY: setup test demo bench settings-page lint format check-format capacity
 
 setup: $(VENV)/installed
 
@@ -30,3 +30,9 @@
 
 check-format: setup
 	$(PYTHON) -m ruff format --check packages
+
+capacity: setup
+	$(PYTHON) -m cowslipgate_bench capacity
+
+settings-page: setup
+	$(PYTHON) -m cowslipgate_bench settings-page
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -5,6 +5,7 @@
 
 from cowslipgate_core import _acknowledgements
 from cowslipgate_core import _backlog
+from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
 from cowslipgate_core import _configuration
@@ -23,14 +24,15 @@
 from cowslipgate_core import _quotas
 from cowslipgate_core import _roster
 from cowslipgate_core import _round_robin
+from cowslipgate_core import _screening
 from cowslipgate_core import _settings
 from cowslipgate_core import _targets
+from cowslipgate_core import _traceparents
+from cowslipgate_core import _versions
 
 Acknowledge = _messages.Acknowledge
 ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
 Acknowledgements = _acknowledgements.Acknowledgements
-AGENT_LOST_AFTER = _ledger.AGENT_LOST_AFTER
-AGENT_SUSPECT_AFTER = _ledger.AGENT_SUSPECT_AFTER
 AgentRecord = _roster.AgentRecord
 Announcement = _executor.Announcement
 AnswerJob = _ledger.AnswerJob
@@ -40,13 +42,18 @@
 AttemptReport = _messages.AttemptReport
 Beat = _messages.Beat
 Bind = _settings.Bind
+BodyError = _exceptions.BodyError
 can_run = _placement.can_run
 CancelReply = _messages.CancelReply
 CancelRequest = _messages.CancelRequest
+Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
+CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
+choose_slots = _quotas.choose_slots
+choose_target = _quotas.choose_target
 Clock = _clock.Clock
 Configuration = _configuration.Configuration
 ConfigurationAcknowledge = _messages.ConfigurationAcknowledge
@@ -55,10 +62,14 @@
 ConfigurationRequest = _messages.ConfigurationRequest
 CowslipgateError = _exceptions.CowslipgateError
 decode_message = _messages.decode_message
+derive_span = _traceparents.derive_span
+derive_traceparent = _traceparents.derive_traceparent
+describe_settings = _settings.describe_settings
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
 Document = _configuration.Document
+encode_entry_identity = _screening.encode_entry_identity
 encode_identity = _messages.encode_identity
 encode_message = _messages.encode_message
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
@@ -71,20 +82,27 @@
 FailureWindow = _health.FailureWindow
 Fault = _exceptions.Fault
 find_holder = _configuration.find_holder
+find_message_fault = _screening.find_message_fault
+find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
 fits_resources = _targets.fits_resources
+FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 Gossip = _messages.Gossip
-INQUIRY_INTERVAL = _ledger.INQUIRY_INTERVAL
+HIDDEN = _settings.HIDDEN
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
 JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
 LAPSE_AFTER = _membership.LAPSE_AFTER
 LateBinding = _late_binding.LateBinding
+Lease = _quotas.Lease
+LEASE_LAPSES_AFTER = _quotas.LEASE_LAPSES_AFTER
+LeaseWatch = _quotas.LeaseWatch
 LeastCompletion = _least_completion.LeastCompletion
 Ledger = _ledger.Ledger
 LedgerAction = _ledger.LedgerAction
 LedgerCounters = _ledger.LedgerCounters
+LIMITS_VALID_FOR = _quotas.LIMITS_VALID_FOR
 Load = _messages.Load
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
@@ -93,6 +111,7 @@
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
 Matching = _late_binding.Matching
+MAX_CANDIDATES = _membership.MAX_CANDIDATES
 MAX_PORT = _settings.MAX_PORT
 MAX_REMEMBERED = _executor.MAX_REMEMBERED
 MAX_SESSIONS = _executor.MAX_SESSIONS
@@ -104,20 +123,30 @@
 merge_patch = _configuration.merge_patch
 merge_withdraws = _ledger.merge_withdraws
 name_flag = _settings.name_flag
+name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
+parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
+parse_body = _bodies.parse_body
 parse_chart = _charts.parse_chart
 parse_choice = _settings.parse_choice
 parse_configuration = _configuration.parse_configuration
 parse_count = _settings.parse_count
+parse_curve_key = _settings.parse_curve_key
+parse_curve_keys = _settings.parse_curve_keys
 parse_digest = _settings.parse_digest
 parse_duration = _settings.parse_duration
-parse_job = _jobs.parse_job
+parse_fraction = _settings.parse_fraction
+parse_job = _bodies.parse_job
 parse_name = _settings.parse_name
+parse_positive = _settings.parse_positive
+parse_text = _settings.parse_text
+parse_traceparent = _traceparents.parse_traceparent
 Policy = _placement.Policy
 Pool = _targets.Pool
+QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
 Report = _messages.Report
@@ -132,10 +161,11 @@
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
 setting = _settings.setting
+SettingDescription = _settings.SettingDescription
 SettingFault = _exceptions.SettingFault
 SettingsError = _exceptions.SettingsError
-SETTLE_TIMEOUT = _ledger.SETTLE_TIMEOUT
-share_slots = _quotas.share_slots
+Share = _quotas.Share
+share_equally = _quotas.share_equally
 Started = _jobs.Started
 StartTask = _executor.StartTask
 State = _charts.State
@@ -144,6 +174,10 @@
 TargetView = _targets.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
+Timing = _ledger.Timing
+Traceparent = _traceparents.Traceparent
+UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
+VersionWatch = _versions.VersionWatch
 WaitingJob = _backlog.WaitingJob
 WaitingTask = _backlog.WaitingTask
 WireError = _exceptions.WireError
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -17,12 +17,27 @@
 from cowslipgate_core import _placement
 from cowslipgate_core import _roster
 from cowslipgate_core import _targets
+from cowslipgate_core import _traceparents
 
-SETTLE_TIMEOUT = datetime.timedelta(seconds=1)
-INQUIRY_INTERVAL = datetime.timedelta(seconds=2)
-LONG_INQUIRY_INTERVAL = datetime.timedelta(seconds=15)
-AGENT_SUSPECT_AFTER = _targets.SUSPECT_AFTER
-AGENT_LOST_AFTER = datetime.timedelta(seconds=20)
+
+@attrs.frozen
+class Timing:
+    """How long the ledger waits before it acts on silence."""
+
+    settle_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
+    """Longest time that a failed job waits for its attempts' outcomes."""
+
+    inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=2)
+    """Age at which an agent is asked about an attempt, again and again."""
+
+    long_inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=15)
+    """The same, of attempts that the agent seems to hold."""
+
+    agent_suspect_after: datetime.timedelta = datetime.timedelta(seconds=5)
+    """Silence after which an agent gets no new work."""
+
+    agent_lost_after: datetime.timedelta = datetime.timedelta(seconds=20)
+    """Silence after which an agent's attempts count as unknown."""
 
 
 @attrs.frozen
@@ -139,14 +154,25 @@
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
-    def __init__(self, policy: _placement.Policy) -> None:
+    def __init__(
+        self,
+        policy: _placement.Policy,
+        incarnation: int = 0,
+        timing: Timing = Timing(),
+    ) -> None:
+        self._incarnation = incarnation
+        self._timing = timing
         self._job_chart = _charts.load_chart("job")
         self._attempt_chart = _charts.load_chart("attempt")
         self._jobs: dict[str, _jobs.Job] = {}
         self._attempts: dict[int, _jobs.Attempt] = {}
         self._sequence = 0
         self.estimates = _estimates.Estimates()
-        self._roster = _roster.Roster(self.estimates.get_speed, policy.margin)
+        self._roster = _roster.Roster(
+            self.estimates.get_speed,
+            policy.margin,
+            timing.agent_suspect_after,
+        )
         self._agents = self._roster.agents
         self._assigner = _assignment.Assigner(
             policy, self._roster, self.estimates
@@ -163,6 +189,11 @@
         """Known agents by name."""
         return self._agents
 
+    @property
+    def attempts(self) -> dict[int, _jobs.Attempt]:
+        """Attempts that are not final, by sequence number."""
+        return self._attempts
+
     def count_demand(self) -> dict[str, int]:
         """Return the tasks waiting or under way by team."""
         demand: collections.Counter[str] = collections.Counter()
@@ -170,6 +201,13 @@
             demand[job.team] += len(job.waiting) + len(job.active)
         return dict(demand)
 
+    def count_active(self) -> dict[str, int]:
+        """Return the tasks under way by team."""
+        active: collections.Counter[str] = collections.Counter()
+        for job in self._jobs.values():
+            active[job.team] += len(job.active)
+        return dict(active)
+
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
         return sum(
@@ -236,8 +274,12 @@
         """Take in the outcomes of attempts."""
         self.counters.note_results(results.reports)
         record = self._agents.get(results.agent)
-        if record is None or (
-            record.report.incarnation != results.incarnation
+        # An agent's link outlives the entry at its address, and attempts are
+        # numbered anew by each incarnation.
+        if (
+            record is None
+            or record.report.incarnation != results.incarnation
+            or results.entry != self._incarnation
         ):
             self.counters.unmatched += len(results.reports)
             return []
@@ -269,7 +311,7 @@
             actions.extend(self._apply(attempt, report, now))
         record = self._agents.get(agent)
         if record is not None:
-            record.heard_at = now - AGENT_SUSPECT_AFTER
+            record.heard_at = now - self._timing.agent_suspect_after
             self._roster.update(record)
         return actions
 
@@ -307,7 +349,7 @@
         job.message = message
         job.waiting.clear()
         self._assigner.drop_job(job)
-        job.settle_by = now + SETTLE_TIMEOUT
+        job.settle_by = now + self._timing.settle_timeout
         actions = self._withdraw(list(job.active.values()), now, stop=True)
         return actions + self._settle(job, now)
 
@@ -387,7 +429,7 @@
             attempt.task_id,
             request.kind,
             bytes(request.payload),
-            job.traceparent,
+            _traceparents.derive_traceparent(job.traceparent, attempt.task_id),
         )
 
     def _apply(
@@ -509,14 +551,16 @@
     def _watch_agent(
         self, name: str, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
-        if now - record.heard_at > AGENT_LOST_AFTER:
+        if now - record.heard_at > self._timing.agent_lost_after:
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        overdue = self._list_silent(record, now, INQUIRY_INTERVAL)
+        overdue = self._list_silent(record, now, self._timing.inquiry_interval)
         if record.load.own >= len(overdue):
             # The agent holds as many attempts as were sent to it.
-            overdue = self._list_silent(record, now, LONG_INQUIRY_INTERVAL)
-        return self._inquire(record, now, overdue)
+            overdue = self._list_silent(
+                record, now, self._timing.long_inquiry_interval
+            )
+        return self._inquire(record, now, overdue) if overdue else []
 
     def _list_silent(
         self,
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -36,11 +36,18 @@
 
     :param get_speed: returns the learned speed of an agent's target
     :param margin: tasks that may queue at a target beyond its slots
+    :param suspect_after: silence after which an agent gets no new work
     """
 
-    def __init__(self, get_speed: Callable[[str], float], margin: int) -> None:
+    def __init__(
+        self,
+        get_speed: Callable[[str], float],
+        margin: int,
+        suspect_after: datetime.timedelta,
+    ) -> None:
         self._get_speed = get_speed
         self._margin = margin
+        self._suspect_after = suspect_after
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
         self.agents: dict[str, AgentRecord] = {}
@@ -86,14 +93,14 @@
                 record.load.slots,
                 occupied,
                 self._get_speed(report.agent),
-                record.heard_at,
+                record.heard_at + self._suspect_after,
             )
             pool.add(view)
             return
         view.resources = report.resources
         view.slots = record.load.slots
         view.occupied = occupied
-        view.heard_at = record.heard_at
+        view.usable_until = record.heard_at + self._suspect_after
         view.held = record.held
         pool.update(view)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -7,8 +7,6 @@
 
 from cowslipgate_core import _messages
 
-SUSPECT_AFTER = datetime.timedelta(seconds=5)
-
 
 @attrs.define(eq=False)
 class TargetView:
@@ -29,8 +27,8 @@
     speed: float
     """Learned speed; a target of speed two halves the run time."""
 
-    heard_at: datetime.datetime | None = None
-    """When the agent was last heard, or None when that does not matter."""
+    usable_until: datetime.datetime | None = None
+    """When the agent has been silent too long, or None for never."""
 
     held: bool = False
     """Whether it refused a task and has not told its load since."""
@@ -50,7 +48,7 @@
         """Tell whether work may be sent to it."""
         if self.held or not self.slots:
             return False
-        return self.heard_at is None or now - self.heard_at < SUSPECT_AFTER
+        return self.usable_until is None or now < self.usable_until
 
 
 class Pool:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -33,9 +33,11 @@
         self._machine = core.Machine(core.load_chart("entry"))
         self._configuration: core.Configuration | None = None
         self._members: tuple[core.Member, ...] = (member,)
-        self._shares: dict[str, int] = {}
+        self._limits: dict[str, int] = {}
+        self._limits_valid_until = clock.now()
         self._acknowledgements = core.Acknowledgements()
         self._assigning = False
+        self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
 
     @property
@@ -53,17 +55,23 @@
         self, configuration: core.Configuration
     ) -> None:
         self._configuration = configuration
+        self._versions.adopt(configuration.version)
         self._machine.fire("configure")
         for name in self._ledger.agents:
             self._send(name, self._make_beat(with_members=False))
+        self._schedule()
 
     @circuits.handler("members_changed")
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
 
-    @circuits.handler("demand_measured")
-    def _on_demand_measured(self, shares: dict[str, int]) -> None:
-        self._shares = shares
+    @circuits.handler("limits_changed")
+    def _on_limits_changed(
+        self, limits: dict[str, int], valid_until: datetime.datetime
+    ) -> None:
+        self._limits = limits
+        self._limits_valid_until = valid_until
+        self._schedule()
 
     @circuits.handler("submit_job")
     def _on_submit_job(self, submission: _requests.Submission) -> None:
@@ -166,6 +174,8 @@
         self._assigning = False
         if self._configuration is None:
             return
+        if self._versions.behind:
+            return
         self._perform(
             self._ledger.assign(
                 self._clock.now(), self._get_quotas(), len(self._members)
@@ -175,9 +185,7 @@
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in an agent's heartbeat and answer it."""
         self._perform(self._ledger.hear_report(report, now))
-        version = report.configuration_version
-        if version > self._get_version():
-            self.fire(_events.configuration_wanted(version), "keeper")
+        self._hear_version(report.configuration_version)
         current = core.digest_members(self._members)
         beat = attrs.evolve(
             self._make_beat(report.members_digest != current),
@@ -197,9 +205,16 @@
             if report.outcome is not core.Outcome.RUNNING
         ]
         self._acknowledgements.add(results.agent, kept, now)
+        self._hear_version(results.configuration_version)
         self._perform(self._ledger.hear_results(results, now))
         self._schedule()
 
+    def _hear_version(self, version: int) -> None:
+        self._versions.hear(version)
+        if self._versions.behind:
+            event = _events.configuration_wanted(self._versions.newest)
+            self.fire(event, "keeper")
+
     def _acknowledge(self, agents: list[str]) -> None:
         # Most acknowledgements have travelled on other messages by now.
         for agent in agents:
@@ -262,10 +277,12 @@
 
     def _get_quotas(self) -> dict[str, int]:
         teams = self._configuration.document.teams
-        return {
-            name: self._shares.get(name, team.slots)
-            for name, team in teams.items()
-        }
+        slots = {name: team.slots for name, team in teams.items()}
+        limited = core.find_quotas(slots)
+        # After a pause another entry may hold the slots of this one.
+        valid = self._clock.now() <= self._limits_valid_until
+        limits = self._limits if valid else {}
+        return slots | {name: limits.get(name, 0) for name in limited}
 
     def _get_version(self) -> int:
         configuration = self._configuration
