--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -177,6 +177,7 @@
         if session is not None:
             session.dropped_at = None
         self._learn_version(beat.configuration_version)
+        self.acknowledge(beat.entry, beat.acknowledged)
 
     def end_task(
         self,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -17,7 +17,6 @@
 CHANNEL = "dispatcher"
 AGENTS_CHANNEL = "internal"
 MAX_ENDED = 10_000
-ACKNOWLEDGE_INTERVAL = datetime.timedelta(milliseconds=300)
 
 
 @attrs.define(eq=False)
@@ -56,10 +55,7 @@
         self._members: tuple[core.Member, ...] = (member,)
         self._limits: dict[str, int] = {}
         self._limits_valid_until = clock.now()
-        self._unacknowledged: dict[str, list[int]] = collections.defaultdict(
-            list
-        )
-        self._next_acknowledgement = clock.now()
+        self._acknowledgements = core.Acknowledgements()
         self._assigning = False
         self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
@@ -197,15 +193,13 @@
             c.job.id for c in self._claims.values() if c.job.deadline <= now
         ]
         self._drop_claims(late, core.Failure.DEADLINE)
-        if now >= self._next_acknowledgement:
-            self._next_acknowledgement = now + ACKNOWLEDGE_INTERVAL
-            self._acknowledge()
+        self._acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
         if self._machine.state == "draining" and not (
             self._ledger.jobs or self._claims
         ):
             self._machine.fire("empty")
-            self._acknowledge()
+            self._acknowledge(self._acknowledgements.list_agents())
             for name in self._ledger.agents:
                 self._send(name, self._make_beat(with_members=False))
             self.fire(_events.entry_drained(), "process")
@@ -220,10 +214,13 @@
         self._assigning = False
         if self._configuration is None:
             return
-        if not self._versions.behind:
-            self._perform(
-                self._ledger.assign(self._clock.now(), self._get_quotas())
+        if self._versions.behind:
+            return
+        self._perform(
+            self._ledger.assign(
+                self._clock.now(), self._get_quotas(), len(self._members)
             )
+        )
 
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in an agent's heartbeat and answer it."""
@@ -232,7 +229,11 @@
         self._perform(self._ledger.hear_report(report, now))
         self._hear_version(report.configuration_version)
         current = core.digest_members(self._members)
-        beat = self._make_beat(report.members_digest != current)
+        beat = attrs.evolve(
+            self._make_beat(report.members_digest != current),
+            acknowledged=self._acknowledgements.take(report.agent),
+        )
+        self._ledger.counters.heartbeats += 2
         self._send(report.agent, beat)
         self._schedule()
 
@@ -245,7 +246,7 @@
             for report in results.reports
             if report.outcome is not core.Outcome.RUNNING
         ]
-        self._unacknowledged[results.agent].extend(kept)
+        self._acknowledgements.add(results.agent, kept, now)
         self._hear_version(results.configuration_version)
         self._perform(self._ledger.hear_results(results, now))
         self._schedule()
@@ -256,14 +257,14 @@
             event = _events.configuration_wanted(self._versions.newest)
             self.fire(event, "keeper")
 
-    def _acknowledge(self) -> None:
-        # Most acknowledgements have travelled on a dispatch by now.
-        for agent, attempts in self._unacknowledged.items():
+    def _acknowledge(self, agents: list[str]) -> None:
+        # Most acknowledgements have travelled on other messages by now.
+        for agent in agents:
             message = core.Acknowledge(
-                self._member.incarnation, tuple(attempts)
+                self._member.incarnation, self._acknowledgements.take(agent)
             )
             self._send(agent, message)
-        self._unacknowledged.clear()
+            self._ledger.counters.acknowledgements += 1
 
     def _make_job(self, submission: _requests.Submission) -> core.Job:
         now = self._clock.now()
@@ -340,9 +341,9 @@
     def _estimate_work(self, job: core.Job) -> float:
         if job.id not in self._work:
             self._work[job.id] = sum(
-                self._ledger.estimates.estimate_seconds(
-                    task.kind, task.size_ms
-                )
+                self._ledger.estimates.estimate_size(
+                    job.team, task.kind, task.size_ms
+                ).mean_seconds
                 for task in job.request.tasks
             )
         tasks = len(job.request.tasks)
@@ -395,6 +396,7 @@
                         action.attempts,
                         action.stop,
                     )
+                    self._ledger.counters.note_withdraw(action.stop)
                     self._send_to(action.agent, action.incarnation, message)
                 case core.AnswerJob():
                     self._end_job(action.job, action.answer)
@@ -443,9 +445,10 @@
             action.incarnation,
             self._get_version(),
             action.orders,
-            tuple(self._unacknowledged.pop(action.agent, ())),
+            self._acknowledgements.take(action.agent),
             self._get_link(action.agent),
         )
+        self._ledger.counters.dispatches += 1
         self._send_to(action.agent, action.incarnation, message)
 
     def _get_link(self, agent: str) -> int:
