--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -44,7 +44,7 @@
             answer.message,
             answer.started,
             answer.job,
-            _describe_claim(answer),
+            further=_describe_claim(answer),
         )
     body = {
         "job": answer.job,
