Tell an outage of the table from the loss of one's lease

Seen in review: any peer that renewed after this entry's last read counted as proof that the lease was lost, so every limit lapsed 20 s into an outage. Now only renewals heard more than 5 s into the outage do, or a pause before it.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -27,6 +27,7 @@
 from cowslipgate_core import _slots
 from cowslipgate_core import _target_state
 from cowslipgate_core import _traceparents
+from cowslipgate_core import _validity
 from cowslipgate_core import _versions
 
 Acknowledge = _messages.Acknowledge
@@ -107,7 +108,8 @@
 Ledger = _ledger.Ledger
 LedgerAction = _ledger.LedgerAction
 LedgerCounters = _ledger.LedgerCounters
-LIMITS_VALID_FOR = _quotas.LIMITS_VALID_FOR
+LIMITS_VALID_FOR = _validity.LIMITS_VALID_FOR
+LimitValidity = _validity.LimitValidity
 Load = _messages.Load
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
@@ -142,6 +144,7 @@
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
 parse_advertised = _settings.parse_advertised
+OUTAGE_CERTAIN_AFTER = _validity.OUTAGE_CERTAIN_AFTER
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
 parse_chart = _charts.parse_chart
--- a/packages/cowslipgate-core/src/cowslipgate_core/_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_quotas.py
@@ -15,7 +15,6 @@
 
 UNLIMITED_SLOTS = 1_000_000
 LEASE_LAPSES_AFTER = datetime.timedelta(seconds=30)
-LIMITS_VALID_FOR = datetime.timedelta(seconds=20)
 FLOOR_DIVISOR = 2
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_leases.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_leases.py
@@ -41,13 +41,14 @@
         self._live = 1
         self._renewal = 0
         self._revision = 0
-        self._renewed_elsewhere = False
         self._ever_read = False
         self._busy = False
         self._leaving = False
         self._next_renewal = clock.now()
         self._may_renew = clock.now()
-        self._valid_until = clock.now()
+        self._validity = core.LimitValidity(
+            clock.now() + core.LIMITS_VALID_FOR
+        )
 
     @circuits.handler("configuration_adopted")
     def _on_configuration_adopted(
@@ -70,8 +71,7 @@
             return
         if message.starved:
             self._hasten()
-        if message.lease_revision > self._revision:
-            self._renewed_elsewhere = True
+        self._validity.hear(message.lease_revision, self._clock.now())
 
     @circuits.handler("drain")
     def _on_drain(self) -> None:
@@ -109,7 +109,6 @@
         now = self._clock.now()
         self._revision = revision
         self._ever_read = True
-        self._renewed_elsewhere = False
         own = [x for x in leases if _is_own(x, self._member)]
         # An earlier incarnation's tasks may run on, so its lease must lapse.
         others = [x for x in leases if not _is_own(x, self._member)]
@@ -138,7 +137,7 @@
             case _requests.StoreResult.DONE:
                 self._revision += 1
                 self._book.confirm()
-                self._valid_until = now + core.LIMITS_VALID_FOR
+                self._validity.confirm(now)
                 self._tell_limits()
             case _requests.StoreResult.CONFLICT:
                 self._next_renewal = now + CONFLICT_RETRY
@@ -149,12 +148,9 @@
         now = self._clock.now()
         self._next_renewal = now + OUTAGE_RETRY
         self.fire(_events.discover_members(), "peers")
-        if self._renewed_elsewhere:
-            # Others reach the table, so this lease may have been dropped.
-            return
+        self._validity.fail(now)
         if not self._ever_read:
             self._book.limits = core.share_equally(self._quotas, self._live)
-        self._valid_until = now + core.LIMITS_VALID_FOR
         self._tell_limits()
 
     def _is_starved(self) -> bool:
@@ -170,7 +166,7 @@
             team: min(self._book.limits.get(team, 0), quota)
             for team, quota in self._quotas.items()
         }
-        event = _events.limits_changed(limits, self._valid_until)
+        event = _events.limits_changed(limits, self._validity.until)
         self.fire(event, "dispatcher")
         state = _events.lease_changed(self._revision, self._is_starved())
         self.fire(state, "peers")
