--- a/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
@@ -7,7 +7,7 @@
 
 from cowslipgate_core import _messages
 
-LAPSE_AFTER = datetime.timedelta(seconds=15)
+LAPSE_AFTER = datetime.timedelta(seconds=10)
 MAX_CANDIDATES = 64
 
 
