--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -71,6 +71,14 @@
     """An operator sent a patch; the argument is a Patch."""
 
 
+class patch_stored(circuits.Event):
+    """A patch is stored; Patch, its version and StoredConfiguration."""
+
+
+class configuration_read(circuits.Event):
+    """The row was read for a patch; the argument is StoredConfiguration."""
+
+
 class patch_decided(circuits.Event):
     """A patch was decided; arguments are Patch and PatchOutcome."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -264,7 +264,7 @@
         patch = _requests.Patch(
             exchange, int(expected), core.digest_token(key), changes
         )
-        self.fire(_events.patch_configuration(patch), "keeper")
+        self.fire(_events.patch_configuration(patch), "patches")
         return None
 
     def _answer_members(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -19,6 +19,7 @@
 from cowslipgate_entry import _leases
 from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
+from cowslipgate_entry import _patches
 from cowslipgate_entry import _peers
 from cowslipgate_entry import _sampler
 from cowslipgate_entry import _screen
@@ -161,6 +162,7 @@
     _add_observers(process, settings, dispatcher, member, server, clock)
     _cancellations.Cancellations(member, clock).register(process)
     _keeper.Keeper(member, clock).register(process)
+    _patches.Patches().register(process)
     _claims.Claims(member).register(process)
     balancer = _make_address(settings.balancer)
     _peers.Peers(member, balancer, clock, poller).register(process)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_requests.py
@@ -1,8 +1,10 @@
 """Records that the components of the entry exchange."""
 
 import enum
+from typing import Annotated, Any
 
 import attrs
+import msgspec
 
 import cowslipgate_core as core
 import cowslipgate_transport as transport
@@ -179,3 +181,22 @@
 
     revision: int = 0
     """Revision of the row read."""
+
+
+@attrs.frozen
+class StoredConfiguration:
+    """The value of the configuration's row."""
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+    """Version of the document."""
+
+    document: dict[str, Any]
+    """The document in JSON types."""
+
+
+def decode_configuration(value: object) -> StoredConfiguration | None:
+    """Return the record in a row's value, or None when it is malformed."""
+    try:
+        return msgspec.convert(value, StoredConfiguration)
+    except msgspec.ValidationError:
+        return None
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
@@ -7,6 +7,7 @@
 
 from cowslipgate_entry import _events
 from cowslipgate_entry import _keeper
+from cowslipgate_entry import _patches
 from cowslipgate_entry import _requests
 from cowslipgate_entry import _store
 from cowslipgate_entry.tests import control_builders
@@ -20,6 +21,7 @@
     )
     member = control_builders.build_member(1, 1000)
     _keeper.Keeper(member, bench.clock).register(bench.root)
+    _patches.Patches().register(bench.root)
     bench.settle()
     return bench
 
@@ -84,7 +86,7 @@
 def test_conflict_after_a_lost_answer_is_not_called_not_stored() -> None:
     bench = _build_bench()
     patch = _requests.Patch(None, 0, "key", {})
-    bench.tell(_events.patch_configuration(patch), "keeper")
+    bench.tell(_events.patch_configuration(patch), "patches")
     for result in (
         _requests.StoreResult.ABSENT,
         _requests.StoreResult.ABSENT,
