--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_leases.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_leases.py
@@ -98,12 +98,16 @@
             return
         match answer.result:
             case _requests.StoreResult.DONE:
-                self._renew(_decode_leases(answer.value), answer.revision)
+                leases = _decode_leases(answer.value)
             case _requests.StoreResult.ABSENT:
-                self._renew((), 0)
+                leases = ()
             case _:
-                self._busy = False
-                self._follow_outage()
+                leases = None
+        if leases is None:
+            self._busy = False
+            self._follow_outage()
+            return
+        self._renew(leases, answer.revision)
 
     def _renew(self, leases: tuple[core.Lease, ...], revision: int) -> None:
         now = self._clock.now()
@@ -176,9 +180,9 @@
     return lease.member.incarnation == member.incarnation
 
 
-def _decode_leases(value: object) -> tuple[core.Lease, ...]:
+def _decode_leases(value: object) -> tuple[core.Lease, ...] | None:
+    # Another release may have written the row, so it is not overwritten.
     try:
         return msgspec.convert(value, tuple[core.Lease, ...])
     except msgspec.ValidationError:
-        # A row that cannot be read is written anew by its readers.
-        return ()
+        return None
