--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_heads.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_heads.py
@@ -13,6 +13,7 @@
 _HEADER = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t -~\x80-\xff]*)"
 )
+_HOST = re.compile(rb"[A-Za-z0-9._-]*(:[0-9]{1,5})?")
 _BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
 # Headers whose repetition would be ambiguous.
 _SINGLE = frozenset(
@@ -71,6 +72,8 @@
     headers = _parse_headers(lines)
     if minor and b"host" not in headers:
         raise _malform("send the header Host")
+    if not _HOST.fullmatch(headers.get(b"host", b"")):
+        raise _malform("the header Host is not name:port")
     if b"transfer-encoding" in headers:
         raise HeadError(
             411,
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_request_parser.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_request_parser.py
@@ -28,11 +28,14 @@
     def __init__(self, server: sockets.TCPServer, channel: str) -> None:
         super().__init__(channel=f"{channel}-web")
         self._owner = channel
-        web_http.HTTP(server, channel=self.channel).register(self)
+        self._http = web_http.HTTP(server, channel=self.channel)
+        self._http.register(self)
 
     def parse(self, sock: socket.socket, data: bytes) -> None:
         """Parse one whole request."""
-        self.fire(net_events.read(sock, data))
+        event = net_events.read(sock, data)
+        event.failure = True
+        self.fire(event)
 
     def respond(self, response: wrappers.Response) -> None:
         """Write an answer."""
@@ -66,6 +69,13 @@
         event.stop()
         self.fire(parse_failed(request.sock), self._owner)
 
+    @circuits.handler("read_failure")
+    def _on_read_failure(self, failed: circuits.Event, error: object) -> None:
+        sock = failed.args[0]
+        # HTTP keeps the parser of a request that it failed on.
+        self._http._buffers.pop(sock, None)
+        self.fire(parse_failed(sock), self._owner)
+
     @circuits.handler("write")
     def _on_write(self, sock: socket.socket, data: bytes) -> None:
         self.fire(net_events.write(sock, data), self._owner)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/builders.py
@@ -32,6 +32,7 @@
         self.held: list[transport.Exchange] = []
         self.abandoned: list[transport.Exchange] = []
         self.refused: list[str] = []
+        self.exceptions: list[object] = []
 
     @circuits.handler("http_requested")
     def _on_http_requested(self, exchange: transport.Exchange) -> None:
@@ -60,7 +61,7 @@
 
     @circuits.handler("exception", channel="*")
     def _on_exception(self, *arguments: object, **details: object) -> None:
-        """Keep circuits from printing."""
+        self.exceptions.append(arguments)
 
 
 @attrs.frozen
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import json
 
+from circuits.web import parsers
 import pytest
 
 import cowslipgate_transport as transport
@@ -45,6 +46,8 @@
         (b"GET /../%2e/a HTTP/1.1\r\n" + HOST + b"\r\n", 400, "malformed"),
         (b"GET http://h/a HTTP/1.1\r\n" + HOST + b"\r\n", 400, "malformed"),
         (b"GET /a HTTP/1.1\r\n\r\n", 400, "malformed"),
+        (b"GET /a HTTP/1.1\r\nHost: \x80h\r\n\r\n", 400, "malformed"),
+        (b"GET /a HTTP/1.1\r\nHost: h:x\r\n\r\n", 400, "malformed"),
         (
             b"GET /a HTTP/2.0\r\n" + HOST + b"\r\n",
             505,
@@ -243,6 +246,18 @@
     assert served.echo.abandoned == served.echo.held
 
 
+def test_failure_of_the_parser_is_answered(
+    served: builders.Served, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*arguments: object) -> None:
+        raise ValueError
+
+    monkeypatch.setattr(parsers.HttpParser, "execute", fail)
+    sock = served.connect()
+    served.send(sock, GOOD)
+    assert served.read_reply(sock).status == 400
+
+
 def test_a_failing_handler_answers_without_its_internals(
     served: builders.Served,
 ) -> None:
