--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -9,13 +9,13 @@
 from circuits.core import pollers
 from circuits.core import utils
 from circuits.net import events as net_events
-from circuits.net import sockets
 from circuits.web import wrappers
 import msgspec
 
 import cowslipgate_core as core
 from cowslipgate_transport import _http_heads
 from cowslipgate_transport import _request_parser
+from cowslipgate_transport import _tcp_server
 
 READ_SIZE = 65_536
 BACKLOG = 1_024
@@ -176,7 +176,7 @@
         listener = _open_listener(bind)
         self._listener: socket.socket | None = listener
         self._port = listener.getsockname()[1]
-        self._server = sockets.TCPServer(
+        self._server = _tcp_server.TcpServer(
             listener, channel=channel, bufsize=READ_SIZE
         ).register(self)
         self._parser = _request_parser.RequestParser(
@@ -191,6 +191,11 @@
         """Port that the server listens on."""
         return self._port
 
+    @property
+    def buffered(self) -> int:
+        """Number of connections that something is kept for."""
+        return self._server.buffered
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -401,6 +406,7 @@
 
     @circuits.handler("check_connections")
     def _on_check_connections(self) -> None:
+        self._server.forget_closed()
         now = self._clock.now()
         for sock, connection in list(self._connections.items()):
             if not connection.busy:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -122,6 +122,8 @@
     served.send(sock, b"HEAD /ok HTTP/1.0\r\n\r\n")
     served.run_until(lambda: served.echo.refused, "refused")
     served.run_until(lambda: served.server.connections == 0, "closed")
+    served.check()
+    assert served.server.buffered == 0
     received = sock.recv(builders.READ_SIZE)
     assert received.startswith(b"HTTP/1.1 405")
     assert received.endswith(b"\r\n\r\n")
@@ -267,3 +269,22 @@
     assert reply.status == 500
     assert reply.body["error"]["type"] == "internal"
     assert "secret" not in json.dumps(reply.body)
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_an_answer_to_a_caller_that_just_left_is_dropped(
+    served: builders.Served, turns: int
+) -> None:
+    sock = served.connect()
+    served.send(sock, b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+    served.run_until(lambda: served.echo.held, "held")
+    answer = transport.Answer(200, b"x" * 1_000_000)
+    event = transport.answer_http(served.echo.held[0], answer)
+    served.root.fire(event, builders.CHANNEL)
+    for _ in range(turns):
+        served.root.flush()
+    sock.close()
+    served.run_until(lambda: not served.server.connections, "closed")
+    served.check()
+    assert served.echo.exceptions == []
+    assert served.server.buffered == 0
