--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_logs.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_logs.py
@@ -26,13 +26,17 @@
     channel = CHANNEL
 
     def __init__(
-        self, form: str, level: str, entry: int, stream: TextIO = sys.stderr
+        self,
+        form: str,
+        level: str,
+        entry: int,
+        stream: TextIO | None = None,
     ) -> None:
         super().__init__()
         self._entry = entry
         self._logger = logbook.Logger("cowslipgate")
         self._handler = logbook.StreamHandler(
-            stream, level=level.upper(), bubble=False
+            stream or sys.stderr, level=level.upper(), bubble=False
         )
         template = _JSON_FORMAT if form == "json" else _CONSOLE_FORMAT
         self._handler.formatter = logbook.StringFormatter(template)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
@@ -16,6 +16,7 @@
 CHANNEL = "metrics"
 USEFUL = "useful"
 WASTED = "wasted"
+OTHER = "other"
 SECONDS_PER_MINUTE = 60
 MILLISECONDS_PER_SECOND = 1000
 STARTED_OUTCOMES = frozenset(
@@ -55,6 +56,7 @@
         self._server = server
         self._clock = clock
         self._version = 0
+        self._states = frozenset(core.load_chart("target").states)
         self._uses: dict[str, _JobUse] = {}
         self._minutes = _Minutes()
         self._families = _make_families(self, clock)
@@ -72,10 +74,10 @@
 
     def count_agents(self) -> dict[tuple[str, ...], float]:
         """Return the number of known agents by state."""
-        records = self._dispatcher.ledger.agents.values()
-        states = collections.Counter(
-            (record.report.state,) for record in records
-        )
+        states = collections.Counter()
+        for record in self._dispatcher.ledger.agents.values():
+            state = record.report.state
+            states[(state if state in self._states else OTHER,)] += 1
         return dict(states)
 
     def count_jobs(self) -> dict[tuple[str, ...], float]:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -103,14 +103,15 @@
     except (OSError, zmq.ZMQError, core.CowslipgateError) as error:
         logs.write(_changes.StartFailed(type(error).__name__, str(error)))
         sys.exit(1)
-    for change in _find_unprotected(settings):
+    for change in find_unprotected(settings):
         logs.write(change)
     process.run()
 
 
-def _find_unprotected(
+def find_unprotected(
     settings: _settings.EntrySettings,
 ) -> list[_changes.AddressUnprotected]:
+    """Return the addresses beyond loopback that lack keys or a token."""
     missing = (
         (
             settings.bind_internal,
