--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
@@ -1,5 +1,6 @@
 """Builders for the tests of the control plane's components."""
 
+import attrs
 import circuits
 import cowslipgate_core as core
 
@@ -88,11 +89,8 @@
     report = core.AttemptReport(
         attempt, core.Outcome.NOT_STARTED, core.Reason.STALE_CONFIGURATION
     )
-    results = builders.build_results()
-    return core.Results(
-        results.agent,
-        results.incarnation,
-        results.load,
-        (report,),
-        version,
+    return attrs.evolve(
+        builders.build_results(),
+        reports=(report,),
+        configuration_version=version,
     )
