--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
@@ -31,7 +31,7 @@
 
 def test_every_metric_is_in_the_page_for_operators() -> None:
     folder = PACKAGES / "cowslipgate-entry" / "src" / "cowslipgate_entry"
-    source = (folder / "_metrics.py").read_text()
+    source = (folder / "_families.py").read_text()
     names = set(re.findall(r'"(cowslipgate_\w+)"', source))
     page = _read("OPERATORS.md")
     assert names
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_purposes.py
@@ -0,0 +1,44 @@
+"""What each message between processes is sent for."""
+
+import functools
+
+import cowslipgate_core as core
+
+
+@functools.singledispatch
+def get_purpose(message: object) -> str:
+    """Return the purpose of a message between processes."""
+    return "other"
+
+
+@get_purpose.register
+def _(message: core.Withdraw) -> str:
+    return "withdraw" if message.stop else "inquiry"
+
+
+@get_purpose.register
+def _(message: core.Acknowledge) -> str:
+    return "acknowledge"
+
+
+@get_purpose.register
+def _(message: core.Beat) -> str:
+    return "beat"
+
+
+@get_purpose.register
+def _(message: core.Gossip) -> str:
+    return "gossip"
+
+
+@get_purpose.register(core.ConfigurationPush)
+@get_purpose.register(core.ConfigurationRequest)
+@get_purpose.register(core.ConfigurationAcknowledge)
+def _(message: object) -> str:
+    return "configuration"
+
+
+@get_purpose.register(core.CancelRequest)
+@get_purpose.register(core.CancelReply)
+def _(message: object) -> str:
+    return "cancellation"
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_readings.py
@@ -0,0 +1,63 @@
+"""Values that are read when the exposition is asked for."""
+
+import collections
+
+import cowslipgate_core as core
+from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _minutes
+import cowslipgate_transport as transport
+
+OTHER = "other"
+Values = dict[tuple[str, ...], float]
+
+
+class Readings:
+    """Reads gauges from the components that hold the state."""
+
+    def __init__(
+        self,
+        dispatcher: _dispatcher.Dispatcher,
+        server: transport.HttpServer,
+        minutes: _minutes.Minutes,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._server = server
+        self._minutes = minutes
+        self._states = frozenset(core.load_chart("target").states)
+        self.version = 0
+
+    def count_agents(self) -> Values:
+        """Return the number of known agents by state."""
+        states: collections.Counter = collections.Counter()
+        for record in self._dispatcher.ledger.agents.values():
+            state = record.report.state
+            states[(state if state in self._states else OTHER,)] += 1
+        return dict(states)
+
+    def count_jobs(self) -> Values:
+        """Return the number of jobs in flight."""
+        return {(): len(self._dispatcher.ledger.jobs)}
+
+    def count_tasks(self) -> Values:
+        """Return the number of tasks by state."""
+        jobs = self._dispatcher.ledger.jobs.values()
+        return {
+            ("waiting",): sum(len(job.waiting) for job in jobs),
+            ("sent",): sum(len(job.active) for job in jobs),
+        }
+
+    def get_version(self) -> Values:
+        """Return the configuration version in force."""
+        return {(): self.version}
+
+    def count_connections(self) -> Values:
+        """Return the number of open caller connections."""
+        return {(): self._server.connections}
+
+    def get_last_minute(self) -> Values:
+        """Return the slot-seconds of the last whole minute."""
+        return self._minutes.last.to_labels()
+
+    def get_busiest_minute(self) -> Values:
+        """Return the slot-seconds of the busiest minute."""
+        return self._minutes.busiest.to_labels()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -2,12 +2,13 @@
 
 from cowslipgate_transport import _curve
 from cowslipgate_transport import _http_client
+from cowslipgate_transport import _http_exchanges
 from cowslipgate_transport import _http_server
 from cowslipgate_transport import _message_socket
 
 Address = _http_client.Address
-Answer = _http_server.Answer
-answer_http = _http_server.answer_http
+Answer = _http_exchanges.Answer
+answer_http = _http_exchanges.answer_http
 apply_curve = _curve.apply_curve
 Call = _http_client.Call
 call_http = _http_client.call_http
@@ -15,17 +16,17 @@
 CallFailure = _http_client.CallFailure
 CallProblem = _http_client.CallProblem
 cancel_http = _http_client.cancel_http
-check_connections = _http_server.check_connections
-close_http = _http_server.close_http
+check_connections = _http_exchanges.check_connections
+close_http = _http_exchanges.close_http
 CurveKeys = _curve.CurveKeys
 derive_public_key = _curve.derive_public_key
-drain_http = _http_server.drain_http
-Exchange = _http_server.Exchange
-http_abandoned = _http_server.http_abandoned
+drain_http = _http_exchanges.drain_http
+Exchange = _http_exchanges.Exchange
+http_abandoned = _http_exchanges.http_abandoned
 http_answered = _http_client.http_answered
 http_failed = _http_client.http_failed
-http_refused = _http_server.http_refused
-http_requested = _http_server.http_requested
+http_refused = _http_exchanges.http_refused
+http_requested = _http_exchanges.http_requested
 HttpClient = _http_client.HttpClient
 HttpServer = _http_server.HttpServer
 key_denied = _curve.key_denied
@@ -39,4 +40,4 @@
 parse_address = _http_client.parse_address
 peer_connected = _message_socket.peer_connected
 send_message = _message_socket.send_message
-ServerLimits = _http_server.ServerLimits
+ServerLimits = _http_exchanges.ServerLimits
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -4,16 +4,17 @@
 import socket
 import urllib.parse
 
-import attrs
 import circuits
 from circuits.core import pollers
 from circuits.core import utils
 from circuits.net import events as net_events
 from circuits.web import wrappers
-import msgspec
 
 import cowslipgate_core as core
+from cowslipgate_transport import _http_connections
+from cowslipgate_transport import _http_exchanges
 from cowslipgate_transport import _http_heads
+from cowslipgate_transport import _http_refusals
 from cowslipgate_transport import _request_parser
 from cowslipgate_transport import _tcp_server
 
@@ -23,136 +24,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@attrs.frozen
-class ServerLimits:
-    """What one HTTP server accepts."""
-
-    max_body_bytes: int = 8_388_608
-    """Largest body in bytes."""
-
-    max_header_bytes: int = 16_384
-    """Largest request line with headers, in bytes."""
-
-    max_headers: int = 64
-    """Most headers of a request."""
-
-    max_connections: int = 1_024
-    """Most connections open at once."""
-
-    request_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
-    """Time in which a request must arrive whole."""
-
-    send_timeout: datetime.timedelta = datetime.timedelta(seconds=30)
-    """Time in which a caller must read its answer."""
-
-    idle_timeout: datetime.timedelta = datetime.timedelta(seconds=120)
-    """Time after which an idle connection is closed."""
-
-
-@attrs.frozen(eq=False)
-class Exchange:
-    """A request that is to be answered once."""
-
-    method: str
-    """HTTP method."""
-
-    path: str
-    """Decoded path."""
-
-    query: dict[str, str]
-    """Query parameters, the last of each name."""
-
-    headers: dict[str, str]
-    """Header values by name in lower case."""
-
-    body: bytes
-    """Body."""
-
-    response: wrappers.Response
-    """Response object of circuits.web."""
-
-
-@attrs.frozen
-class Answer:
-    """The answer to an exchange."""
-
-    status: int
-    """HTTP status."""
-
-    body: bytes
-    """Body."""
-
-    headers: dict[str, str] = attrs.Factory(dict)
-    """Headers besides the content type."""
-
-    content_type: str = "application/json"
-    """Media type of the body."""
-
-
-@attrs.define(eq=False)
-class _Connection:
-    """What the server keeps of one connection."""
-
-    since: datetime.datetime
-    """When it was opened, began a request or was last answered."""
-
-    received: bytearray = attrs.Factory(bytearray)
-    """Bytes not yet parsed."""
-
-    head: _http_heads.Head | None = None
-    """Checked head at the start of ``received``."""
-
-    head_size: int = 0
-    """Size of that head with the blank line at its end."""
-
-    parsing: bool = False
-    """Whether a request was passed to the parser."""
-
-    exchange: Exchange | None = None
-    """Request that waits for its answer."""
-
-    answered: bool = False
-    """Whether an answer was written after which nothing has arrived."""
-
-    refused: bool = False
-    """Whether the connection only waits for its end."""
-
-    @property
-    def busy(self) -> bool:
-        """Whether a request is being parsed or waits for its answer."""
-        return self.parsing or self.exchange is not None
-
-
-class http_requested(circuits.Event):
-    """A request has arrived; the argument is its Exchange."""
-
-    failure = True
-
-
-class http_abandoned(circuits.Event):
-    """A caller went away; the argument is its unanswered Exchange."""
-
-
-class http_refused(circuits.Event):
-    """The server refused or cut off a request; the argument is why."""
-
-
-class answer_http(circuits.Event):
-    """Asks the server to answer; the arguments are Exchange and Answer."""
-
-
-class drain_http(circuits.Event):
-    """Asks the server to close each connection after its next answer."""
-
-
-class close_http(circuits.Event):
-    """Asks the server to listen no more and close idle connections."""
-
-
-class check_connections(circuits.Event):
-    """Asks the server to close slow and idle connections."""
-
-
 class HttpServer(circuits.BaseComponent):
     """Owns a listening socket and the connections of its callers.
 
@@ -165,12 +36,14 @@
         bind: tuple[str, int],
         channel: str,
         clock: core.Clock,
-        limits: ServerLimits,
+        limits: _http_exchanges.ServerLimits,
     ) -> None:
         super().__init__(channel=channel)
         self._clock = clock
         self._limits = limits
-        self._connections: dict[socket.socket, _Connection] = {}
+        self._connections: dict[
+            socket.socket, _http_connections.Connection
+        ] = {}
         self._poller: pollers.BasePoller | None = None
         self._draining = False
         listener = _open_listener(bind)
@@ -183,7 +56,10 @@
             self._server, channel
         ).register(self)
         circuits.Timer(
-            TICK_SECONDS, check_connections(), channel, persist=True
+            TICK_SECONDS,
+            _http_exchanges.check_connections(),
+            channel,
+            persist=True,
         ).register(self)
 
     @property
@@ -218,7 +94,7 @@
 
     @circuits.handler("connect")
     def _on_connect(self, sock: socket.socket, *address: object) -> None:
-        connection = _Connection(self._clock.now())
+        connection = _http_connections.Connection(self._clock.now())
         full = len(self._connections) >= self._limits.max_connections
         self._connections[sock] = connection
         if full:
@@ -232,7 +108,7 @@
         self._parser.forget(sock)
         connection = self._connections.pop(sock, None)
         if connection is not None and connection.exchange is not None:
-            self.fire(http_abandoned(connection.exchange))
+            self.fire(_http_exchanges.http_abandoned(connection.exchange))
 
     @circuits.handler("read")
     def _on_read(self, sock: socket.socket, data: bytes) -> None:
@@ -252,7 +128,7 @@
         return self._limits.max_header_bytes + self._limits.max_body_bytes
 
     def _take_request(
-        self, sock: socket.socket, connection: _Connection
+        self, sock: socket.socket, connection: _http_connections.Connection
     ) -> None:
         try:
             whole = self._find_request(sock, connection)
@@ -266,7 +142,7 @@
             self._parse(sock, connection, request)
 
     def _find_request(
-        self, sock: socket.socket, connection: _Connection
+        self, sock: socket.socket, connection: _http_connections.Connection
     ) -> bool:
         received = connection.received
         if connection.head is None:
@@ -300,7 +176,10 @@
             )
 
     def _parse(
-        self, sock: socket.socket, connection: _Connection, request: bytes
+        self,
+        sock: socket.socket,
+        connection: _http_connections.Connection,
+        request: bytes,
     ) -> None:
         size = connection.head_size
         # The parser of circuits.web reads escapes in heads.
@@ -312,7 +191,7 @@
     def _refuse(
         self,
         sock: socket.socket,
-        connection: _Connection,
+        connection: _http_connections.Connection,
         error: _http_heads.HeadError,
     ) -> None:
         head = connection.head
@@ -320,18 +199,25 @@
         connection.refused = True
         connection.received.clear()
         connection.since = self._clock.now()
-        self.fire(net_events.write(sock, _encode_refusal(error, bodiless)))
-        self.fire(http_refused(error.kind))
+        self.fire(
+            net_events.write(
+                sock, _http_refusals.encode_refusal(error, bodiless)
+            )
+        )
+        self.fire(_http_exchanges.http_refused(error.kind))
         # Closing while bytes arrive would take the answer from the caller.
         if error.status not in (411, 413):
             self.fire(net_events.close(sock))
 
     def _cut(
-        self, sock: socket.socket, connection: _Connection, why: str
+        self,
+        sock: socket.socket,
+        connection: _http_connections.Connection,
+        why: str,
     ) -> None:
         connection.refused = True
         connection.received.clear()
-        self.fire(http_refused(why))
+        self.fire(_http_exchanges.http_refused(why))
         try:
             sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -345,7 +231,7 @@
         if connection is None:
             return
         connection.parsing = False
-        connection.exchange = Exchange(
+        connection.exchange = _http_exchanges.Exchange(
             request.method,
             urllib.parse.unquote(request.path),
             dict(urllib.parse.parse_qsl(request.qs)),
@@ -353,7 +239,7 @@
             request.body.read(),
             response,
         )
-        self.fire(http_requested(connection.exchange))
+        self.fire(_http_exchanges.http_requested(connection.exchange))
 
     @circuits.handler("parse_failed")
     def _on_parse_failed(self, sock: socket.socket) -> None:
@@ -365,7 +251,11 @@
             self._refuse(sock, connection, error)
 
     @circuits.handler("answer_http")
-    def _on_answer_http(self, exchange: Exchange, answer: Answer) -> None:
+    def _on_answer_http(
+        self,
+        exchange: _http_exchanges.Exchange,
+        answer: _http_exchanges.Answer,
+    ) -> None:
         sock = exchange.response.request.sock
         connection = self._connections.get(sock)
         if connection is None or connection.exchange is not exchange:
@@ -385,9 +275,11 @@
 
     @circuits.handler("http_requested_failure")
     def _on_http_requested_failure(
-        self, failed: http_requested, error: object
+        self, failed: _http_exchanges.http_requested, error: object
     ) -> None:
-        answer = Answer(500, _encode_error("internal", "unknown", ""))
+        answer = _http_exchanges.Answer(
+            500, _http_refusals.encode_error("internal", "unknown", "")
+        )
         self._on_answer_http(failed.args[0], answer)
 
     @circuits.handler("drain_http")
@@ -415,7 +307,7 @@
     def _check_connection(
         self,
         sock: socket.socket,
-        connection: _Connection,
+        connection: _http_connections.Connection,
         now: datetime.datetime,
     ) -> None:
         elapsed = now - connection.since
@@ -450,22 +342,3 @@
     # Connections inherit the option.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listener
-
-
-def _encode_refusal(error: _http_heads.HeadError, bodiless: bool) -> bytes:
-    body = _encode_error(error.kind, "none", error.message)
-    lines = (
-        f"HTTP/1.1 {error.status} Refused",
-        "Content-Type: application/json",
-        f"Content-Length: {len(body)}",
-        "Connection: close",
-        "",
-        "",
-    )
-    head = "\r\n".join(lines).encode()
-    return head if bodiless else head + body
-
-
-def _encode_error(kind: str, started: str, message: str) -> bytes:
-    error = {"type": kind, "started": started, "message": message}
-    return msgspec.json.encode({"error": error})
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -64,7 +64,7 @@
         self._poller = poller
         self._socket = sock
         self._peer = peer
-        self._routed = sock.socket_type == zmq.ROUTER
+        self._routed = sock.type == zmq.ROUTER
         self._monitor: zmq.Socket | None = None
         if not self._routed:
             self._monitor = sock.get_monitor_socket(
