Take only whole JSON from targets as a result

Cause: results are embedded in the answer as they came; a target that answered 200 with an empty body made the caller's answer invalid JSON, and one with '1],[2' would have added a result.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_target_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_target_calls.py
@@ -5,6 +5,7 @@
 
 import attrs
 import circuits
+import msgspec
 
 from cowslipgate_agent import _events
 import cowslipgate_core as core
@@ -14,6 +15,7 @@
 CONNECT_TRIES = 3
 STOP_TIMEOUT = datetime.timedelta(seconds=5)
 HTTP_OK = 200
+NOT_JSON = b'"the target answered with something that is not JSON"'
 
 
 @attrs.define(eq=False)
@@ -133,4 +135,16 @@
         return core.Outcome.UNKNOWN, core.Reason.WRONG_TASK, b"null"
     if answer.status != HTTP_OK:
         return core.Outcome.FAILED, core.Reason.TARGET_STATUS, answer.body
+    if not _is_json(answer.body):
+        return core.Outcome.FAILED, core.Reason.MALFORMED_RESULT, NOT_JSON
     return core.Outcome.FINISHED, core.Reason.NONE, answer.body
+
+
+def _is_json(body: bytes) -> bool:
+    # Results are passed on as they are, inside the answer to the caller.
+    try:
+        body.decode()
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except (UnicodeDecodeError, msgspec.MsgspecError, RecursionError):
+        return False
+    return True
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -43,6 +43,7 @@
     TARGET_STATUS = "target_status"
     TARGET_LOST = "target_lost"
     WRONG_TASK = "wrong_task"
+    MALFORMED_RESULT = "malformed_result"
 
 
 @attrs.frozen
