Split dispatches and results that would grow too large for a message

Cause: five jobs with a payload of 7 MB each that were assigned in one turn made one dispatch of 35 MB; ZeroMQ cuts the connection at 16 MB, the agent never got it, the inquiry fenced it and the same was sent again until the deadline. Messages are split at 4 MB now; a single result may have 8 MB, and a target's error is cut to 1 KB. Ruled out: a larger limit for messages, which only moves the fault.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -86,15 +86,17 @@
         link = self._links.get(action.entry)
         if link is None:
             return
-        results = core.Results(
-            self._settings.name,
-            self._incarnation,
-            self._executor.measure_load(action.entry),
-            action.reports,
-            action.entry,
-            self._executor.configuration_version,
-        )
-        self.fire(transport.send_message(b"", results), link.socket.channel)
+        for reports in core.split_reports(action.reports):
+            results = core.Results(
+                self._settings.name,
+                self._incarnation,
+                self._executor.measure_load(action.entry),
+                reports,
+                action.entry,
+                self._executor.configuration_version,
+            )
+            event = transport.send_message(b"", results)
+            self.fire(event, link.socket.channel)
 
     @circuits.handler("peer_connected", channel="*")
     def _on_peer_connected(self, peer: bytes) -> None:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_target_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_target_calls.py
@@ -15,6 +15,8 @@
 CONNECT_TRIES = 3
 STOP_TIMEOUT = datetime.timedelta(seconds=5)
 HTTP_OK = 200
+MAX_DETAIL_BYTES = 1_024
+TOO_LARGE = b'"the result of the target is too large"'
 NOT_JSON = b'"the target answered with something that is not JSON"'
 
 
@@ -134,7 +136,10 @@
     if answer.headers.get("task-id") != task:
         return core.Outcome.UNKNOWN, core.Reason.WRONG_TASK, b"null"
     if answer.status != HTTP_OK:
-        return core.Outcome.FAILED, core.Reason.TARGET_STATUS, answer.body
+        detail = answer.body[:MAX_DETAIL_BYTES]
+        return core.Outcome.FAILED, core.Reason.TARGET_STATUS, detail
+    if len(answer.body) > core.MAX_RESULT_BYTES:
+        return core.Outcome.FAILED, core.Reason.MALFORMED_RESULT, TOO_LARGE
     if not _is_json(answer.body):
         return core.Outcome.FAILED, core.Reason.MALFORMED_RESULT, NOT_JSON
     return core.Outcome.FINISHED, core.Reason.NONE, answer.body
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_target_answers.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_target_answers.py
@@ -7,6 +7,7 @@
 import cowslipgate_transport as transport
 
 TASK = "job-1.0.1"
+LARGE = b'"' + b"x" * core.MAX_RESULT_BYTES + b'"'
 
 
 @pytest.mark.parametrize(
@@ -19,6 +20,7 @@
         (200, TASK, b"1],[2", "failed", "malformed_result"),
         (200, TASK, b'"\xff"', "failed", "malformed_result"),
         (200, TASK, b"<html>", "failed", "malformed_result"),
+        (200, TASK, LARGE, "failed", "malformed_result"),
         (500, TASK, b"oops", "failed", "target_status"),
         (200, "job-2.0.1", b"1", "unknown", "wrong_task"),
         (200, None, b"1", "unknown", "wrong_task"),
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,6 +3,7 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _batches
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
@@ -107,6 +108,7 @@
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
+MAX_BATCH_BYTES = _batches.MAX_BATCH_BYTES
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
 MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
 MAX_EVICTED = _sessions.MAX_EVICTED
@@ -114,6 +116,7 @@
 MAX_PORT = _settings.MAX_PORT
 MAX_RATIO = _estimates.MAX_RATIO
 MAX_REMEMBERED = _sessions.MAX_REMEMBERED
+MAX_RESULT_BYTES = _batches.MAX_RESULT_BYTES
 MAX_SESSIONS = _sessions.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
@@ -167,6 +170,8 @@
 SettingsError = _exceptions.SettingsError
 Share = _quotas.Share
 share_equally = _quotas.share_equally
+split_orders = _batches.split_orders
+split_reports = _batches.split_reports
 Started = _jobs.Started
 StartTask = _executor_actions.StartTask
 State = _charts.State
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_batches.py
@@ -0,0 +1,42 @@
+"""Splits what is sent together so that no message grows too large."""
+
+from collections.abc import Iterator
+
+from cowslipgate_core import _messages
+
+MAX_BATCH_BYTES = 4_194_304
+MAX_RESULT_BYTES = 8_388_608
+
+
+def split_orders(
+    orders: tuple[_messages.Order, ...],
+) -> Iterator[tuple[_messages.Order, ...]]:
+    """Return the orders in batches of at most MAX_BATCH_BYTES.
+
+    An order that is larger makes a batch of its own.
+    """
+    sizes = [len(order.payload) for order in orders]
+    return (orders[start:end] for start, end in _split(sizes))
+
+
+def split_reports(
+    reports: tuple[_messages.AttemptReport, ...],
+) -> Iterator[tuple[_messages.AttemptReport, ...]]:
+    """Return the reports in batches of at most MAX_BATCH_BYTES.
+
+    A report that is larger makes a batch of its own.
+    """
+    sizes = [len(report.result) for report in reports]
+    return (reports[start:end] for start, end in _split(sizes))
+
+
+def _split(sizes: list[int]) -> Iterator[tuple[int, int]]:
+    start = 0
+    total = 0
+    for index, size in enumerate(sizes):
+        if total + size > MAX_BATCH_BYTES and index > start:
+            yield start, index
+            start = index
+            total = 0
+        total += size
+    yield start, len(sizes)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -391,15 +391,16 @@
             self.fire(event, "cancellations")
 
     def _dispatch(self, action: core.SendOrders) -> None:
-        message = core.Dispatch(
-            self._member.incarnation,
-            action.incarnation,
-            self._get_version(),
-            action.orders,
-            tuple(self._unacknowledged.pop(action.agent, ())),
-            self._get_link(action.agent),
-        )
-        self._send_to(action.agent, action.incarnation, message)
+        for orders in core.split_orders(action.orders):
+            message = core.Dispatch(
+                self._member.incarnation,
+                action.incarnation,
+                self._get_version(),
+                orders,
+                tuple(self._unacknowledged.pop(action.agent, ())),
+                self._get_link(action.agent),
+            )
+            self._send_to(action.agent, action.incarnation, message)
 
     def _get_link(self, agent: str) -> int:
         record = self._ledger.agents.get(agent)
