--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,8 +3,8 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
-from cowslipgate_core import _batches
 from cowslipgate_core import _admission
+from cowslipgate_core import _batches
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
@@ -136,9 +136,9 @@
 merge_withdraws = _ledger.merge_withdraws
 MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
+name_variable = _settings.name_variable
 OfferBook = _admission.OfferBook
 OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
-name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
@@ -187,9 +187,9 @@
 SettingsError = _exceptions.SettingsError
 Share = _quotas.Share
 share_equally = _quotas.share_equally
+Slots = _slots.Slots
 split_orders = _batches.split_orders
 split_reports = _batches.split_reports
-Slots = _slots.Slots
 Started = _jobs.Started
 StartTask = _executor_actions.StartTask
 State = _charts.State
