--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_protection.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_protection.py
@@ -102,7 +102,7 @@
             TEAM_TOKEN,
             413,
             "too_large",
-            None,
+            "$.tasks",
         ),
         (
             "POST",
--- a/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
@@ -24,6 +24,9 @@
     message: str
     """What the caller can do."""
 
+    path: str = ""
+    """Path of the offending value in the job, or empty."""
+
 
 @attrs.define
 class OfferBook:
@@ -106,6 +109,7 @@
         return Refusal(
             _jobs.Failure.TOO_LARGE,
             f"a job may have {service.max_tasks} tasks",
+            "$.tasks",
         )
     if waiting + tasks > service.max_backlog:
         return Refusal(
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -102,6 +102,9 @@
     message: str = ""
     """What the caller can do."""
 
+    path: str = ""
+    """Path of the offending value in the job, or empty."""
+
     claimed_by: str = ""
     """Job that has the idempotency key, when it was claimed before."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -44,6 +44,7 @@
             answer.message,
             answer.started,
             answer.job,
+            answer.path,
             further=_describe_claim(answer),
         )
     body = {
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -110,7 +110,10 @@
         if refusal is not None:
             self._work.pop(job.id, None)
             answer = core.JobAnswer(
-                job.id, failure=refusal.failure, message=refusal.message
+                job.id,
+                failure=refusal.failure,
+                message=refusal.message,
+                path=refusal.path,
             )
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
@@ -321,7 +324,8 @@
             return None
         return core.Refusal(
             core.Failure.INFEASIBLE,
-            f"no target has what $.tasks[{index}].needs asks for",
+            "no target has what the task needs",
+            f"$.tasks[{index}].needs",
         )
 
     def _check_wait(self, job: core.Job) -> core.Refusal | None:
