Listen on one channel for events that are fired on several

Cause: circuits calls a handler for every channel once for each channel that an event is fired on, so an entry logged each adopted version four times and a drain three times. The tests fired on one channel and saw nothing; they fire on all of them now.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -2,6 +2,9 @@
 
 import circuits
 
+GATEWAY = "gateway"
+"""Channel on which each event for callers and operators is fired once."""
+
 
 class submit_job(circuits.Event):
     """Asks to take a job; the argument is a Submission."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
@@ -5,6 +5,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _events
 from cowslipgate_entry import _exposition
 from cowslipgate_entry import _families
 from cowslipgate_entry import _minutes
@@ -68,25 +69,25 @@
         values = attrs.astuple(self._families, recurse=False)
         return _exposition.render_families(values)
 
-    @circuits.handler("configuration_adopted", channel="*")
+    @circuits.handler("configuration_adopted", channel=_events.GATEWAY)
     def _on_configuration_adopted(
         self, configuration: core.Configuration
     ) -> None:
         self._readings.version = configuration.version
 
-    @circuits.handler("job_accepted", channel="*")
+    @circuits.handler("job_accepted", channel=_events.GATEWAY)
     def _on_job_accepted(
         self, submission: _requests.Submission, job: core.Job
     ) -> None:
         self._uses[job.id] = _JobUse()
 
-    @circuits.handler("job_refused", channel="*")
+    @circuits.handler("job_refused", channel=_events.GATEWAY)
     def _on_job_refused(
         self, submission: _requests.Submission, answer: core.JobAnswer
     ) -> None:
         self._families.refusals.add(answer.failure.value)
 
-    @circuits.handler("job_answered", channel="*")
+    @circuits.handler("job_answered", channel=_events.GATEWAY)
     def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
         use = self._uses.pop(job.id, None)
         if use is None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_traces.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_traces.py
@@ -13,6 +13,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _events
 from cowslipgate_entry import _requests
 from cowslipgate_entry import _sampler
 import cowslipgate_transport as transport
@@ -100,7 +101,7 @@
             {"service.name": "cowslipgate", "service.instance.id": str(entry)}
         )
 
-    @circuits.handler("job_accepted", channel="*")
+    @circuits.handler("job_accepted", channel=_events.GATEWAY)
     def _on_job_accepted(
         self, submission: _requests.Submission, job: core.Job
     ) -> None:
@@ -124,7 +125,7 @@
             if gathered is not None:
                 gathered.hops.append(_Hop(attempt, report, now))
 
-    @circuits.handler("job_answered", channel="*")
+    @circuits.handler("job_answered", channel=_events.GATEWAY)
     def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
         gathered = self._jobs.pop(job.id, None)
         if gathered is None:
@@ -136,7 +137,7 @@
         if gathered.submission.exchange is not None:
             self._leaving[gathered.submission.exchange] = gathered
 
-    @circuits.handler("answer_http", channel="*", priority=-10)
+    @circuits.handler("answer_http", channel=_events.GATEWAY, priority=-10)
     def _on_answer_http(
         self, exchange: transport.Exchange, answer: transport.Answer
     ) -> None:
@@ -144,7 +145,7 @@
         if gathered is not None:
             self._exporter.export(self._make_spans(gathered))
 
-    @circuits.handler("http_abandoned", channel="*")
+    @circuits.handler("http_abandoned", channel=_events.GATEWAY)
     def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
         for job_id, gathered in list(self._jobs.items()):
             if gathered.submission.exchange is exchange:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
@@ -36,14 +36,14 @@
         self._failures: set[tuple[str, str]] = set()
         self._ticks = itertools.count(1)
 
-    @circuits.handler("configuration_adopted", channel="*")
+    @circuits.handler("configuration_adopted", channel=_events.GATEWAY)
     def _on_configuration_adopted(
         self, configuration: core.Configuration
     ) -> None:
         change = _changes.ConfigurationAdopted(configuration.version)
         self._tell(change)
 
-    @circuits.handler("members_changed", channel="*")
+    @circuits.handler("members_changed", channel=_events.GATEWAY)
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
         current = {member.incarnation: member for member in members}
         for incarnation, member in current.items():
@@ -90,7 +90,7 @@
         else:
             self._tell(_changes.StoreUnreachable())
 
-    @circuits.handler("drain", channel="*")
+    @circuits.handler("drain", channel=_dispatcher.CHANNEL)
     def _on_drain(self) -> None:
         jobs = len(self._dispatcher.ledger.jobs)
         self._tell(_changes.DrainBegan(jobs))
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -56,9 +56,9 @@
 
 
 def _fire(
-    root: circuits.BaseComponent, event: circuits.Event, channel: str
+    root: circuits.BaseComponent, event: circuits.Event, *channels: str
 ) -> None:
-    root.fire(event, channel)
+    root.fire(event, *channels)
     _settle(root)
 
 
@@ -240,15 +240,18 @@
     down = _events.store_answered(_requests.StoreAnswer(call, lost))
     done = _requests.StoreResult.DONE
     up = _events.store_answered(_requests.StoreAnswer(call, done))
-    for event, channel in (
-        (_events.members_changed((observed.MEMBER, other)), "gateway"),
-        (_events.members_changed((observed.MEMBER,)), "gateway"),
-        (down, "keeper"),
-        (down, "keeper"),
-        (up, "keeper"),
-        (_events.drain(), "dispatcher"),
+    everywhere = ("dispatcher", "gateway", "keeper", "peers", "leases")
+    configuration = core.parse_configuration(3, {})
+    for event in (
+        _events.configuration_adopted(configuration),
+        _events.members_changed((observed.MEMBER, other)),
+        _events.members_changed((observed.MEMBER,)),
+        down,
+        down,
+        up,
+        _events.drain(),
     ):
-        _fire(root, event, channel)
+        _fire(root, event, *everywhere)
     for state in ("serving", "serving", "quarantined"):
         report = observed.build_report(state)
         heard = transport.message_received(b"agent-1/1", report)
@@ -258,6 +261,7 @@
         _fire(root, _events.tick(), "watch")
     kinds = [type(change).__name__ for change in recorder.changes]
     assert kinds == [
+        "ConfigurationAdopted",
         "MemberJoined",
         "MemberLapsed",
         "StoreUnreachable",
