--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -7,6 +7,7 @@
 from cowslipgate_core import _admission
 from cowslipgate_core import _assignment
 from cowslipgate_core import _backlog
+from cowslipgate_core import _batches
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
@@ -147,6 +148,7 @@
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
 Matching = _late_binding.Matching
+MAX_BATCH_BYTES = _batches.MAX_BATCH_BYTES
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
 MAX_EVICTED = _sessions.MAX_EVICTED
 MAX_HISTORIES = _sizes.MAX_HISTORIES
@@ -157,6 +159,7 @@
 MAX_PORT = _settings.MAX_PORT
 MAX_REMEMBERED = _sessions.MAX_REMEMBERED
 MAX_RESIDUAL = _estimates.MAX_RESIDUAL
+MAX_RESULT_BYTES = _batches.MAX_RESULT_BYTES
 MAX_SESSIONS = _sessions.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
@@ -174,11 +177,11 @@
 OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
 Operator = _configuration.Operator
 Order = _messages.Order
+OUTAGE_CERTAIN_AFTER = _validity.OUTAGE_CERTAIN_AFTER
 Outcome = _messages.Outcome
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
 parse_advertised = _settings.parse_advertised
-OUTAGE_CERTAIN_AFTER = _validity.OUTAGE_CERTAIN_AFTER
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
 parse_chart = _charts.parse_chart
@@ -230,6 +233,8 @@
 SizeEstimate = _sizes.SizeEstimate
 SizeTable = _sizes.SizeTable
 Slots = _slots.Slots
+split_orders = _batches.split_orders
+split_reports = _batches.split_reports
 Started = _jobs.Started
 StartTask = _executor_actions.StartTask
 State = _charts.State
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
@@ -128,7 +128,8 @@
     ("reason", "sends"),
     [
         (core.Reason.BUSY, 0),
-        (core.Reason.STALE_CONFIGURATION, 0),
+        (core.Reason.NOT_SERVING, 0),
+        (core.Reason.STALE_CONFIGURATION, 1),
         (core.Reason.WITHDRAWN, 1),
     ],
 )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -106,7 +106,10 @@
         if refusal is not None:
             self._work.pop(job.id, None)
             answer = core.JobAnswer(
-                job.id, failure=refusal.failure, message=refusal.message
+                job.id,
+                failure=refusal.failure,
+                message=refusal.message,
+                path=refusal.path,
             )
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
@@ -322,7 +325,8 @@
             return None
         return core.Refusal(
             core.Failure.INFEASIBLE,
-            f"no target has what $.tasks[{index}].needs asks for",
+            "no target has what the task needs",
+            f"$.tasks[{index}].needs",
         )
 
     def _check_wait(self, job: core.Job) -> core.Refusal | None:
@@ -440,16 +444,17 @@
             self.fire(event, "cancellations")
 
     def _dispatch(self, action: core.SendOrders) -> None:
-        message = core.Dispatch(
-            self._member.incarnation,
-            action.incarnation,
-            self._get_version(),
-            action.orders,
-            self._acknowledgements.take(action.agent),
-            self._get_link(action.agent),
-        )
-        self._ledger.counters.dispatches += 1
-        self._send_to(action.agent, action.incarnation, message)
+        for orders in core.split_orders(action.orders):
+            message = core.Dispatch(
+                self._member.incarnation,
+                action.incarnation,
+                self._get_version(),
+                orders,
+                self._acknowledgements.take(action.agent),
+                self._get_link(action.agent),
+            )
+            self._ledger.counters.dispatches += 1
+            self._send_to(action.agent, action.incarnation, message)
 
     def _get_link(self, agent: str) -> int:
         record = self._ledger.agents.get(agent)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import json
 
+from circuits.web import parsers
 import pytest
 
 import cowslipgate_transport as transport
@@ -45,6 +46,8 @@
         (b"GET /../%2e/a HTTP/1.1\r\n" + HOST + b"\r\n", 400, "malformed"),
         (b"GET http://h/a HTTP/1.1\r\n" + HOST + b"\r\n", 400, "malformed"),
         (b"GET /a HTTP/1.1\r\n\r\n", 400, "malformed"),
+        (b"GET /a HTTP/1.1\r\nHost: \x80h\r\n\r\n", 400, "malformed"),
+        (b"GET /a HTTP/1.1\r\nHost: h:x\r\n\r\n", 400, "malformed"),
         (
             b"GET /a HTTP/2.0\r\n" + HOST + b"\r\n",
             505,
@@ -119,6 +122,8 @@
     served.send(sock, b"HEAD /ok HTTP/1.0\r\n\r\n")
     served.run_until(lambda: served.echo.refused, "refused")
     served.run_until(lambda: served.server.connections == 0, "closed")
+    served.check()
+    assert served.server.buffered == 0
     received = sock.recv(builders.READ_SIZE)
     assert received.startswith(b"HTTP/1.1 405")
     assert received.endswith(b"\r\n\r\n")
@@ -243,6 +248,18 @@
     assert served.echo.abandoned == served.echo.held
 
 
+def test_failure_of_the_parser_is_answered(
+    served: builders.Served, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*arguments: object) -> None:
+        raise ValueError
+
+    monkeypatch.setattr(parsers.HttpParser, "execute", fail)
+    sock = served.connect()
+    served.send(sock, GOOD)
+    assert served.read_reply(sock).status == 400
+
+
 def test_a_failing_handler_answers_without_its_internals(
     served: builders.Served,
 ) -> None:
@@ -252,3 +269,22 @@
     assert reply.status == 500
     assert reply.body["error"]["type"] == "internal"
     assert "secret" not in json.dumps(reply.body)
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_an_answer_to_a_caller_that_just_left_is_dropped(
+    served: builders.Served, turns: int
+) -> None:
+    sock = served.connect()
+    served.send(sock, b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+    served.run_until(lambda: served.echo.held, "held")
+    answer = transport.Answer(200, b"x" * 1_000_000)
+    event = transport.answer_http(served.echo.held[0], answer)
+    served.root.fire(event, builders.CHANNEL)
+    for _ in range(turns):
+        served.root.flush()
+    sock.close()
+    served.run_until(lambda: not served.server.connections, "closed")
+    served.check()
+    assert served.echo.exceptions == []
+    assert served.server.buffered == 0
