Keep the agent's calls within the target's connections, and stop where it runs

Cause: open connections were not limited; a stop went to the address announced last instead of the one that runs the task, was sent once, and also for tasks that had ended; a kept connection that the target had closed in the meantime made the next task's outcome unknown; a kind outside Latin-1 raised in the client and leaked the slot for ever, one with a line break injected a header; answers were read without bound; slots, connections and address of an announcement were not checked.

The client keeps a pool with a limit for each server (calls wait their turn, stops included), looks at a kept connection before it is used, counts bytes as sent only when the kernel took them, and has no timer while no call is under way. Records, pool and component are modules of their own.

Ruled out: three immediate connection tries, which only repeat a refusal; the executor puts an unreachable target out of service instead. Reserving one connection for stops: it would cost a slot wherever slots = connections.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
@@ -35,13 +35,29 @@
             return _refuse(405, "use PUT or DELETE")
         try:
             announcement = self._decoder.decode(exchange.body)
-            transport.parse_address(announcement.address)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except msgspec.MsgspecError as error:
             return _refuse(400, str(error))
+        fault = _find_fault(announcement)
+        if fault:
+            return _refuse(400, fault)
         self.fire(_events.target_announced(announcement), "runner")
         return transport.Answer(200, b'{"status":"announced"}')
 
 
+def _find_fault(announcement: core.Announcement) -> str:
+    try:
+        core.parse_bind(announcement.address.removeprefix("http://"))
+    except ValueError:
+        return "$.address: must be http://, an IP number and a port"
+    if not announcement.service:
+        return "$.service: must be a text"
+    if announcement.slots < 0:
+        return "$.slots: must be a whole number, 0 or more"
+    if announcement.connections < 1:
+        return "$.connections: must be a whole number, 1 or more"
+    return ""
+
+
 def _refuse(status: int, message: str) -> transport.Answer:
     body = {"error": {"type": "malformed", "message": message}}
     return transport.Answer(status, msgspec.json.encode(body))
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -16,7 +16,7 @@
 
 
 class stop_task(circuits.Event):
-    """Asks to stop a task; arguments are StopTask and Announcement."""
+    """Asks to stop a task; the argument is a StopTask."""
 
 
 class task_ended(circuits.Event):
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
@@ -96,8 +96,7 @@
                     event = _events.start_task(action, announcement)
                     self.fire(event, "target")
                 case core.StopTask():
-                    event = _events.stop_task(action, announcement)
-                    self.fire(event, "target")
+                    self.fire(_events.stop_task(action), "target")
                 case core.SendReports():
                     self.fire(_events.report_attempts(action), "links")
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_target_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_target_calls.py
@@ -2,6 +2,7 @@
 
 import datetime
 import itertools
+import urllib.parse
 
 import attrs
 import circuits
@@ -11,8 +12,8 @@
 import cowslipgate_transport as transport
 
 CHANNEL = "target"
-CONNECT_TRIES = 3
-STOP_TIMEOUT = datetime.timedelta(seconds=5)
+STOP_TIMEOUT = datetime.timedelta(seconds=2)
+STOP_TRIES = 3
 HTTP_OK = 200
 
 
@@ -27,10 +28,10 @@
     """The call."""
 
     since: datetime.datetime
-    """When the target was first called."""
+    """When the target was called."""
 
-    tries: int = 1
-    """Connections tried."""
+    stops: int = 0
+    """Times that the target was asked to stop it."""
 
 
 class TargetCalls(circuits.BaseComponent):
@@ -46,6 +47,7 @@
         self._task_timeout = task_timeout
         self._numbers = itertools.count(1)
         self._runs: dict[int, _Run] = {}
+        self._stops: dict[int, _Run] = {}
 
     @circuits.handler("start_task")
     def _on_start_task(
@@ -53,7 +55,7 @@
     ) -> None:
         headers = {
             "Task-Id": start.order.task,
-            "Task-Kind": start.order.kind,
+            "Task-Kind": urllib.parse.quote(start.order.kind),
             "Content-Type": "application/json",
         }
         if start.order.traceparent:
@@ -66,47 +68,47 @@
             headers,
             start.order.payload,
             self._task_timeout,
+            announcement.connections,
         )
         self._runs[call.id] = _Run(start, call, self._clock.now())
         self.fire(transport.call_http(call), CHANNEL)
 
     @circuits.handler("stop_task")
-    def _on_stop_task(
-        self, stop: core.StopTask, announcement: core.Announcement
-    ) -> None:
-        call = transport.Call(
-            next(self._numbers),
-            transport.parse_address(announcement.address),
-            "DELETE",
-            f"/run/{stop.task}",
-            timeout=STOP_TIMEOUT,
-        )
-        self.fire(transport.call_http(call), CHANNEL)
+    def _on_stop_task(self, stop: core.StopTask) -> None:
+        for run in self._runs.values():
+            if run.start.key == stop.key:
+                self._stop(run)
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
+        self._stops.pop(answer.call.id, None)
         run = self._runs.pop(answer.call.id, None)
-        if run is None:
-            return
-        self._end(run, *_judge_answer(run.start.order.task, answer))
+        if run is not None:
+            self._end(run, *_judge_answer(run.start.order.task, answer))
 
     @circuits.handler("http_failed")
     def _on_http_failed(self, failure: transport.CallFailure) -> None:
-        run = self._runs.get(failure.call.id)
-        if run is None:
+        stopped = self._stops.pop(failure.call.id, None)
+        if stopped is not None and stopped.call.id in self._runs:
+            self._stop(stopped)
+        run = self._runs.pop(failure.call.id, None)
+        if run is not None:
+            self._end(run, *_judge_failure(failure), b"null")
+
+    def _stop(self, run: _Run) -> None:
+        if run.stops >= STOP_TRIES:
             return
-        if not failure.sent and run.tries < CONNECT_TRIES:
-            run.tries += 1
-            self.fire(transport.call_http(run.call), CHANNEL)
-            return
-        del self._runs[failure.call.id]
-        if failure.sent:
-            outcome = core.Outcome.UNKNOWN
-            reason = core.Reason.TARGET_LOST
-        else:
-            outcome = core.Outcome.NOT_STARTED
-            reason = core.Reason.TARGET_UNREACHABLE
-        self._end(run, outcome, reason, b"null")
+        run.stops += 1
+        call = transport.Call(
+            next(self._numbers),
+            run.call.address,
+            "DELETE",
+            f"/run/{run.start.order.task}",
+            timeout=STOP_TIMEOUT,
+            connection_limit=run.call.connection_limit,
+        )
+        self._stops[call.id] = run
+        self.fire(transport.call_http(call), CHANNEL)
 
     def _end(
         self,
@@ -134,3 +136,13 @@
     if answer.status != HTTP_OK:
         return core.Outcome.FAILED, core.Reason.TARGET_STATUS, answer.body
     return core.Outcome.FINISHED, core.Reason.NONE, answer.body
+
+
+def _judge_failure(
+    failure: transport.CallFailure,
+) -> tuple[core.Outcome, core.Reason]:
+    if failure.sent:
+        return core.Outcome.UNKNOWN, core.Reason.TARGET_LOST
+    if failure.problem is transport.CallProblem.UNREACHABLE:
+        return core.Outcome.NOT_STARTED, core.Reason.TARGET_UNREACHABLE
+    return core.Outcome.NOT_STARTED, core.Reason.BUSY
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -1,20 +1,22 @@
 """Circuits components that own HTTP and ZeroMQ sockets."""
 
 from cowslipgate_transport import _curve
+from cowslipgate_transport import _http_calls
 from cowslipgate_transport import _http_client
 from cowslipgate_transport import _http_server
 from cowslipgate_transport import _message_socket
 
-Address = _http_client.Address
+Address = _http_calls.Address
 Answer = _http_server.Answer
 answer_http = _http_server.answer_http
 apply_curve = _curve.apply_curve
-Call = _http_client.Call
+Call = _http_calls.Call
 call_http = _http_client.call_http
-CallAnswer = _http_client.CallAnswer
-CallFailure = _http_client.CallFailure
-CallProblem = _http_client.CallProblem
+CallAnswer = _http_calls.CallAnswer
+CallFailure = _http_calls.CallFailure
+CallProblem = _http_calls.CallProblem
 cancel_http = _http_client.cancel_http
+check_calls = _http_client.check_calls
 check_connections = _http_server.check_connections
 CurveKeys = _curve.CurveKeys
 derive_public_key = _curve.derive_public_key
@@ -34,7 +36,7 @@
 MessageSocket = _message_socket.MessageSocket
 open_dealer = _message_socket.open_dealer
 open_router = _message_socket.open_router
-parse_address = _http_client.parse_address
+parse_address = _http_calls.parse_address
 peer_connected = _message_socket.peer_connected
 send_message = _message_socket.send_message
 ServerLimits = _http_server.ServerLimits
--- /dev/null
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_calls.py
@@ -0,0 +1,112 @@
+"""Records of HTTP calls and how a request is encoded."""
+
+import datetime
+import enum
+
+import attrs
+
+DEFAULT_TIMEOUT = datetime.timedelta(seconds=10)
+
+
+class CallProblem(enum.StrEnum):
+    """Why a call got no answer."""
+
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed"
+    TIMEOUT = "timeout"
+    PROTOCOL = "protocol"
+    CANCELLED = "cancelled"
+    TOO_LARGE = "too_large"
+
+
+@attrs.frozen
+class Address:
+    """Where a server listens."""
+
+    host: str
+    """IP number."""
+
+    port: int
+    """TCP port."""
+
+
+@attrs.frozen
+class Call:
+    """A request to be made."""
+
+    id: int
+    """Number that the caller of the client knows it by."""
+
+    address: Address
+    """Server."""
+
+    method: str
+    """HTTP method."""
+
+    path: str
+    """Path and query."""
+
+    headers: dict[str, str] = attrs.Factory(dict)
+    """Headers besides Host and Content-Length."""
+
+    body: bytes = b""
+    """Body."""
+
+    timeout: datetime.timedelta = DEFAULT_TIMEOUT
+    """Time after which it fails."""
+
+    connection_limit: int = 0
+    """Most connections open to the server; zero for no limit."""
+
+
+@attrs.frozen
+class CallAnswer:
+    """The answer to a call."""
+
+    call: Call
+    """The call."""
+
+    status: int
+    """HTTP status."""
+
+    headers: dict[str, str]
+    """Header values by name in lower case."""
+
+    body: bytes
+    """Body."""
+
+
+@attrs.frozen
+class CallFailure:
+    """A call that got no answer."""
+
+    call: Call
+    """The call."""
+
+    problem: CallProblem
+    """Why."""
+
+    sent: bool
+    """Whether any byte of the request may have left."""
+
+
+def encode_request(call: Call, headers: dict[str, str]) -> bytes:
+    """Return the request of a call; its own headers go before others."""
+    every = headers | call.headers
+    lines = [
+        f"{call.method} {call.path} HTTP/1.1",
+        f"Host: {call.address.host}:{call.address.port}",
+        f"Content-Length: {len(call.body)}",
+    ]
+    lines.extend(f"{name}: {value}" for name, value in every.items())
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + call.body
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in ``host:port`` or ``http://host:port``.
+
+    :raises ValueError: when the port is missing or no number
+    """
+    host, _, port = text.removeprefix("http://").rstrip("/").rpartition(":")
+    return Address(host, int(port))
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -4,131 +4,24 @@
 request that never left may be repeated.
 """
 
-import collections
 import datetime
-import enum
 import errno
 import os
 import socket
 
-import attrs
 import circuits
 from circuits.core import pollers
 from circuits.web import parsers
 
 import cowslipgate_core as core
+from cowslipgate_transport import _http_calls
+from cowslipgate_transport import _http_pool
 
+CONNECT_TIMEOUT = datetime.timedelta(seconds=3)
+MAX_ANSWER_BYTES = 4_194_304
 READ_SIZE = 65_536
 RESPONSE_PARSER = 1
-TICK_SECONDS = 0.05
-IDLE_LIMIT = 64
-
-
-class CallProblem(enum.StrEnum):
-    """Why a call got no answer."""
-
-    UNREACHABLE = "unreachable"
-    CLOSED = "closed"
-    TIMEOUT = "timeout"
-    PROTOCOL = "protocol"
-    CANCELLED = "cancelled"
-
-
-@attrs.frozen
-class Address:
-    """Where a server listens."""
-
-    host: str
-    """IP number."""
-
-    port: int
-    """TCP port."""
-
-
-@attrs.frozen
-class Call:
-    """A request to be made."""
-
-    id: int
-    """Number that the caller of the client knows it by."""
-
-    address: Address
-    """Server."""
-
-    method: str
-    """HTTP method."""
-
-    path: str
-    """Path and query."""
-
-    headers: dict[str, str] = attrs.Factory(dict)
-    """Headers besides Host and Content-Length."""
-
-    body: bytes = b""
-    """Body."""
-
-    timeout: datetime.timedelta = datetime.timedelta(seconds=10)
-    """Time after which it fails."""
-
-
-@attrs.frozen
-class CallAnswer:
-    """The answer to a call."""
-
-    call: Call
-    """The call."""
-
-    status: int
-    """HTTP status."""
-
-    headers: dict[str, str]
-    """Header values by name in lower case."""
-
-    body: bytes
-    """Body."""
-
-
-@attrs.frozen
-class CallFailure:
-    """A call that got no answer."""
-
-    call: Call
-    """The call."""
-
-    problem: CallProblem
-    """Why."""
-
-    sent: bool
-    """Whether any byte of the request may have left."""
-
-
-@attrs.define(eq=False)
-class _Connection:
-    """One connection to a server."""
-
-    sock: socket.socket
-    """Its socket."""
-
-    address: Address
-    """Its server."""
-
-    call: Call | None = None
-    """Call under way."""
-
-    connected: bool = False
-    """Whether the connection stands."""
-
-    sent: bool = False
-    """Whether any byte of the call has left."""
-
-    unsent: bytes = b""
-    """Bytes of the call still to be sent."""
-
-    parser: parsers.HttpParser | None = None
-    """Parser of the answer."""
-
-    expires: datetime.datetime | None = None
-    """When the call times out."""
+TICK_SECONDS = 0.1
 
 
 class call_http(circuits.Event):
@@ -165,62 +58,61 @@
         self._headers = headers or {}
         self._poller = poller
         self._clock = clock
-        self._connections: dict[socket.socket, _Connection] = {}
-        self._idle: dict[Address, list[_Connection]] = collections.defaultdict(
-            list
-        )
-        circuits.Timer(
-            TICK_SECONDS, check_calls(), channel, persist=True
-        ).register(self)
+        self._pool = _http_pool.Pool()
+        self._watching = False
 
     @circuits.handler("call_http")
-    def _on_call_http(self, call: Call) -> None:
-        idle = self._idle[call.address]
-        if idle:
-            connection = idle.pop()
-        else:
-            try:
-                connection = self._open(call.address)
-            except OSError:
-                failure = CallFailure(call, CallProblem.UNREACHABLE, False)
-                self.fire(http_failed(failure))
-                return
-        connection.call = call
-        connection.sent = False
-        connection.unsent = _encode_request(call, self._headers)
-        connection.parser = parsers.HttpParser(RESPONSE_PARSER, True)
-        connection.expires = self._clock.now() + call.timeout
-        self._send(connection)
+    def _on_call_http(self, call: _http_calls.Call) -> None:
+        expires = self._clock.now() + call.timeout
+        try:
+            request = _http_calls.encode_request(call, self._headers)
+        except UnicodeEncodeError:
+            problem = _http_calls.CallProblem.PROTOCOL
+            self.fire(
+                http_failed(_http_calls.CallFailure(call, problem, False))
+            )
+            return
+        self._begin(_http_pool.Pending(call, expires, request))
 
     @circuits.handler("cancel_http")
     def _on_cancel_http(self, call_id: int) -> None:
-        for connection in list(self._connections.values()):
-            if connection.call is not None and connection.call.id == call_id:
-                self._fail(connection, CallProblem.CANCELLED)
+        problem = _http_calls.CallProblem.CANCELLED
+        for pending in self._pool.pop_call(call_id):
+            self._tell_failure(pending, problem, sent=False)
+        for connection in self._pool.get_active():
+            if connection.pending.call.id == call_id:
+                self._fail(connection, problem)
 
     @circuits.handler("check_calls")
     def _on_check_calls(self) -> None:
+        self._watching = False
         now = self._clock.now()
-        for connection in list(self._connections.values()):
-            if connection.call is not None and now >= connection.expires:
-                self._fail(connection, CallProblem.TIMEOUT)
+        for pending in self._pool.pop_expired(now):
+            problem = _http_calls.CallProblem.TIMEOUT
+            self._tell_failure(pending, problem, sent=False)
+        for connection in self._pool.get_active():
+            if not connection.connected and now >= connection.connect_by:
+                self._fail(connection, _http_calls.CallProblem.UNREACHABLE)
+            elif now >= connection.pending.expires:
+                self._fail(connection, _http_calls.CallProblem.TIMEOUT)
+        self._watch()
 
     @circuits.handler("_write")
     def _on_writable(self, sock: socket.socket) -> None:
-        connection = self._connections.get(sock)
+        connection = self._pool.get(sock)
         if connection is None:
             return
         if not connection.connected:
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
-                self._fail(connection, CallProblem.UNREACHABLE)
+                self._fail(connection, _http_calls.CallProblem.UNREACHABLE)
                 return
             connection.connected = True
         self._send(connection)
 
     @circuits.handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
-        connection = self._connections.get(sock)
+        connection = self._pool.get(sock)
         if connection is None:
             return
         try:
@@ -229,21 +121,50 @@
             return
         except OSError:
             data = b""
-        if not data or connection.call is None:
-            self._fail(connection, CallProblem.CLOSED)
+        if not data or connection.pending is None:
+            self._lose(connection)
             return
         self._receive(connection, data)
 
     @circuits.handler("_disconnect", "_error")
     def _on_lost(self, sock: socket.socket, *error: object) -> None:
-        connection = self._connections.get(sock)
+        connection = self._pool.get(sock)
         if connection is not None:
-            problem = CallProblem.CLOSED
-            if not connection.connected:
-                problem = CallProblem.UNREACHABLE
-            self._fail(connection, problem)
+            self._lose(connection)
+
+    def _begin(self, pending: _http_pool.Pending) -> None:
+        call = pending.call
+        connection = self._take_idle(call.address)
+        if connection is None:
+            if self._pool.is_full(call):
+                self._pool.wait(pending)
+                self._watch()
+                return
+            try:
+                connection = self._open(call.address)
+            except OSError:
+                problem = _http_calls.CallProblem.UNREACHABLE
+                self._tell_failure(pending, problem, sent=False)
+                self._serve_waiting(call.address)
+                return
+        connection.pending = pending
+        connection.sent = False
+        connection.received = 0
+        connection.unsent = pending.request
+        connection.parser = parsers.HttpParser(RESPONSE_PARSER, True)
+        self._watch()
+        self._send(connection)
 
-    def _open(self, address: Address) -> _Connection:
+    def _take_idle(
+        self, address: _http_calls.Address
+    ) -> _http_pool.Connection | None:
+        while connection := self._pool.take_idle(address):
+            if not connection.is_stale():
+                return connection
+            self._close(connection)
+        return None
+
+    def _open(self, address: _http_calls.Address) -> _http_pool.Connection:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -251,23 +172,26 @@
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise OSError(code, os.strerror(code))
-        connection = _Connection(sock, address, connected=code == 0)
-        self._connections[sock] = connection
+        connect_by = self._clock.now() + CONNECT_TIMEOUT
+        connection = _http_pool.Connection(
+            sock, address, connect_by, connected=code == 0
+        )
+        self._pool.add(connection)
         self._poller.addReader(self, sock)
         return connection
 
-    def _send(self, connection: _Connection) -> None:
+    def _send(self, connection: _http_pool.Connection) -> None:
         sock = connection.sock
         if connection.connected and connection.unsent:
-            # Bytes may leave even when the call below fails.
-            connection.sent = True
             try:
                 count = sock.send(connection.unsent)
             except BlockingIOError:
                 count = 0
             except OSError:
-                self._fail(connection, CallProblem.CLOSED)
+                # A send that fails has taken none of the bytes.
+                self._lose(connection)
                 return
+            connection.sent = connection.sent or count > 0
             connection.unsent = connection.unsent[count:]
         writing = self._poller.isWriting(sock)
         wanted = bool(connection.unsent) or not connection.connected
@@ -276,66 +200,86 @@
         elif writing and not wanted:
             self._poller.removeWriter(sock)
 
-    def _receive(self, connection: _Connection, data: bytes) -> None:
+    def _receive(self, connection: _http_pool.Connection, data: bytes) -> None:
         parser = connection.parser
+        connection.received += len(data)
+        if connection.received > MAX_ANSWER_BYTES:
+            self._fail(connection, _http_calls.CallProblem.TOO_LARGE)
+            return
         parser.execute(data, len(data))
         if parser.errno is not None:
-            self._fail(connection, CallProblem.PROTOCOL)
-            return
-        if not parser.is_message_complete():
+            self._fail(connection, _http_calls.CallProblem.PROTOCOL)
             return
+        if parser.is_message_complete():
+            self._finish(connection)
+
+    def _finish(self, connection: _http_pool.Connection) -> None:
+        parser = connection.parser
         headers = {
             key.lower(): value for key, value in parser.get_headers().items()
         }
-        answer = CallAnswer(
-            connection.call,
+        answer = _http_calls.CallAnswer(
+            connection.pending.call,
             parser.get_status_code(),
             headers,
             parser.recv_body(),
         )
-        connection.call = None
-        idle = self._idle[connection.address]
+        connection.pending = None
+        connection.parser = None
         keep = parser.should_keep_alive() and not connection.unsent
-        if keep and len(idle) < IDLE_LIMIT:
-            idle.append(connection)
+        if keep and self._pool.keep_idle(connection):
+            self._serve_waiting(connection.address)
         else:
             self._close(connection)
         self.fire(http_answered(answer))
 
-    def _fail(self, connection: _Connection, problem: CallProblem) -> None:
-        call = connection.call
-        self._close(connection)
-        if call is not None:
-            failure = CallFailure(call, problem, connection.sent)
-            self.fire(http_failed(failure))
-
-    def _close(self, connection: _Connection) -> None:
-        idle = self._idle[connection.address]
-        if connection in idle:
-            idle.remove(connection)
-        if not idle:
-            del self._idle[connection.address]
-        del self._connections[connection.sock]
-        self._poller.discard(connection.sock)
-        connection.sock.close()
-
-
-def _encode_request(call: Call, headers: dict[str, str]) -> bytes:
-    every = headers | call.headers
-    lines = [
-        f"{call.method} {call.path} HTTP/1.1",
-        f"Host: {call.address.host}:{call.address.port}",
-        f"Content-Length: {len(call.body)}",
-    ]
-    lines.extend(f"{name}: {value}" for name, value in every.items())
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + call.body
+    def _lose(self, connection: _http_pool.Connection) -> None:
+        if not connection.connected:
+            self._fail(connection, _http_calls.CallProblem.UNREACHABLE)
+            return
+        pending = connection.pending
+        if connection.reused and pending is not None and not connection.sent:
+            connection.pending = None
+            self._close(connection)
+            self._begin(pending)
+            return
+        self._fail(connection, _http_calls.CallProblem.CLOSED)
 
+    def _fail(
+        self,
+        connection: _http_pool.Connection,
+        problem: _http_calls.CallProblem,
+    ) -> None:
+        pending = connection.pending
+        connection.pending = None
+        self._close(connection)
+        if pending is not None:
+            self._tell_failure(pending, problem, connection.sent)
 
-def parse_address(text: str) -> Address:
-    """Return the address in ``host:port`` or ``http://host:port``.
+    def _tell_failure(
+        self,
+        pending: _http_pool.Pending,
+        problem: _http_calls.CallProblem,
+        sent: bool,
+    ) -> None:
+        failure = _http_calls.CallFailure(pending.call, problem, sent)
+        self.fire(http_failed(failure))
 
-    :raises ValueError: when the port is missing or no number
-    """
-    host, _, port = text.removeprefix("http://").rstrip("/").rpartition(":")
-    return Address(host, int(port))
+    def _close(self, connection: _http_pool.Connection) -> None:
+        self._pool.remove(connection)
+        self._poller.discard(connection.sock)
+        connection.sock.close()
+        self._serve_waiting(connection.address)
+
+    def _serve_waiting(self, address: _http_calls.Address) -> None:
+        pending = self._pool.pop_waiting(address)
+        if pending is not None:
+            self._begin(pending)
+
+    def _watch(self) -> None:
+        # An idle client has no timer, since each firing costs processor time.
+        if not self._watching and self._pool.busy:
+            self._watching = True
+            circuits.Timer(TICK_SECONDS, check_calls(), self.channel).register(
+                self
+            )
