Keep links to silent entries open and find reborn entries at once

Cause: a link given up after 20 s of silence was not made again while the list of members stayed the same, so an entry that was frozen lost its agents for good; a reborn entry on the same address was found after 20 s only; a handshake without any message revived a dropped entry, so that a stopping agent waited 60 s for acknowledgements over a link that was cut.

A silent entry's tasks are stopped and its link kept; the first message revives it. A heartbeat of a newer incarnation on an old link is taken as its birth. An entry that says goodbye is dropped at once.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -32,6 +32,9 @@
     heard_at: datetime.datetime
     """When the entry was last heard."""
 
+    lost: bool = False
+    """Whether the entry has been given up until it is heard again."""
+
 
 class Links(circuits.BaseComponent):
     """Owns one link for each entry of the agent's subset."""
@@ -67,10 +70,9 @@
     @circuits.handler("tick")
     def _on_tick(self) -> None:
         now = self._clock.now()
-        for incarnation, link in list(self._links.items()):
-            if now - link.heard_at > self._settings.entry_lost_after:
-                self._drop(incarnation)
-        if not self._links and now >= self._next_discovery:
+        self._check_silence(now)
+        alone = all(link.lost for link in self._links.values())
+        if alone and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
             self._discover()
         if now >= self._next_report:
@@ -107,12 +109,15 @@
     @circuits.handler("message_received", channel="*")
     def _on_message_received(self, peer: bytes, message: object) -> None:
         link = self._links.get(int(peer))
-        if link is None or getattr(message, "entry", None) != int(peer):
+        if link is None:
             return
-        link.heard_at = self._clock.now()
-        self.fire(_events.entry_heard(message), "runner")
-        if isinstance(message, core.Beat) and message.members:
-            self._learn_members(message.members)
+        sender = getattr(message, "entry", None)
+        if sender == link.member.incarnation:
+            link.heard_at = self._clock.now()
+            link.lost = False
+            self.fire(_events.entry_heard(message), "runner")
+        if isinstance(message, core.Beat):
+            self._hear_beat(message, link)
 
     @circuits.handler("http_answered", channel="discovery")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
@@ -124,6 +129,32 @@
             return
         self._learn_members(members)
 
+    def _hear_beat(self, beat: core.Beat, link: _Link) -> None:
+        if beat.entry < link.member.incarnation:
+            return
+        if beat.members:
+            self._learn_members(beat.members)
+        if beat.leaving:
+            self._members = tuple(
+                member
+                for member in self._members
+                if member.incarnation != beat.entry
+            )
+            self._drop(beat.entry)
+
+    def _check_silence(self, now: datetime.datetime) -> None:
+        members = {member.incarnation for member in self._members}
+        for incarnation, link in list(self._links.items()):
+            silence = now - link.heard_at
+            if link.lost or silence <= self._settings.entry_lost_after:
+                continue
+            if incarnation in members:
+                # The socket connects again when the entry comes back.
+                link.lost = True
+                self.fire(_events.entry_dropped(incarnation), "runner")
+            else:
+                self._drop(incarnation)
+
     def _discover(self) -> None:
         address = transport.Address(
             self._settings.balancer.host, self._settings.balancer.port
@@ -146,10 +177,16 @@
         reborn = {member.address: member.incarnation for member in members}
         for incarnation, link in list(self._links.items()):
             newest = reborn.get(link.member.address, incarnation)
-            if newest > incarnation:
+            gone = link.lost and incarnation not in wanted
+            if newest > incarnation or gone:
                 self._drop(incarnation)
+        current = {
+            link.member.address: incarnation
+            for incarnation, link in self._links.items()
+        }
         for incarnation, member in wanted.items():
-            if incarnation not in self._links:
+            # A lagging entry may still tell of an earlier incarnation.
+            if incarnation > current.get(member.address, 0):
                 self._open(member)
 
     def _open(self, member: core.Member) -> None:
@@ -165,7 +202,9 @@
         self._links[member.incarnation] = link
 
     def _drop(self, incarnation: int) -> None:
-        link = self._links.pop(incarnation)
+        link = self._links.pop(incarnation, None)
+        if link is None:
+            return
         link.socket.close()
         self.fire(_events.entry_dropped(incarnation), "runner")
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -105,10 +105,12 @@
     def connect(self, entry: int) -> None:
         """Take in that a connection to an entry was made.
 
-        What the entry sent under the link before is refused from now on.
+        What the entry sent under the link before is refused from now on. An
+        entry that was dropped stays so until it is heard.
         """
         self._links += 1
-        self._open_session(entry).link = self._links
+        session = self._sessions.get(entry) or self._open_session(entry)
+        session.link = self._links
 
     def announce(
         self,
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_outcomes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_outcomes.py
@@ -33,6 +33,15 @@
     assert executor.idle
 
 
+def test_connection_without_a_message_does_not_revive_an_entry() -> None:
+    executor = builders.build_executor()
+    _finish(executor, 1, b"1")
+    executor.drop_entry(7, NOW)
+    executor.connect(7)
+    _tick(executor, 10)
+    assert executor.idle
+
+
 def test_outcome_never_acknowledged_is_forgotten() -> None:
     executor = builders.build_executor()
     _finish(executor, 1, b"1")
