--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -111,13 +111,16 @@
         link = self._links.get(int(peer))
         if link is None:
             return
-        sender = getattr(message, "entry", None)
-        if sender == link.member.incarnation:
+        sender = getattr(message, "entry", 0)
+        if sender > int(peer):
+            # Another incarnation answers at the address of the lost one.
+            self._drop(int(peer))
+        elif sender == int(peer):
             link.heard_at = self._clock.now()
             link.lost = False
             self.fire(_events.entry_heard(message), "runner")
-        if isinstance(message, core.Beat):
-            self._hear_beat(message, link)
+        if sender >= int(peer) and isinstance(message, core.Beat):
+            self._hear_beat(message)
 
     @circuits.handler("http_answered", channel="discovery")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
@@ -129,17 +132,10 @@
             return
         self._learn_members(members)
 
-    def _hear_beat(self, beat: core.Beat, link: _Link) -> None:
-        if beat.entry < link.member.incarnation:
-            return
+    def _hear_beat(self, beat: core.Beat) -> None:
         if beat.members:
             self._learn_members(beat.members)
         if beat.leaving:
-            self._members = tuple(
-                member
-                for member in self._members
-                if member.incarnation != beat.entry
-            )
             self._drop(beat.entry)
 
     def _check_silence(self, now: datetime.datetime) -> None:
@@ -169,7 +165,6 @@
         self.fire(transport.call_http(call), "discovery")
 
     def _learn_members(self, members: tuple[core.Member, ...]) -> None:
-        self._members = members
         chosen = core.choose_entries(
             self._settings.name, members, self._settings.entries
         )
@@ -188,6 +183,7 @@
             # A lagging entry may still tell of an earlier incarnation.
             if incarnation > current.get(member.address, 0):
                 self._open(member)
+        self._members = members
 
     def _open(self, member: core.Member) -> None:
         identity = core.encode_identity(self._settings.name, self._incarnation)
@@ -206,6 +202,8 @@
         if link is None:
             return
         link.socket.close()
+        # The next entry that answers tells whom to connect to.
+        self._members = ()
         self.fire(_events.entry_dropped(incarnation), "runner")
 
     def _report_all(self) -> None:
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_agent_life.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_agent_life.py
@@ -13,7 +13,7 @@
 from cowslipgate_bench import _target
 from cowslipgate_bench.tests import control_builders
 
-LOST_SECONDS = 3
+LOST_SECONDS = 2
 AGENT_FLAGS = (f"--entry-lost-after={LOST_SECONDS}s",)
 ENTRY_FLAGS = (
     "--agent-suspect-after=1s",
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,6 +3,7 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _admission
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
@@ -23,6 +24,8 @@
 from cowslipgate_core import _screening
 from cowslipgate_core import _sessions
 from cowslipgate_core import _settings
+from cowslipgate_core import _slots
+from cowslipgate_core import _target_state
 from cowslipgate_core import _traceparents
 from cowslipgate_core import _versions
 
@@ -43,6 +46,8 @@
 Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
+check_limits = _admission.check_limits
+check_wait = _admission.check_wait
 CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
@@ -59,6 +64,7 @@
 derive_span = _traceparents.derive_span
 derive_traceparent = _traceparents.derive_traceparent
 describe_settings = _settings.describe_settings
+digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
@@ -70,6 +76,7 @@
 ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
 Estimates = _estimates.Estimates
+EVERY_ATTEMPT = _sessions.EVERY_ATTEMPT
 Executor = _executor.Executor
 ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
@@ -84,11 +91,13 @@
 fits_resources = _placement.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 Gossip = _messages.Gossip
+Held = _slots.Held
 HIDDEN = _settings.HIDDEN
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
 JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
+Kept = _outcomes.Kept
 LAPSE_AFTER = _membership.LAPSE_AFTER
 LateBinding = _placement.LateBinding
 LEARNING_RATE = _estimates.LEARNING_RATE
@@ -103,6 +112,7 @@
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
 LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
+LONGEST_RESEND = _outcomes.LONGEST_RESEND
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
@@ -123,11 +133,14 @@
 merge_withdraws = _ledger.merge_withdraws
 MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
+OfferBook = _admission.OfferBook
+OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
 name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
+Outcomes = _outcomes.Outcomes
 parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
@@ -145,13 +158,16 @@
 parse_positive = _settings.parse_positive
 parse_text = _settings.parse_text
 parse_traceparent = _traceparents.parse_traceparent
+PAUSE_FRACTION = _executor.PAUSE_FRACTION
 Policy = _placement.Policy
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
+Refusal = _admission.Refusal
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
 RESEND_AFTER = _outcomes.RESEND_AFTER
+RESEND_BATCH = _outcomes.RESEND_BATCH
 Resources = _messages.Resources
 Results = _messages.Results
 RoundRobin = _placement.RoundRobin
@@ -160,17 +176,21 @@
 SendWithdraw = _ledger.SendWithdraw
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
+Session = _sessions.Session
+Sessions = _sessions.Sessions
 setting = _settings.setting
 SettingDescription = _settings.SettingDescription
 SettingFault = _exceptions.SettingFault
 SettingsError = _exceptions.SettingsError
 Share = _quotas.Share
 share_equally = _quotas.share_equally
+Slots = _slots.Slots
 Started = _jobs.Started
 StartTask = _executor_actions.StartTask
 State = _charts.State
 StopTask = _executor_actions.StopTask
 SystemClock = _clock.SystemClock
+TargetState = _target_state.TargetState
 TargetView = _placement.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
@@ -178,6 +198,7 @@
 Traceparent = _traceparents.Traceparent
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 VersionWatch = _versions.VersionWatch
+VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
 WaitingJob = _placement.WaitingJob
 WaitingTask = _placement.WaitingTask
 WireError = _exceptions.WireError
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -15,7 +15,7 @@
 from cowslipgate_core import _slots
 from cowslipgate_core import _target_state
 
-DROPPED_LIFETIME = datetime.timedelta(seconds=5)
+DROPPED_LIFETIME = datetime.timedelta(seconds=2)
 ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
 PAUSE_FRACTION = 0.25
 
