--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 PACKAGES := core transport entry agent bench
 
-.PHONY: setup test demo settings-page lint format check-format capacity
+.PHONY: setup test demo settings-page lint format check-format capacity measure-control
 
 setup: $(VENV)/installed
 
@@ -27,6 +27,9 @@
 check-format: setup
 	$(PYTHON) -m ruff format --check packages
 
+measure-control: setup
+	$(PYTHON) -m cowslipgate_bench measure-control
+
 capacity: setup
 	$(PYTHON) -m cowslipgate_bench capacity
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
@@ -12,7 +12,7 @@
 
 
 class Announcements(circuits.BaseComponent):
-    """Answers ``PUT`` and ``DELETE`` of ``/v1/target``."""
+    """Answers ``GET``, ``PUT`` and ``DELETE`` of ``/v1/target``."""
 
     channel = CHANNEL
 
@@ -31,8 +31,11 @@
         if exchange.method == "DELETE":
             self.fire(_events.target_left(), "runner")
             return transport.Answer(200, b'{"status":"leaving"}')
+        if exchange.method == "GET":
+            traffic = transport.measure_traffic(self)
+            return transport.Answer(200, msgspec.json.encode(traffic))
         if exchange.method != "PUT":
-            return _refuse(405, "use PUT or DELETE")
+            return _refuse(405, "use GET, PUT or DELETE")
         try:
             announcement = self._decoder.decode(exchange.body)
         except msgspec.MsgspecError as error:
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -9,6 +9,7 @@
 from cowslipgate_bench import _agents
 from cowslipgate_bench import _balancer
 from cowslipgate_bench import _capacity_page
+from cowslipgate_bench import _control_cost
 from cowslipgate_bench import _demo
 from cowslipgate_bench import _settings_page
 from cowslipgate_bench import _table
@@ -72,4 +73,10 @@
     _settings_page.write_page()
 
 
+@app.command
+def measure_control() -> None:
+    """Measure what an idle deployment costs each node for control."""
+    _control_cost.run_measurement()
+
+
 app()
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_control_cost.py
@@ -0,0 +1,158 @@
+"""What an idle deployment costs each node: memory, processor and bytes."""
+
+from collections.abc import Callable
+import os
+import pathlib
+import sys
+import tempfile
+import time
+
+import attrs
+
+from cowslipgate_bench import _cluster
+from cowslipgate_bench import _target
+
+AGENTS = 11
+CPU_LIMIT = 0.035
+DOMAINS = ["kaai-zuid", "dokken-noord", "depot-berchem"]
+IDLE_SECONDS = 20.0
+RATE_LIMIT = 22_000
+RSS_LIMIT_KB = 32 * 1024
+SERVICE = "schapkaart"
+SETTLE_SECONDS = 5.0
+_Reader = Callable[[_cluster.Cluster, _cluster.Node], dict[str, int]]
+
+
+@attrs.frozen
+class Sample:
+    """Counters of one process at one instant."""
+
+    cpu_seconds: float
+    """Processor time used."""
+
+    traffic_bytes: int
+    """Bytes sent and received between entries and agents."""
+
+
+@attrs.frozen
+class Cost:
+    """What one process cost while idle."""
+
+    name: str
+    """Name of the process."""
+
+    rss_kb: int
+    """Resident memory in kB."""
+
+    cpu_share: float
+    """Share of one core."""
+
+    bytes_per_second: float
+    """Bytes sent and received a second."""
+
+    def find_excesses(self) -> list[str]:
+        """Return what is above the limits."""
+        excesses = []
+        if self.rss_kb > RSS_LIMIT_KB:
+            excesses.append(f"{self.name}: {self.rss_kb} kB resident")
+        if self.cpu_share > CPU_LIMIT:
+            excesses.append(f"{self.name}: {self.cpu_share:.1%} of a core")
+        if self.bytes_per_second > RATE_LIMIT:
+            excesses.append(f"{self.name}: {self.bytes_per_second:.0f} B/s")
+        return excesses
+
+
+def run_measurement() -> None:
+    """Print the cost of each role; exit non-zero when over a limit."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        _cluster.Cluster(pathlib.Path(folder)) as cluster,
+    ):
+        _start(cluster)
+        time.sleep(SETTLE_SECONDS)
+        entries = _measure(cluster, cluster.entries, _read_entry)
+        agents = _measure(cluster, cluster.agents, _read_agent)
+    _print_role("entry", entries)
+    _print_role("agent", agents)
+    excesses = [text for c in entries + agents for text in c.find_excesses()]
+    for text in excesses:
+        print(f"over the limit: {text}")
+    sys.exit(1 if excesses else 0)
+
+
+def _start(cluster: _cluster.Cluster) -> None:
+    cluster.start_table()
+    cluster.start_entries(DOMAINS)
+    for number in range(AGENTS):
+        options = _target.TargetOptions(SERVICE, 0)
+        cluster.start_agent(DOMAINS[number % len(DOMAINS)], options)
+    changes = {"services": {SERVICE: {}}}
+    _cluster.wait_until(
+        lambda: cluster.patch(0, changes).status in (200, 412),
+        "the first configuration",
+    )
+    cluster.wait_ready(AGENTS)
+
+
+def _measure(
+    cluster: _cluster.Cluster, nodes: list[_cluster.Node], read: _Reader
+) -> list[Cost]:
+    started = time.monotonic()
+    before = [_take_sample(cluster, node, read) for node in nodes]
+    time.sleep(IDLE_SECONDS)
+    after = [_take_sample(cluster, node, read) for node in nodes]
+    elapsed = time.monotonic() - started
+    return [
+        Cost(
+            node.name,
+            _read_rss_kb(node.pid),
+            (last.cpu_seconds - first.cpu_seconds) / elapsed,
+            (last.traffic_bytes - first.traffic_bytes) / elapsed,
+        )
+        for node, first, last in zip(nodes, before, after, strict=True)
+    ]
+
+
+def _take_sample(
+    cluster: _cluster.Cluster, node: _cluster.Node, read: _Reader
+) -> Sample:
+    traffic = read(cluster, node)
+    total = traffic["sent_bytes"] + traffic["received_bytes"]
+    return Sample(_read_cpu_seconds(node.pid), total)
+
+
+def _read_entry(
+    cluster: _cluster.Cluster, node: _cluster.Node
+) -> dict[str, int]:
+    reply = cluster.call("GET", "/v1/status", port=node.port)
+    return reply.body["traffic"]
+
+
+def _read_agent(
+    cluster: _cluster.Cluster, node: _cluster.Node
+) -> dict[str, int]:
+    return cluster.call("GET", "/v1/target", port=node.port).body
+
+
+def _read_rss_kb(pid: int) -> int:
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
+
+
+def _read_cpu_seconds(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _print_role(role: str, costs: list[Cost]) -> None:
+    rss = max(cost.rss_kb for cost in costs) / 1024
+    cpu = max(cost.cpu_share for cost in costs)
+    rate = max(cost.bytes_per_second for cost in costs) / 1000
+    print(
+        f"{role}: {len(costs)} processes, at most {rss:.1f} MB resident, "
+        f"{cpu:.2%} of a core, {rate:.2f} KB/s"
+    )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -314,6 +314,7 @@
             "counters": ledger.counters,
             "agents": [record.report for record in ledger.agents.values()],
             "agents_behind": self._find_behind(),
+            "traffic": transport.measure_traffic(self),
         }
         return transport.Answer(200, msgspec.json.encode(body))
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import attrs
 import circuits
 from circuits.core import pollers
 import zmq
@@ -149,6 +150,32 @@
         self.fire(message_received(identity, message))
 
 
+@attrs.frozen
+class Traffic:
+    """Bytes of messages that one process has exchanged."""
+
+    sent_bytes: int
+    """Bytes sent."""
+
+    received_bytes: int
+    """Bytes received."""
+
+
+def measure_traffic(component: circuits.BaseComponent) -> Traffic:
+    """Return the traffic of every open message socket of the process."""
+    pending = [component.root]
+    sockets = []
+    while pending:
+        found = pending.pop()
+        pending.extend(found.components)
+        if isinstance(found, MessageSocket):
+            sockets.append(found)
+    return Traffic(
+        sum(sock.sent_bytes for sock in sockets),
+        sum(sock.received_bytes for sock in sockets),
+    )
+
+
 def open_router(
     context: zmq.Context, bind: str, secured: bool = False
 ) -> zmq.Socket:
