Bring the agent under its memory limit and stretch heartbeats on idle links

Cause: circuits imports ssl and all of circuits.web, hashlib imports OpenSSL; the agent uses none of it. Every link had a report a second whatever the number of agents, which at 2,000 agents an entry is far above 22 KB/s.

An entry's heartbeat carries the interval that keeps 450 bytes an agent within 11 KB/s; idle links follow it, both sides are patient in proportion, links that carry work keep today's limits. A link gets its number when it is opened, since the handshake may be over before the monitor watches.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -1,7 +1,16 @@
-"""The process that runs beside each target."""
+"""The process that runs beside each target.
 
-from cowslipgate_agent import _process
-from cowslipgate_agent import _settings
+Names are imported when they are used, so that the binary can choose what to
+keep out of memory before anything else is imported.
+"""
 
-AgentSettings = _settings.AgentSettings
-build_agent = _process.build_agent
+import importlib
+
+_MODULES = {"AgentSettings": "_settings", "build_agent": "_process"}
+
+
+def __getattr__(name: str) -> object:
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(name)
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -20,7 +20,7 @@
 
 
 @attrs.define(eq=False)
-class _Link:
+class Link:
     """The connection to one entry."""
 
     member: core.Member
@@ -32,6 +32,12 @@
     heard_at: datetime.datetime
     """When the entry was last heard."""
 
+    interval: datetime.timedelta
+    """Interval of reports while the link is idle."""
+
+    reported_at: datetime.datetime
+    """When the last report was sent."""
+
     lost: bool = False
     """Whether the entry has been given up until it is heard again."""
 
@@ -57,16 +63,19 @@
         self._poller = poller
         self._context = zmq.Context.instance()
         self._members: tuple[core.Member, ...] = ()
-        self._links: dict[int, _Link] = {}
+        self._links: dict[int, Link] = {}
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
-        self._next_report = clock.now()
 
     @property
     def sockets(self) -> list[transport.MessageSocket]:
         """Sockets of the links, for measurements."""
         return [link.socket for link in self._links.values()]
 
+    def get_link(self, entry: int) -> Link | None:
+        """Return the link to an entry, or None."""
+        return self._links.get(entry)
+
     @circuits.handler("tick")
     def _on_tick(self) -> None:
         now = self._clock.now()
@@ -75,9 +84,9 @@
         if alone and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
             self._discover()
-        if now >= self._next_report:
-            self._next_report = now + self._settings.heartbeat
-            self._report_all()
+        for incarnation, link in self._links.items():
+            if now - link.reported_at >= self._get_interval(incarnation):
+                self._report(incarnation, link)
 
     @circuits.handler("send_reports")
     def _on_send_reports(self) -> None:
@@ -119,6 +128,8 @@
             link.heard_at = self._clock.now()
             link.lost = False
             self.fire(_events.entry_heard(message), "runner")
+            if isinstance(message, core.Beat):
+                self._follow_interval(message, link)
         if sender >= int(peer) and isinstance(message, core.Beat):
             self._hear_beat(message)
 
@@ -138,11 +149,23 @@
         if beat.leaving:
             self._drop(beat.entry)
 
+    def _follow_interval(self, beat: core.Beat, link: Link) -> None:
+        asked = datetime.timedelta(milliseconds=beat.heartbeat_ms)
+        link.interval = max(asked, self._settings.heartbeat)
+
+    def _get_interval(self, incarnation: int) -> datetime.timedelta:
+        # The entry watches a link that carries work more closely.
+        if self._executor.measure_load(incarnation).own:
+            return self._settings.heartbeat
+        return self._links[incarnation].interval
+
     def _check_silence(self, now: datetime.datetime) -> None:
         members = {member.incarnation for member in self._members}
         for incarnation, link in list(self._links.items()):
-            silence = now - link.heard_at
-            if link.lost or silence <= self._settings.entry_lost_after:
+            limit = self._settings.entry_lost_after
+            if not self._executor.measure_load(incarnation).own:
+                limit = core.stretch_loss(limit, link.interval)
+            if link.lost or now - link.heard_at <= limit:
                 continue
             if incarnation in members:
                 # The socket connects again when the entry comes back.
@@ -194,8 +217,11 @@
             sock,
             str(member.incarnation).encode(),
         ).register(self)
-        link = _Link(member, component, self._clock.now())
+        now = self._clock.now()
+        link = Link(member, component, now, self._settings.heartbeat, now)
         self._links[member.incarnation] = link
+        # The handshake may be over before the socket is watched.
+        self._executor.connect(member.incarnation)
 
     def _drop(self, incarnation: int) -> None:
         link = self._links.pop(incarnation, None)
@@ -210,7 +236,8 @@
         for incarnation, link in self._links.items():
             self._report(incarnation, link)
 
-    def _report(self, incarnation: int, link: _Link) -> None:
+    def _report(self, incarnation: int, link: Link) -> None:
+        link.reported_at = self._clock.now()
         executor = self._executor
         announcement = executor.announcement
         report = core.Report(
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -13,6 +13,7 @@
 from cowslipgate_core import _executor
 from cowslipgate_core import _executor_actions
 from cowslipgate_core import _health
+from cowslipgate_core import _heartbeats
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
 from cowslipgate_core import _ledger
@@ -51,6 +52,7 @@
 CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
+choose_heartbeat = _heartbeats.choose_heartbeat
 choose_slots = _quotas.choose_slots
 choose_target = _quotas.choose_target
 Clock = _clock.Clock
@@ -91,6 +93,8 @@
 fits_resources = _placement.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 Gossip = _messages.Gossip
+HEARTBEAT_BYTES = _heartbeats.HEARTBEAT_BYTES
+HEARTBEAT_BYTES_PER_SECOND = _heartbeats.HEARTBEAT_BYTES_PER_SECOND
 Held = _slots.Held
 HIDDEN = _settings.HIDDEN
 Job = _jobs.Job
@@ -113,6 +117,7 @@
 load_settings = _settings.load_settings
 LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
 LONGEST_RESEND = _outcomes.LONGEST_RESEND
+LOST_HEARTBEATS = _heartbeats.LOST_HEARTBEATS
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
@@ -133,9 +138,9 @@
 merge_withdraws = _ledger.merge_withdraws
 MIN_RATIO = _estimates.MIN_RATIO
 name_flag = _settings.name_flag
+name_variable = _settings.name_variable
 OfferBook = _admission.OfferBook
 OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
-name_variable = _settings.name_variable
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
@@ -184,11 +189,15 @@
 SettingsError = _exceptions.SettingsError
 Share = _quotas.Share
 share_equally = _quotas.share_equally
+SHORTEST_HEARTBEAT = _heartbeats.SHORTEST_HEARTBEAT
 Slots = _slots.Slots
 Started = _jobs.Started
 StartTask = _executor_actions.StartTask
 State = _charts.State
 StopTask = _executor_actions.StopTask
+stretch_loss = _heartbeats.stretch_loss
+stretch_suspicion = _heartbeats.stretch_suspicion
+SUSPECT_HEARTBEATS = _heartbeats.SUSPECT_HEARTBEATS
 SystemClock = _clock.SystemClock
 TargetState = _target_state.TargetState
 TargetView = _placement.TargetView
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_heartbeats.py
@@ -0,0 +1,32 @@
+"""How often idle agents report, and after what silence they are suspect."""
+
+import datetime
+
+HEARTBEAT_BYTES = 450
+HEARTBEAT_BYTES_PER_SECOND = 11_000
+LOST_HEARTBEATS = 5
+SHORTEST_HEARTBEAT = datetime.timedelta(seconds=1)
+SUSPECT_HEARTBEATS = 2.5
+
+
+def choose_heartbeat(agents: int) -> datetime.timedelta:
+    """Return the interval that keeps an entry's heartbeats in their budget.
+
+    :param agents: number of agents that report to the entry
+    """
+    seconds = agents * HEARTBEAT_BYTES / HEARTBEAT_BYTES_PER_SECOND
+    return max(SHORTEST_HEARTBEAT, datetime.timedelta(seconds=seconds))
+
+
+def stretch_suspicion(
+    limit: datetime.timedelta, interval: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the silence after which an idle peer is suspect."""
+    return max(limit, interval * SUSPECT_HEARTBEATS)
+
+
+def stretch_loss(
+    limit: datetime.timedelta, interval: datetime.timedelta
+) -> datetime.timedelta:
+    """Return the silence after which an idle peer is lost."""
+    return max(limit, interval * LOST_HEARTBEATS)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -11,6 +11,7 @@
 
 from cowslipgate_core import _charts
 from cowslipgate_core import _estimates
+from cowslipgate_core import _heartbeats
 from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
@@ -95,6 +96,9 @@
     outstanding: set[int] = attrs.Factory(set)
     """Sequence numbers of attempts sent and not final."""
 
+    busy_since: datetime.datetime | None = None
+    """When an attempt was last sent to it while it had none."""
+
 
 @attrs.define
 class LedgerCounters:
@@ -145,6 +149,11 @@
         """Jobs not yet answered, by id."""
         return self._jobs
 
+    @property
+    def heartbeat(self) -> datetime.timedelta:
+        """Interval of reports that agents should use on idle links."""
+        return _heartbeats.choose_heartbeat(len(self._agents))
+
     @property
     def agents(self) -> dict[str, AgentRecord]:
         """Known agents by name."""
@@ -249,7 +258,7 @@
             actions.extend(self._apply(attempt, report, now))
         record = self._agents.get(agent)
         if record is not None:
-            record.heard_at = now - self._timing.agent_suspect_after
+            record.heard_at = now - self._get_suspicion(record)
         return actions
 
     def cancel(
@@ -348,7 +357,7 @@
             )
             for name, record in self._agents.items()
             if record.report.service == service
-            and now - record.heard_at < self._timing.agent_suspect_after
+            and now - record.heard_at < self._get_suspicion(record)
         ]
 
     def _view_job(self, job: _jobs.Job) -> _placement.WaitingJob:
@@ -401,6 +410,8 @@
         job.waiting.remove(assignment.index)
         job.active[attempt.sequence] = attempt
         self._attempts[attempt.sequence] = attempt
+        if not record.outstanding:
+            record.busy_since = now
         record.outstanding.add(attempt.sequence)
         self.counters.dispatched += 1
         request = job.request.tasks[assignment.index]
@@ -509,10 +520,25 @@
             for (agent, incarnation), sequences in by_agent.items()
         ]
 
+    def _get_suspicion(self, record: AgentRecord) -> datetime.timedelta:
+        limit = self._timing.agent_suspect_after
+        # Only idle links have long heartbeats.
+        if record.outstanding:
+            return limit
+        return _heartbeats.stretch_suspicion(limit, self.heartbeat)
+
+    def _is_lost(self, record: AgentRecord, now: datetime.datetime) -> bool:
+        limit = self._timing.agent_lost_after
+        if not record.outstanding:
+            limit = _heartbeats.stretch_loss(limit, self.heartbeat)
+            return now - record.heard_at > limit
+        since = max(record.heard_at, record.busy_since)
+        return now - since > limit
+
     def _watch_agent(
         self, name: str, record: AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
-        if now - record.heard_at > self._timing.agent_lost_after:
+        if self._is_lost(record, now):
             del self._agents[name]
             return self._lose_attempts(record, now)
         overdue = {
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -259,6 +259,9 @@
     leaving: bool = False
     """Whether the entry is stopping."""
 
+    heartbeat_ms: _Count = 0
+    """Interval of reports on an idle link, or zero for the agent's own."""
+
 
 @attrs.frozen
 class Gossip:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -375,6 +375,7 @@
             self._get_version(),
             self._members if with_members else (),
             self._machine.state == "stopped",
+            self._ledger.heartbeat // datetime.timedelta(milliseconds=1),
         )
 
     def _schedule(self) -> None:
