--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
@@ -12,7 +12,7 @@
 
 
 class Announcements(circuits.BaseComponent):
-    """Answers ``PUT`` and ``DELETE`` of ``/v1/target``."""
+    """Answers ``GET``, ``PUT`` and ``DELETE`` of ``/v1/target``."""
 
     channel = CHANNEL
 
@@ -31,17 +31,36 @@
         if exchange.method == "DELETE":
             self.fire(_events.target_left(), "runner")
             return transport.Answer(200, b'{"status":"leaving"}')
+        if exchange.method == "GET":
+            traffic = transport.measure_traffic(self)
+            return transport.Answer(200, msgspec.json.encode(traffic))
         if exchange.method != "PUT":
-            return _refuse(405, "use PUT or DELETE")
+            return _refuse(405, "use GET, PUT or DELETE")
         try:
             announcement = self._decoder.decode(exchange.body)
-            transport.parse_address(announcement.address)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except msgspec.MsgspecError as error:
             return _refuse(400, str(error))
+        fault = _find_fault(announcement)
+        if fault:
+            return _refuse(400, fault)
         self.fire(_events.target_announced(announcement), "runner")
         return transport.Answer(200, b'{"status":"announced"}')
 
 
+def _find_fault(announcement: core.Announcement) -> str:
+    try:
+        core.parse_bind(announcement.address.removeprefix("http://"))
+    except ValueError:
+        return "$.address: must be http://, an IP number and a port"
+    if not announcement.service:
+        return "$.service: must be a text"
+    if announcement.slots < 0:
+        return "$.slots: must be a whole number, 0 or more"
+    if announcement.connections < 1:
+        return "$.connections: must be a whole number, 1 or more"
+    return ""
+
+
 def _refuse(status: int, message: str) -> transport.Answer:
     body = {"error": {"type": "malformed", "message": message}}
     return transport.Answer(status, msgspec.json.encode(body))
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -20,7 +20,7 @@
 
 
 @attrs.define(eq=False)
-class _Link:
+class Link:
     """The connection to one entry."""
 
     member: core.Member
@@ -32,6 +32,15 @@
     heard_at: datetime.datetime
     """When the entry was last heard."""
 
+    interval: datetime.timedelta
+    """Interval of reports while the link is idle."""
+
+    reported_at: datetime.datetime
+    """When the last report was sent."""
+
+    lost: bool = False
+    """Whether the entry has been given up until it is heard again."""
+
 
 class Links(circuits.BaseComponent):
     """Owns one link for each entry of the agent's subset."""
@@ -54,28 +63,30 @@
         self._poller = poller
         self._context = zmq.Context.instance()
         self._members: tuple[core.Member, ...] = ()
-        self._links: dict[int, _Link] = {}
+        self._links: dict[int, Link] = {}
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
-        self._next_report = clock.now()
 
     @property
     def sockets(self) -> list[transport.MessageSocket]:
         """Sockets of the links, for measurements."""
         return [link.socket for link in self._links.values()]
 
+    def get_link(self, entry: int) -> Link | None:
+        """Return the link to an entry, or None."""
+        return self._links.get(entry)
+
     @circuits.handler("tick")
     def _on_tick(self) -> None:
         now = self._clock.now()
-        for incarnation, link in list(self._links.items()):
-            if now - link.heard_at > self._settings.entry_lost_after:
-                self._drop(incarnation)
-        if not self._links and now >= self._next_discovery:
+        self._check_silence(now)
+        alone = all(link.lost for link in self._links.values())
+        if alone and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
             self._discover()
-        if now >= self._next_report:
-            self._next_report = now + self._settings.heartbeat
-            self._report_all()
+        for incarnation, link in self._links.items():
+            if now - link.reported_at >= self._get_interval(incarnation):
+                self._report(incarnation, link)
 
     @circuits.handler("send_reports")
     def _on_send_reports(self) -> None:
@@ -111,16 +122,18 @@
         link = self._links.get(int(peer))
         if link is None:
             return
-        entry = getattr(message, "entry", 0)
-        if entry > int(peer):
+        sender = getattr(message, "entry", 0)
+        if sender > int(peer):
             # Another incarnation answers at the address of the lost one.
             self._drop(int(peer))
-        if entry != int(peer):
-            return
-        link.heard_at = self._clock.now()
-        self.fire(_events.entry_heard(message), "runner")
-        if isinstance(message, core.Beat) and message.members:
-            self._learn_members(message.members)
+        elif sender == int(peer):
+            link.heard_at = self._clock.now()
+            link.lost = False
+            self.fire(_events.entry_heard(message), "runner")
+            if isinstance(message, core.Beat):
+                self._follow_interval(message, link)
+        if sender >= int(peer) and isinstance(message, core.Beat):
+            self._hear_beat(message)
 
     @circuits.handler("http_answered", channel="discovery")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
@@ -132,6 +145,37 @@
             return
         self._learn_members(members)
 
+    def _hear_beat(self, beat: core.Beat) -> None:
+        if beat.members:
+            self._learn_members(beat.members)
+        if beat.leaving:
+            self._drop(beat.entry)
+
+    def _follow_interval(self, beat: core.Beat, link: Link) -> None:
+        asked = datetime.timedelta(milliseconds=beat.heartbeat_ms)
+        link.interval = max(asked, self._settings.heartbeat)
+
+    def _get_interval(self, incarnation: int) -> datetime.timedelta:
+        # The entry watches a link that carries work more closely.
+        if self._executor.measure_load(incarnation).own:
+            return self._settings.heartbeat
+        return self._links[incarnation].interval
+
+    def _check_silence(self, now: datetime.datetime) -> None:
+        members = {member.incarnation for member in self._members}
+        for incarnation, link in list(self._links.items()):
+            limit = self._settings.entry_lost_after
+            if not self._executor.measure_load(incarnation).own:
+                limit = core.stretch_loss(limit, link.interval)
+            if link.lost or now - link.heard_at <= limit:
+                continue
+            if incarnation in members:
+                # The socket connects again when the entry comes back.
+                link.lost = True
+                self.fire(_events.entry_dropped(incarnation), "runner")
+            else:
+                self._drop(incarnation)
+
     def _discover(self) -> None:
         address = transport.Address(
             self._settings.balancer.host, self._settings.balancer.port
@@ -153,10 +197,16 @@
         reborn = {member.address: member.incarnation for member in members}
         for incarnation, link in list(self._links.items()):
             newest = reborn.get(link.member.address, incarnation)
-            if newest > incarnation:
+            gone = link.lost and incarnation not in wanted
+            if newest > incarnation or gone:
                 self._drop(incarnation)
+        current = {
+            link.member.address: incarnation
+            for incarnation, link in self._links.items()
+        }
         for incarnation, member in wanted.items():
-            if incarnation not in self._links:
+            # A lagging entry may still tell of an earlier incarnation.
+            if incarnation > current.get(member.address, 0):
                 self._open(member)
         self._members = members
 
@@ -169,11 +219,16 @@
             sock,
             str(member.incarnation).encode(),
         ).register(self)
-        link = _Link(member, component, self._clock.now())
+        now = self._clock.now()
+        link = Link(member, component, now, self._settings.heartbeat, now)
         self._links[member.incarnation] = link
+        # The handshake may be over before the socket is watched.
+        self._executor.connect(member.incarnation)
 
     def _drop(self, incarnation: int) -> None:
-        link = self._links.pop(incarnation)
+        link = self._links.pop(incarnation, None)
+        if link is None:
+            return
         link.socket.close()
         # The next entry that answers tells whom to connect to.
         self._members = ()
@@ -183,7 +238,8 @@
         for incarnation, link in self._links.items():
             self._report(incarnation, link)
 
-    def _report(self, incarnation: int, link: _Link) -> None:
+    def _report(self, incarnation: int, link: Link) -> None:
+        link.reported_at = self._clock.now()
         executor = self._executor
         announcement = executor.announcement
         report = core.Report(
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -17,6 +17,7 @@
 from cowslipgate_core import _executor
 from cowslipgate_core import _executor_actions
 from cowslipgate_core import _health
+from cowslipgate_core import _heartbeats
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
 from cowslipgate_core import _late_binding
@@ -70,6 +71,7 @@
 CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
+choose_heartbeat = _heartbeats.choose_heartbeat
 choose_in_turn = _round_robin.choose_in_turn
 choose_late_binding = _late_binding.choose_late_binding
 choose_least_completion = _least_completion.choose_least_completion
@@ -117,6 +119,8 @@
 FULL_HISTORY = _sizes.FULL_HISTORY
 Gossip = _messages.Gossip
 GROWTH_TO_REFRESH = _sizes.GROWTH_TO_REFRESH
+HEARTBEAT_BYTES = _heartbeats.HEARTBEAT_BYTES
+HEARTBEAT_BYTES_PER_SECOND = _heartbeats.HEARTBEAT_BYTES_PER_SECOND
 Held = _slots.Held
 HIDDEN = _settings.HIDDEN
 Horizon = _late_binding.Horizon
@@ -144,6 +148,7 @@
 LONGEST_BIN = _sizes.LONGEST_BIN
 LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
 LONGEST_RESEND = _outcomes.LONGEST_RESEND
+LOST_HEARTBEATS = _heartbeats.LOST_HEARTBEATS
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
@@ -230,6 +235,7 @@
 Share = _quotas.Share
 share_equally = _quotas.share_equally
 SHORTEST_BIN = _sizes.SHORTEST_BIN
+SHORTEST_HEARTBEAT = _heartbeats.SHORTEST_HEARTBEAT
 SizeEstimate = _sizes.SizeEstimate
 SizeTable = _sizes.SizeTable
 Slots = _slots.Slots
@@ -239,6 +245,9 @@
 StartTask = _executor_actions.StartTask
 State = _charts.State
 StopTask = _executor_actions.StopTask
+stretch_loss = _heartbeats.stretch_loss
+stretch_suspicion = _heartbeats.stretch_suspicion
+SUSPECT_HEARTBEATS = _heartbeats.SUSPECT_HEARTBEATS
 SystemClock = _clock.SystemClock
 take_task = _placement.take_task
 TargetState = _target_state.TargetState
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -12,6 +12,7 @@
 from cowslipgate_core import _assignment
 from cowslipgate_core import _charts
 from cowslipgate_core import _estimates
+from cowslipgate_core import _heartbeats
 from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
@@ -170,7 +171,7 @@
         self._roster = _roster.Roster(
             self.estimates.get_speed,
             policy.margin,
-            timing.agent_suspect_after,
+            self._get_suspicion,
         )
         self._agents = self._roster.agents
         self._assigner = _assignment.Assigner(
@@ -183,6 +184,11 @@
         """Jobs not yet answered, by id."""
         return self._jobs
 
+    @property
+    def heartbeat(self) -> datetime.timedelta:
+        """Interval of reports that agents should use on idle links."""
+        return _heartbeats.choose_heartbeat(len(self._agents))
+
     @property
     def agents(self) -> dict[str, _roster.AgentRecord]:
         """Known agents by name."""
@@ -290,7 +296,7 @@
             actions.extend(self._apply(attempt, report, now))
         record = self._agents.get(agent)
         if record is not None:
-            record.heard_at = now - self._timing.agent_suspect_after
+            record.heard_at = now - self._get_suspicion(record)
             self._roster.update(record)
         return actions
 
@@ -399,6 +405,8 @@
         job.waiting.remove(assignment.index)
         job.active[attempt.sequence] = attempt
         self._attempts[attempt.sequence] = attempt
+        if not record.outstanding:
+            record.busy_since = now
         record.outstanding.add(attempt.sequence)
         self._assigner.start_attempt(attempt)
         self.counters.dispatched += 1
@@ -527,10 +535,29 @@
             for (agent, incarnation), sequences in by_agent.items()
         ]
 
+    def _get_suspicion(
+        self, record: _roster.AgentRecord
+    ) -> datetime.timedelta:
+        limit = self._timing.agent_suspect_after
+        # Only idle links have long heartbeats.
+        if record.outstanding:
+            return limit
+        return _heartbeats.stretch_suspicion(limit, self.heartbeat)
+
+    def _is_lost(
+        self, record: _roster.AgentRecord, now: datetime.datetime
+    ) -> bool:
+        limit = self._timing.agent_lost_after
+        if not record.outstanding:
+            limit = _heartbeats.stretch_loss(limit, self.heartbeat)
+            return now - record.heard_at > limit
+        since = max(record.heard_at, record.busy_since)
+        return now - since > limit
+
     def _watch_agent(
         self, name: str, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
-        if now - record.heard_at > self._timing.agent_lost_after:
+        if self._is_lost(record, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
         overdue = self._list_silent(record, now, self._timing.inquiry_interval)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -263,6 +263,9 @@
     acknowledged: tuple[int, ...] = ()
     """Attempts whose outcome the entry has received."""
 
+    heartbeat_ms: _Count = 0
+    """Interval of reports on an idle link, or zero for the agent's own."""
+
 
 @attrs.frozen
 class Gossip:
