--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -11,6 +11,7 @@
 from cowslipgate_bench import _capacity_page
 from cowslipgate_bench import _demo
 from cowslipgate_bench import _settings_page
+from cowslipgate_bench import _soak
 from cowslipgate_bench import _table
 from cowslipgate_bench import _target
 
@@ -66,6 +67,12 @@
     _demo.run_demo()
 
 
+@app.command
+def soak(minutes: float = 5.0, seed: int = 1) -> None:
+    """Mix every fault under load and judge what became of it."""
+    _soak.print_soak(minutes, seed)
+
+
 @app.command
 def settings_page() -> None:
     """Write docs/SETTINGS.md from the settings' classes."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_callers.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_callers.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import threading
+import time
 from typing import Any
 
 import attrs
@@ -99,7 +100,13 @@
     def _submit(
         self, port: int, options: JobOptions, tokens: tuple[str, ...]
     ) -> _checker.Submission:
-        submission = self._call(port, options, tokens)
+        began = time.monotonic()
+        submission = attrs.evolve(
+            self._call(port, options, tokens),
+            keyed=bool(options.key),
+            began=began,
+            ended=time.monotonic(),
+        )
         self.record(submission)
         return submission
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_checker.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_checker.py
@@ -25,12 +25,21 @@
     answer: Any = None
     """Decoded body of the answer."""
 
+    keyed: bool = False
+    """Whether another submission may have the same tokens and key."""
+
     gone: bool = False
     """Whether the caller went away by itself."""
 
     entry_died: bool = False
     """Whether the entry that was asked was killed meanwhile."""
 
+    began: float = 0.0
+    """Monotonic time in seconds when the caller connected."""
+
+    ended: float = 0.0
+    """Monotonic time in seconds when the caller knew."""
+
     @property
     def complete(self) -> bool:
         """Whether the caller was told that the job is complete."""
@@ -69,6 +78,9 @@
     unknown_without_start: int = 0
     """Of those, the ones of which nothing ever started."""
 
+    excused: int = 0
+    """Requests without an answer because their entry was killed."""
+
     duplicates: list[str] = attrs.Factory(list)
     """Tokens that started more than once."""
 
@@ -100,19 +112,43 @@
         return {name: items for name, items in broken.items() if items}
 
 
+def excuse(
+    submission: Submission, kills: Iterable[tuple[float, float]]
+) -> Submission:
+    """Excuse a missing answer while an entry was killed or missed.
+
+    :param kills: intervals in monotonic seconds
+    """
+    died = any(
+        submission.began <= until and since <= submission.ended
+        for since, until in kills
+    )
+    if not died:
+        return submission
+    return attrs.evolve(submission, entry_died=True)
+
+
 def judge(
     submissions: Iterable[Submission], journal: Iterable[dict[str, Any]]
 ) -> Verdict:
     """Compare what callers were told with what targets wrote down."""
+    journal = list(journal)
     starts = count_starts(journal)
+    jobs = {
+        line["task"].partition(".")[0]
+        for line in journal
+        if line["event"] == "start"
+    }
     verdict = Verdict(starts=starts.total())
     verdict.duplicates = [t for t, count in starts.items() if count > 1]
     for submission in submissions:
         verdict.jobs += 1
         if submission.status:
             verdict.answers += 1
-            _judge_answer(submission, starts, verdict)
-        elif not (submission.gone or submission.entry_died):
+            _judge_answer(submission, starts, jobs, verdict)
+        elif submission.entry_died:
+            verdict.excused += 1
+        elif not submission.gone:
             verdict.cut.append(submission.tokens)
     return verdict
 
@@ -129,6 +165,7 @@
 def _judge_answer(
     submission: Submission,
     starts: collections.Counter[str],
+    jobs: set[str],
     verdict: Verdict,
 ) -> None:
     started = [token for token in submission.tokens if starts[token]]
@@ -138,7 +175,7 @@
         return
     if submission.started == "none":
         verdict.said_none += 1
-        verdict.false_none.extend(started)
+        verdict.false_none.extend(_find_own(submission, started, jobs))
     if submission.started == "unknown":
         verdict.said_unknown += 1
         verdict.unknown_without_start += not started
@@ -146,6 +183,16 @@
         verdict.false_some.append(submission.tokens)
 
 
+def _find_own(
+    submission: Submission, started: list[str], jobs: set[str]
+) -> list[str]:
+    # Of two submissions with one key the refused one tells of itself alone,
+    # so its own job tells whether anything started for it.
+    if submission.keyed and submission.answer["job"] not in jobs:
+        return []
+    return started
+
+
 def _judge_results(
     submission: Submission, started: list[str], verdict: Verdict
 ) -> None:
