Soak under mixed faults; send adversarial messages over the current links

Not reproduced: one start of a deployment in which three entries and four agents did not find one another in 30 s (0 of 25 further starts).

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
@@ -189,6 +189,27 @@
             cluster.table_link.heal()
         self.set_table_mode("normal")
 
+    def describe(self) -> str:
+        """Return what each entry shows of itself, for failed runs."""
+        lines = []
+        for entry in self.cluster.entries:
+            try:
+                path = "/v1/status"
+                body = self.cluster.call("GET", path, port=entry.port).body
+            except OSError as error:
+                lines.append(f"{entry.name}: {error}")
+                continue
+            members = [member["incarnation"] for member in body["members"]]
+            agents = {
+                agent["agent"]: agent["state"] for agent in body["agents"]
+            }
+            lines.append(
+                f"{entry.name} {body['entry']}: {body['state']}, "
+                f"version {body['configuration_version']}, "
+                f"members {members}, agents {agents}"
+            )
+        return "\n".join(lines)
+
     def settle(self) -> _checker.Verdict:
         """Heal, see that jobs complete again, and judge everything."""
         self.heal()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
@@ -99,12 +99,20 @@
                     _run_round(deployment, chance, ledger)
                     watch.look()
                     ledger.verdict = deployment.judge()
-            ledger.verdict = deployment.settle()
+            ledger.verdict = _settle(deployment)
             watch.look()
             ledger.forced = sum(status != 0 for status in deployment.stops)
     return ledger
 
 
+def _settle(deployment: _deployment.Deployment) -> _checker.Verdict:
+    try:
+        return deployment.settle()
+    except _cluster.ClusterError:
+        print(deployment.describe())
+        raise
+
+
 def _run_round(
     deployment: _deployment.Deployment,
     chance: random.Random,
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_soak.py
@@ -0,0 +1,13 @@
+"""A short run of the mixed faults on a fixed seed."""
+
+import datetime
+
+from cowslipgate_bench import _soak
+
+DURATION = datetime.timedelta(seconds=15)
+SEED = 3
+
+
+def test_short_soak_breaks_no_promise() -> None:
+    ledger = _soak.run_soak(DURATION, SEED)
+    assert not ledger.broken, ledger.describe()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_starts.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_starts.py
@@ -37,8 +37,8 @@
     agent.send_signal(signal.SIGSTOP)
     answer = job.answer.result()
     agent.send_signal(signal.SIGCONT)
-    assert answer.started in ("some", "unknown")
     _expect_kept(deployment)
+    assert answer.started in ("some", "unknown")
 
 
 @pytest.mark.parametrize("direction", [FORWARD, BACKWARD])
@@ -49,8 +49,8 @@
     link.hold(direction, peer="agent-")
     job = deployment.submit(deadline_ms=300, true_ms=(50.0,))
     answer = job.answer.result()
-    assert answer.started == "unknown"
     _expect_kept(deployment)
+    assert answer.started == "unknown"
 
 
 def test_entry_killed_and_reborn_with_outcomes_under_way(
@@ -76,8 +76,9 @@
     deployment.wait_started(job, 4)
     agent.kill()
     deployment.cluster.restart(agent)
-    assert job.answer.result().started in ("some", "unknown")
+    answer = job.answer.result()
     _expect_kept(deployment)
+    assert answer.started in ("some", "unknown")
 
 
 def test_target_connection_reset_after_the_request_left(
@@ -87,8 +88,9 @@
     deployment.wait_started(job, 4)
     for target in deployment.cluster.targets:
         target.link.reset()
-    assert job.answer.result().started in ("some", "unknown")
+    answer = job.answer.result()
     _expect_kept(deployment)
+    assert answer.started in ("some", "unknown")
 
 
 def test_target_that_refuses_connections_loses_no_task(
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload.py
@@ -12,6 +12,7 @@
 WAVE_JOBS = 1_000
 REST_JOBS = 20
 SLOTS = 4
+WAVE_SLOTS = 16
 
 
 @pytest.fixture(scope="module")
@@ -66,7 +67,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     with _deployment.deploy(
-        tmp_path, slots=SLOTS, callers=WAVE_JOBS + REST_JOBS
+        tmp_path, slots=WAVE_SLOTS, callers=WAVE_JOBS + REST_JOBS
     ) as deployment:
         _run_wave(deployment)
 
@@ -104,10 +105,10 @@
     journal = cluster.read_journal()
     started = [line for line in journal if line["token"] in waving]
     # Only what held a slot had started, and nothing did afterwards.
-    assert len(started) <= len(cluster.agents) * SLOTS
+    assert len(started) <= len(cluster.agents) * WAVE_SLOTS
     assert max(line["at"] for line in started) < cancelled_at
     withdrawn = sum(map(cluster.count_withdrawals, cluster.entries))
-    assert withdrawn <= len(cluster.agents) * len(cluster.entries) * 3
+    assert withdrawn <= len(cluster.agents) * len(cluster.entries)
 
 
 def test_target_that_fails_every_task_hurts_few_jobs(
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/network.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/network.py
@@ -62,9 +62,6 @@
     executor: core.Executor
     """The executor."""
 
-    links: dict[int, int]
-    """Connections made to each entry."""
-
     calls: list[core.StartTask] = attrs.Factory(list)
     """Tasks taken whose target has not been called yet."""
 
@@ -111,8 +108,10 @@
         entry = Entry(self.incarnations, ledger)
         if number == len(self.entries):
             self.entries.append(entry)
-        else:
-            self.entries[number] = entry
+            return
+        self.entries[number] = entry
+        for name in self.agents:
+            self.connect(name, number)
 
     def start_agent(self, name: str) -> None:
         """Start an agent with a serving target, anew if there is one."""
@@ -122,8 +121,9 @@
             "print", "http://127.0.0.1:1", SLOTS, 64
         )
         executor.announce(announcement, self.now)
-        links = dict.fromkeys(range(len(self.entries)), 1)
-        self.agents[name] = Agent(name, self.incarnations, executor, links)
+        self.agents[name] = Agent(name, self.incarnations, executor)
+        for number in range(len(self.entries)):
+            self.connect(name, number)
 
     def submit(self, number: int, tasks: int) -> core.Job:
         """Submit a job whose payloads name job and index."""
@@ -149,13 +149,20 @@
             actions = agent.executor.tick(self.now, TARGET_LAPSE)
             self.perform_agent(agent, actions)
 
+    def connect(self, name: str, number: int) -> None:
+        """Make a link from an agent to the entry at an address."""
+        entry = self.entries[number].incarnation
+        self.agents[name].executor.connect(entry)
+        self.report(name, number)
+
     def report(self, name: str, number: int) -> None:
         """Send a heartbeat of an agent."""
         agent = self.agents[name]
+        entry = self.entries[number].incarnation
         report = attrs.evolve(
             builders.build_report(name, agent.incarnation, SLOTS),
-            load=agent.executor.measure_load(self.entries[number].incarnation),
-            link=agent.links[number],
+            load=agent.executor.measure_load(entry),
+            link=agent.executor.get_link(entry),
         )
         self.packets.append(Packet(number, name, False, report))
 
@@ -166,8 +173,7 @@
             for packet in self.packets
             if (packet.agent, packet.entry) != (name, number)
         ]
-        self.agents[name].links[number] += 1
-        self.report(name, number)
+        self.connect(name, number)
 
     def deliver(self, packet: Packet) -> None:
         """Hand a packet to whatever runs at its destination now."""
@@ -216,12 +222,18 @@
         self, number: int, actions: list[core.LedgerAction]
     ) -> None:
         """Turn a ledger's actions into packets and answers."""
-        incarnation = self.entries[number].incarnation
+        entry = self.entries[number]
+        incarnation = entry.incarnation
         for action in actions:
             match action:
                 case core.SendOrders():
+                    record = entry.ledger.agents[action.agent]
                     message = core.Dispatch(
-                        incarnation, action.incarnation, 1, action.orders
+                        incarnation,
+                        action.incarnation,
+                        1,
+                        action.orders,
+                        link=record.report.link,
                     )
                 case core.SendWithdraw():
                     message = core.Withdraw(
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
@@ -22,7 +22,7 @@
 _ENTRY = strategies.integers(0, ENTRIES - 1)
 _AGENT = strategies.sampled_from(AGENTS)
 _INDEX = strategies.integers(0, 10_000)
-_PAUSE = strategies.sampled_from([0.05, 0.6, 1.5, 3.0, 30.0])
+_SECONDS = strategies.sampled_from([0.05, 0.6, 1.5, 3.0, 30.0])
 _OUTCOME = strategies.sampled_from(
     [
         core.Outcome.FINISHED,
@@ -52,6 +52,15 @@
         self.world.submit(number, tasks)
         self.world.assign(number)
 
+    @stateful.rule(number=_ENTRY, tasks=strategies.integers(1, 3))
+    def submit_and_start(self, number: int, tasks: int) -> None:
+        self.world.submit(number, tasks)
+        self.world.assign(number)
+        self._deliver_all()
+        for agent in self.world.agents.values():
+            for start in list(agent.calls):
+                self.world.call_target(agent, start)
+
     @stateful.rule(number=_ENTRY)
     def assign(self, number: int) -> None:
         self.world.assign(number)
@@ -67,6 +76,12 @@
     def deliver_all(self) -> None:
         self._deliver_all()
 
+    @stateful.rule()
+    def deliver_backwards(self) -> None:
+        packets = self.world.packets
+        for _ in range(len(packets)):
+            self.world.deliver(packets.pop())
+
     @stateful.rule(index=_INDEX)
     def repeat(self, index: int) -> None:
         packets = self.world.packets
@@ -132,8 +147,15 @@
             actions = entry.ledger.cancel(job, self.world.now)
             self.world.perform_entry(number, actions)
 
-    @stateful.rule(seconds=_PAUSE)
+    @stateful.rule(seconds=_SECONDS)
     def wait(self, seconds: float) -> None:
+        step = min(seconds, HEAL_STEP.total_seconds())
+        for _ in range(int(seconds / step)):
+            self.world.now += datetime.timedelta(seconds=step)
+            self.world.tick()
+
+    @stateful.rule(seconds=_SECONDS)
+    def pause(self, seconds: float) -> None:
         self.world.now += datetime.timedelta(seconds=seconds)
         self.world.tick()
 
