--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -23,8 +23,10 @@
 HOST = "127.0.0.1"
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+LOG_CHARACTERS = 500
 STOP_SECONDS = 20.0
 OPERATOR_TOKEN = "operator-token"
+_RESERVED: list[socket.socket] = []
 
 
 class ClusterError(core.CowslipgateError):
@@ -112,6 +114,7 @@
         self.entries: list[Node] = []
         self.agents: list[Node] = []
         self.targets: list[Node] = []
+        self.failed_starts = 0
         self.table_port = 0
         self.balancer_port = 0
 
@@ -191,8 +194,27 @@
         return node
 
     def restart(self, node: Node) -> None:
-        """Start an entry or agent again, with the same addresses."""
+        """Start an entry or agent again, with the same addresses.
+
+        While it was down the system may have lent its port to a connection,
+        so a start that fails is repeated, as a supervisor would.
+        """
         node.process = self.run(node.name, list(node.command))
+        wait_until(lambda: self._is_up(node), f"the return of {node.name}")
+
+    def _is_up(self, node: Node) -> bool:
+        if node.process.poll() is not None:
+            self.failed_starts += 1
+            node.process = self.run(node.name, list(node.command))
+        with contextlib.suppress(OSError):
+            socket.create_connection((HOST, node.port)).close()
+            return True
+        return False
+
+    def read_log(self, node: Node) -> str:
+        """Return the last lines that a process wrote."""
+        text = (self._folder / f"{node.name}.log").read_text()
+        return text[-LOG_CHARACTERS:]
 
     def start_target(self, options: _target.TargetOptions) -> Node:
         """Start a target that announces itself to a running agent."""
@@ -338,14 +360,18 @@
 
 
 def choose_ports(count: int) -> list[int]:
-    """Return free loopback ports that the system chose."""
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((HOST, 0))
-            ports.append(sock.getsockname()[1])
+    """Return free loopback ports that the system chose.
+
+    Each stays bound, though nothing listens, so that the system lends it to
+    no outgoing connection; a server with SO_REUSEADDR can still take it.
+    """
+    ports = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((HOST, 0))
+        _RESERVED.append(sock)
+        ports.append(sock.getsockname()[1])
     return ports
 
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
@@ -197,7 +197,8 @@
                 path = "/v1/status"
                 body = self.cluster.call("GET", path, port=entry.port).body
             except OSError as error:
-                lines.append(f"{entry.name}: {error}")
+                log = self.cluster.read_log(entry)
+                lines.append(f"{entry.name}: {error}; {log}")
                 continue
             members = [member["incarnation"] for member in body["members"]]
             agents = {
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
@@ -45,6 +45,9 @@
     reverted: list[tuple[str, int, int]] = attrs.Factory(list)
     """Entry with a version and the lower one that it showed later."""
 
+    failed_starts: int = 0
+    """Restarts that had to be repeated."""
+
     forced: int = 0
     """Planned stops that did not end with status zero."""
 
@@ -75,6 +78,7 @@
             "partial answers": len(verdict.partial),
             "crossed answers": len(verdict.crossed),
             "cut requests": len(verdict.cut),
+            "repeated restarts": self.failed_starts,
             "reverted versions": len(self.reverted),
             "planned stops cut short": self.forced,
         }
@@ -101,6 +105,7 @@
                     ledger.verdict = deployment.judge()
             ledger.verdict = _settle(deployment)
             watch.look()
+            ledger.failed_starts = deployment.cluster.failed_starts
             ledger.forced = sum(status != 0 for status in deployment.stops)
     return ledger
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cluster.py
@@ -1,8 +1,10 @@
 """Tests of the deployment's helpers."""
 
 import http.client
+import socket
 
 from cowslipgate_bench import _cluster
+import pytest
 
 
 def test_waiting_outlasts_a_lost_connection() -> None:
@@ -15,3 +17,12 @@
 
     _cluster.wait_until(check, "an answer")
     assert errors == []
+
+
+def test_chosen_port_is_lent_to_nobody_and_can_be_served() -> None:
+    (port,) = _cluster.choose_ports(1)
+    with socket.socket() as stranger:
+        with pytest.raises(OSError, match="in use"):
+            stranger.bind((_cluster.HOST, port))
+    with socket.create_server((_cluster.HOST, port)):
+        socket.create_connection((_cluster.HOST, port)).close()
