Watch peers by TCP keepalive instead of ZeroMQ's heartbeats

Cause: libzmq aborts the process ('Assertion failed: !_io_error (src/stream_engine_base.cpp:310)') when its heartbeat timer fires after a connection closed whose input was stopped. A planned restart of one entry killed the other entries so. Test: test_entries_outlive_each_others_planned_restarts, red before (42 s, an agent at each entry did not come in 30 s), passes in 15 s. What the heartbeats were for is also done by the leases of agents, entries and peers. test_starts.py and the transport's tests: 56 passed in 31 s.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_stops.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_stops.py
@@ -143,3 +143,15 @@
 def _is_healthy(entry: _cluster.Node) -> bool:
     reply = _cluster.call_http(entry.port, "GET", "/v1/health")
     return reply.status == 200
+
+
+def test_entries_outlive_each_others_planned_restarts(
+    tmp_path: pathlib.Path,
+) -> None:
+    with _deployment.deploy(tmp_path, entries=3, agents=1) as deployment:
+        entries = deployment.cluster.entries
+        for entry in entries:
+            assert _cluster.stop_gracefully(entry.process) == 0
+            deployment.cluster.restart(entry)
+        assert deployment.settle().find_violations() == {}
+        assert [entry.process.poll() for entry in entries] == [None] * 3
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -11,8 +11,9 @@
 
 MAX_MESSAGE_BYTES = 16_777_216
 HIGH_WATER_MARK = 10_000
-HEARTBEAT_MS = 2_000
-HEARTBEAT_TIMEOUT_MS = 6_000
+KEEPALIVE_IDLE_SECONDS = 4
+KEEPALIVE_INTERVAL_SECONDS = 2
+KEEPALIVE_PROBES = 3
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 2_000
 LINGER_MS = 1_000
@@ -188,6 +189,10 @@
     sock.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
     sock.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
     sock.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-    sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    # ZeroMQ's own heartbeats abort the process when the timer fires after a
+    # connection closed whose input was stopped, so TCP watches the peer.
+    sock.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES)
     return sock
