--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -12,6 +12,7 @@
 from cowslipgate_bench import _control_cost
 from cowslipgate_bench import _demo
 from cowslipgate_bench import _settings_page
+from cowslipgate_bench import _soak
 from cowslipgate_bench import _table
 from cowslipgate_bench import _target
 from cowslipgate_bench import _workload
@@ -126,6 +127,12 @@
         _report.write_report(runs, folder)
 
 
+@app.command
+def soak(minutes: float = 5.0, seed: int = 1) -> None:
+    """Mix every fault under load and judge what became of it."""
+    _soak.print_soak(minutes, seed)
+
+
 @app.command
 def settings_page() -> None:
     """Write docs/SETTINGS.md from the settings' classes."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_callers.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_callers.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import threading
+import time
 from typing import Any
 
 import attrs
@@ -48,12 +49,14 @@
 class Callers:
     """Submits jobs on threads; ``submissions`` is what a judge reads."""
 
-    def __init__(self, token: str, name: str = "c") -> None:
+    def __init__(
+        self, token: str, size: int = MAX_CALLERS, name: str = "c"
+    ) -> None:
         self._token = token
         self._name = name
         self._numbers = itertools.count()
         self._lock = threading.Lock()
-        self._pool = concurrent.futures.ThreadPoolExecutor(MAX_CALLERS)
+        self._pool = concurrent.futures.ThreadPoolExecutor(size)
         self.submissions: list[_checker.Submission] = []
 
     def __enter__(self) -> "Callers":
@@ -97,7 +100,13 @@
     def _submit(
         self, port: int, options: JobOptions, tokens: tuple[str, ...]
     ) -> _checker.Submission:
-        submission = self._call(port, options, tokens)
+        began = time.monotonic()
+        submission = attrs.evolve(
+            self._call(port, options, tokens),
+            keyed=bool(options.key),
+            began=began,
+            ended=time.monotonic(),
+        )
         self.record(submission)
         return submission
 
