--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -3,7 +3,10 @@
 Nothing here owns a socket, a thread or a clock.
 """
 
+from cowslipgate_core import _acknowledgements
 from cowslipgate_core import _admission
+from cowslipgate_core import _assignment
+from cowslipgate_core import _backlog
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
@@ -16,31 +19,46 @@
 from cowslipgate_core import _heartbeats
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
+from cowslipgate_core import _late_binding
+from cowslipgate_core import _least_completion
 from cowslipgate_core import _ledger
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
 from cowslipgate_core import _outcomes
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
+from cowslipgate_core import _roster
+from cowslipgate_core import _round_robin
 from cowslipgate_core import _screening
 from cowslipgate_core import _sessions
 from cowslipgate_core import _settings
+from cowslipgate_core import _sizes
 from cowslipgate_core import _slots
 from cowslipgate_core import _target_state
+from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
+from cowslipgate_core import _validity
 from cowslipgate_core import _versions
 
 Acknowledge = _messages.Acknowledge
-AgentRecord = _ledger.AgentRecord
+ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
+Acknowledgements = _acknowledgements.Acknowledgements
+AGEING = _late_binding.AGEING
+AgentRecord = _roster.AgentRecord
 Announcement = _executor_actions.Announcement
 AnswerJob = _ledger.AnswerJob
+Assigner = _assignment.Assigner
 Assignment = _placement.Assignment
 Attempt = _jobs.Attempt
 AttemptKey = _executor_actions.AttemptKey
 AttemptReport = _messages.AttemptReport
 Beat = _messages.Beat
+BELIEF_RUNS = _sizes.BELIEF_RUNS
 Bind = _settings.Bind
+BINS = _sizes.BINS
+BINS_PER_OCTAVE = _sizes.BINS_PER_OCTAVE
 BodyError = _exceptions.BodyError
+BUCKETS_PER_OCTAVE = _sizes.BUCKETS_PER_OCTAVE
 can_run = _placement.can_run
 CancelReply = _messages.CancelReply
 CancelRequest = _messages.CancelRequest
@@ -53,6 +71,10 @@
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
 choose_heartbeat = _heartbeats.choose_heartbeat
+choose_in_turn = _round_robin.choose_in_turn
+choose_late_binding = _late_binding.choose_late_binding
+choose_least_completion = _least_completion.choose_least_completion
+choose_matching = _late_binding.choose_matching
 choose_slots = _quotas.choose_slots
 choose_target = _quotas.choose_target
 Clock = _clock.Clock
@@ -82,6 +104,7 @@
 Executor = _executor.Executor
 ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
+expect_seconds = _least_completion.expect_seconds
 Failure = _jobs.Failure
 FAILURE_MEMORY = _health.FAILURE_MEMORY
 FailureWindow = _health.FailureWindow
@@ -90,53 +113,66 @@
 find_message_fault = _screening.find_message_fault
 find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
-fits_resources = _placement.fits_resources
+fits_resources = _targets.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
+FULL_HISTORY = _sizes.FULL_HISTORY
 Gossip = _messages.Gossip
 HEARTBEAT_BYTES = _heartbeats.HEARTBEAT_BYTES
 HEARTBEAT_BYTES_PER_SECOND = _heartbeats.HEARTBEAT_BYTES_PER_SECOND
+GROWTH_TO_REFRESH = _sizes.GROWTH_TO_REFRESH
 Held = _slots.Held
 HIDDEN = _settings.HIDDEN
+Horizon = _late_binding.Horizon
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
 JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
 Kept = _outcomes.Kept
+KIND_PRIOR_RUNS = _estimates.KIND_PRIOR_RUNS
+KIND_SHRINKAGE = _estimates.KIND_SHRINKAGE
 LAPSE_AFTER = _membership.LAPSE_AFTER
-LateBinding = _placement.LateBinding
-LEARNING_RATE = _estimates.LEARNING_RATE
+LateBinding = _late_binding.LateBinding
 Lease = _quotas.Lease
 LEASE_LAPSES_AFTER = _quotas.LEASE_LAPSES_AFTER
 LeaseWatch = _quotas.LeaseWatch
+LeastCompletion = _least_completion.LeastCompletion
 Ledger = _ledger.Ledger
 LedgerAction = _ledger.LedgerAction
 LedgerCounters = _ledger.LedgerCounters
-LIMITS_VALID_FOR = _quotas.LIMITS_VALID_FOR
+LIMITS_VALID_FOR = _validity.LIMITS_VALID_FOR
+LimitValidity = _validity.LimitValidity
 Load = _messages.Load
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
+LONGEST_BIN = _sizes.LONGEST_BIN
 LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
 LONGEST_RESEND = _outcomes.LONGEST_RESEND
 LOST_HEARTBEATS = _heartbeats.LOST_HEARTBEATS
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
+Matching = _late_binding.Matching
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
-MAX_CORRECTIONS = _estimates.MAX_CORRECTIONS
 MAX_EVICTED = _sessions.MAX_EVICTED
+MAX_HISTORIES = _sizes.MAX_HISTORIES
+MAX_JOBS_TRIED = _late_binding.MAX_JOBS_TRIED
 MAX_KEPT_BYTES = _outcomes.MAX_KEPT_BYTES
+MAX_KIND_SPEEDS = _estimates.MAX_KIND_SPEEDS
+MAX_OFFERS = _admission.MAX_OFFERS
 MAX_PORT = _settings.MAX_PORT
-MAX_RATIO = _estimates.MAX_RATIO
 MAX_REMEMBERED = _sessions.MAX_REMEMBERED
+MAX_RESIDUAL = _estimates.MAX_RESIDUAL
 MAX_SESSIONS = _sessions.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
 MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
+measure_horizon = _late_binding.measure_horizon
 Member = _messages.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
 merge_withdraws = _ledger.merge_withdraws
-MIN_RATIO = _estimates.MIN_RATIO
+MIN_BELIEF = _estimates.MIN_BELIEF
+MIN_STEP = _estimates.MIN_STEP
 name_flag = _settings.name_flag
 name_variable = _settings.name_variable
 OfferBook = _admission.OfferBook
@@ -147,6 +183,7 @@
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
 parse_advertised = _settings.parse_advertised
+OUTAGE_CERTAIN_AFTER = _validity.OUTAGE_CERTAIN_AFTER
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
 parse_chart = _charts.parse_chart
@@ -165,8 +202,12 @@
 parse_traceparent = _traceparents.parse_traceparent
 PAUSE_FRACTION = _executor.PAUSE_FRACTION
 Policy = _placement.Policy
+Pool = _targets.Pool
+PRIOR_RUNS = _estimates.PRIOR_RUNS
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
+rank_job = _late_binding.rank_job
+RANKING_INTERVAL = _roster.RANKING_INTERVAL
 Reason = _messages.Reason
 Refusal = _admission.Refusal
 Report = _messages.Report
@@ -175,7 +216,8 @@
 RESEND_BATCH = _outcomes.RESEND_BATCH
 Resources = _messages.Resources
 Results = _messages.Results
-RoundRobin = _placement.RoundRobin
+Roster = _roster.Roster
+RoundRobin = _round_robin.RoundRobin
 SendOrders = _ledger.SendOrders
 SendReports = _executor_actions.SendReports
 SendWithdraw = _ledger.SendWithdraw
@@ -190,6 +232,9 @@
 Share = _quotas.Share
 share_equally = _quotas.share_equally
 SHORTEST_HEARTBEAT = _heartbeats.SHORTEST_HEARTBEAT
+SHORTEST_BIN = _sizes.SHORTEST_BIN
+SizeEstimate = _sizes.SizeEstimate
+SizeTable = _sizes.SizeTable
 Slots = _slots.Slots
 Started = _jobs.Started
 StartTask = _executor_actions.StartTask
@@ -199,16 +244,20 @@
 stretch_suspicion = _heartbeats.stretch_suspicion
 SUSPECT_HEARTBEATS = _heartbeats.SUSPECT_HEARTBEATS
 SystemClock = _clock.SystemClock
+take_task = _placement.take_task
 TargetState = _target_state.TargetState
-TargetView = _placement.TargetView
+TargetView = _targets.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
 Timing = _ledger.Timing
 Traceparent = _traceparents.Traceparent
+TREND_LIMIT = _estimates.TREND_LIMIT
+TREND_STEP = _estimates.TREND_STEP
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
+UPPER_SHARE = _sizes.UPPER_SHARE
 VersionWatch = _versions.VersionWatch
 VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
-WaitingJob = _placement.WaitingJob
-WaitingTask = _placement.WaitingTask
+WaitingJob = _backlog.WaitingJob
+WaitingTask = _backlog.WaitingTask
 WireError = _exceptions.WireError
 Withdraw = _messages.Withdraw
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -262,6 +262,9 @@
     heartbeat_ms: _Count = 0
     """Interval of reports on an idle link, or zero for the agent's own."""
 
+    acknowledged: tuple[int, ...] = ()
+    """Attempts whose outcome the entry has received."""
+
 
 @attrs.frozen
 class Gossip:
