--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -12,7 +12,6 @@
 from cowslipgate_core import _assignment
 from cowslipgate_core import _charts
 from cowslipgate_core import _estimates
-from cowslipgate_core import _heartbeats
 from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
@@ -190,7 +189,7 @@
     @property
     def heartbeat(self) -> datetime.timedelta:
         """Interval of reports that agents should use on idle links."""
-        return _heartbeats.choose_heartbeat(len(self._agents))
+        return self._roster.heartbeat
 
     @property
     def agents(self) -> dict[str, _roster.AgentRecord]:
@@ -299,7 +298,7 @@
             actions.extend(self._apply(attempt, report, now))
         record = self._agents.get(agent)
         if record is not None:
-            record.heard_at = now - self._get_suspicion(record)
+            record.heard_at = now - self._roster.get_suspicion(record)
             self._roster.update(record)
         return actions
 
@@ -538,29 +537,11 @@
             for (agent, incarnation), sequences in by_agent.items()
         ]
 
-    def _get_suspicion(
-        self, record: _roster.AgentRecord
-    ) -> datetime.timedelta:
-        limit = self._timing.agent_suspect_after
-        # Only idle links have long heartbeats.
-        if record.outstanding:
-            return limit
-        return _heartbeats.stretch_suspicion(limit, self.heartbeat)
-
-    def _is_lost(
-        self, record: _roster.AgentRecord, now: datetime.datetime
-    ) -> bool:
-        limit = self._timing.agent_lost_after
-        if not record.outstanding:
-            limit = _heartbeats.stretch_loss(limit, self.heartbeat)
-            return now - record.heard_at > limit
-        since = max(record.heard_at, record.busy_since)
-        return now - since > limit
-
     def _watch_agent(
         self, name: str, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[LedgerAction]:
-        if self._is_lost(record, now):
+        limit = self._timing.agent_lost_after
+        if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
         overdue = self._list_silent(record, now, self._timing.inquiry_interval)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -260,12 +260,12 @@
     leaving: bool = False
     """Whether the entry is stopping."""
 
-    acknowledged: tuple[int, ...] = ()
-    """Attempts whose outcome the entry has received."""
-
     heartbeat_ms: _Count = 0
     """Interval of reports on an idle link, or zero for the agent's own."""
 
+    acknowledged: tuple[int, ...] = ()
+    """Attempts whose outcome the entry has received."""
+
 
 @attrs.frozen
 class Gossip:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from cowslipgate_core import _heartbeats
 from cowslipgate_core import _messages
 from cowslipgate_core import _targets
 
@@ -56,6 +57,32 @@
         self._ranked_at: dict[str, datetime.datetime] = {}
         self.agents: dict[str, AgentRecord] = {}
 
+    @property
+    def heartbeat(self) -> datetime.timedelta:
+        """Interval of reports that agents should use on idle links."""
+        return _heartbeats.choose_heartbeat(len(self.agents))
+
+    def get_suspicion(self, record: AgentRecord) -> datetime.timedelta:
+        """Return the silence after which an agent gets no new work."""
+        # Only idle links have long heartbeats.
+        if record.outstanding:
+            return self._suspect_after
+        return _heartbeats.stretch_suspicion(
+            self._suspect_after, self.heartbeat
+        )
+
+    def is_lost(
+        self,
+        record: AgentRecord,
+        limit: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> bool:
+        """Tell whether an agent was silent too long."""
+        if record.outstanding:
+            return now - max(record.heard_at, record.busy_since) > limit
+        limit = _heartbeats.stretch_loss(limit, self.heartbeat)
+        return now - record.heard_at > limit
+
     def add(self, record: AgentRecord) -> None:
         """Take in an agent that was not known."""
         self.agents[record.report.agent] = record
@@ -97,14 +124,14 @@
                 record.load.slots,
                 occupied,
                 self._get_speed(report.agent),
-                self._find_limit(record),
+                record.heard_at + self.get_suspicion(record),
             )
             pool.add(view)
             return
         view.resources = report.resources
         view.slots = record.load.slots
         view.occupied = occupied
-        view.usable_until = self._find_limit(record)
+        view.usable_until = record.heard_at + self.get_suspicion(record)
         view.held = record.held
         pool.update(view)
 
