--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PACKAGES := core transport entry agent bench
 BENCH_FLAGS ?=
 
-.PHONY: setup test demo bench settings-page lint format check-format capacity measure-control
+MINUTES := 5
+SEED := 1
+
+.PHONY: setup test demo bench settings-page lint format check-format capacity measure-control soak
 
 setup: $(VENV)/installed
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -173,7 +173,7 @@
         self._roster = _roster.Roster(
             self.estimates.get_speed,
             policy.margin,
-            self._get_suspicion,
+            timing.agent_suspect_after,
         )
         self._agents = self._roster.agents
         self._assigner = _assignment.Assigner(
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -40,19 +40,18 @@
 
     :param get_speed: returns the learned speed of an agent's target
     :param margin: tasks that may queue at a target beyond its slots
-    :param get_suspicion: returns the silence after which an agent gets no
-        new work
+    :param suspect_after: silence after which an agent gets no new work
     """
 
     def __init__(
         self,
         get_speed: Callable[[str], float],
         margin: int,
-        get_suspicion: Callable[[AgentRecord], datetime.timedelta],
+        suspect_after: datetime.timedelta,
     ) -> None:
         self._get_speed = get_speed
         self._margin = margin
-        self._get_suspicion = get_suspicion
+        self._suspect_after = suspect_after
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
         self.agents: dict[str, AgentRecord] = {}
@@ -124,21 +123,21 @@
                 record.load.slots,
                 occupied,
                 self._get_speed(report.agent),
-                record.heard_at + self.get_suspicion(record),
+                self._find_limit(record),
             )
             pool.add(view)
             return
         view.resources = report.resources
         view.slots = record.load.slots
         view.occupied = occupied
-        view.usable_until = record.heard_at + self.get_suspicion(record)
+        view.usable_until = self._find_limit(record)
         view.held = record.held
         pool.update(view)
 
     def _find_limit(self, record: AgentRecord) -> datetime.datetime:
         # An idle agent reports seldom, so silence counts from the dispatch.
         since = max(record.heard_at, record.busy_since or record.heard_at)
-        return since + self._get_suspicion(record)
+        return since + self.get_suspicion(record)
 
     def get_pool(
         self, service: str, now: datetime.datetime
