--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -131,4 +131,13 @@
     _settings_page.write_page()
 
 
+@app.command
+def decision_cost() -> None:
+    """Print the processor time of decisions at 11 and 2,000 targets."""
+    from cowslipgate_bench import _decision_cost
+
+    costs = _decision_cost.measure_costs((11, 2_000))
+    print(_decision_cost.format_costs(costs))
+
+
 app()
