--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
@@ -47,7 +47,9 @@
         )
         transport.apply_curve(zmq.Context.instance(), keys)
     incarnation = core.make_incarnation(clock)
-    executor = core.Executor(incarnation, settings.queue_limit)
+    executor = core.Executor(
+        incarnation, settings.queue_limit, settings.entry_lost_after
+    )
     bind = (settings.bind_target.host, settings.bind_target.port)
     transport.HttpServer(
         bind, _announcements.CHANNEL, clock, transport.ServerLimits()
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from cowslipgate_core import _acknowledgements
+from cowslipgate_core import _admission
 from cowslipgate_core import _backlog
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
@@ -12,6 +13,7 @@
 from cowslipgate_core import _estimates
 from cowslipgate_core import _exceptions
 from cowslipgate_core import _executor
+from cowslipgate_core import _executor_actions
 from cowslipgate_core import _health
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
@@ -20,12 +22,16 @@
 from cowslipgate_core import _ledger
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
+from cowslipgate_core import _outcomes
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
 from cowslipgate_core import _roster
 from cowslipgate_core import _round_robin
 from cowslipgate_core import _screening
+from cowslipgate_core import _sessions
 from cowslipgate_core import _settings
+from cowslipgate_core import _slots
+from cowslipgate_core import _target_state
 from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
 from cowslipgate_core import _versions
@@ -35,11 +41,11 @@
 ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
 Acknowledgements = _acknowledgements.Acknowledgements
 AgentRecord = _roster.AgentRecord
-Announcement = _executor.Announcement
+Announcement = _executor_actions.Announcement
 AnswerJob = _ledger.AnswerJob
 Assignment = _placement.Assignment
 Attempt = _jobs.Attempt
-AttemptKey = _executor.AttemptKey
+AttemptKey = _executor_actions.AttemptKey
 AttemptReport = _messages.AttemptReport
 Beat = _messages.Beat
 Bind = _settings.Bind
@@ -50,6 +56,8 @@
 Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
+check_limits = _admission.check_limits
+check_wait = _admission.check_wait
 CheckedSettings = _settings.CheckedSettings
 choose_assignments = _placement.choose_assignments
 choose_entries = _membership.choose_entries
@@ -66,20 +74,24 @@
 derive_span = _traceparents.derive_span
 derive_traceparent = _traceparents.derive_traceparent
 describe_settings = _settings.describe_settings
+digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
 Dispatch = _messages.Dispatch
 Document = _configuration.Document
+DROPPED_LIFETIME = _executor.DROPPED_LIFETIME
 encode_entry_identity = _screening.encode_entry_identity
 encode_identity = _messages.encode_identity
 encode_message = _messages.encode_message
+ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
 Estimates = _estimates.Estimates
+EVERY_ATTEMPT = _sessions.EVERY_ATTEMPT
 Executor = _executor.Executor
-ExecutorAction = _executor.ExecutorAction
+ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
 Failure = _jobs.Failure
-FAILURES_TO_QUARANTINE = _health.FAILURES_TO_QUARANTINE
+FAILURE_MEMORY = _health.FAILURE_MEMORY
 FailureWindow = _health.FailureWindow
 Fault = _exceptions.Fault
 find_holder = _configuration.find_holder
@@ -89,11 +101,13 @@
 fits_resources = _targets.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 Gossip = _messages.Gossip
+Held = _slots.Held
 HIDDEN = _settings.HIDDEN
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
 JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
+Kept = _outcomes.Kept
 LAPSE_AFTER = _membership.LAPSE_AFTER
 LateBinding = _late_binding.LateBinding
 Lease = _quotas.Lease
@@ -108,26 +122,33 @@
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
 LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
+LONGEST_RESEND = _outcomes.LONGEST_RESEND
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
 Matching = _late_binding.Matching
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
+MAX_EVICTED = _sessions.MAX_EVICTED
+MAX_KEPT_BYTES = _outcomes.MAX_KEPT_BYTES
 MAX_PORT = _settings.MAX_PORT
-MAX_REMEMBERED = _executor.MAX_REMEMBERED
-MAX_SESSIONS = _executor.MAX_SESSIONS
+MAX_REMEMBERED = _sessions.MAX_REMEMBERED
+MAX_SESSIONS = _sessions.MAX_SESSIONS
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
-MAX_UNACKNOWLEDGED = _executor.MAX_UNACKNOWLEDGED
+MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
 Member = _messages.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
 merge_withdraws = _ledger.merge_withdraws
 name_flag = _settings.name_flag
 name_variable = _settings.name_variable
+OfferBook = _admission.OfferBook
+OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
 Operator = _configuration.Operator
 Order = _messages.Order
 Outcome = _messages.Outcome
+OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
+Outcomes = _outcomes.Outcomes
 parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
@@ -145,33 +166,40 @@
 parse_positive = _settings.parse_positive
 parse_text = _settings.parse_text
 parse_traceparent = _traceparents.parse_traceparent
+PAUSE_FRACTION = _executor.PAUSE_FRACTION
 Policy = _placement.Policy
 Pool = _targets.Pool
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 Reason = _messages.Reason
+Refusal = _admission.Refusal
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
-RESEND_AFTER = _executor.RESEND_AFTER
+RESEND_AFTER = _outcomes.RESEND_AFTER
+RESEND_BATCH = _outcomes.RESEND_BATCH
 Resources = _messages.Resources
 Results = _messages.Results
 RoundRobin = _round_robin.RoundRobin
 SendOrders = _ledger.SendOrders
-SendReports = _executor.SendReports
+SendReports = _executor_actions.SendReports
 SendWithdraw = _ledger.SendWithdraw
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
+Session = _sessions.Session
+Sessions = _sessions.Sessions
 setting = _settings.setting
 SettingDescription = _settings.SettingDescription
 SettingFault = _exceptions.SettingFault
 SettingsError = _exceptions.SettingsError
 Share = _quotas.Share
 share_equally = _quotas.share_equally
+Slots = _slots.Slots
 Started = _jobs.Started
-StartTask = _executor.StartTask
+StartTask = _executor_actions.StartTask
 State = _charts.State
-StopTask = _executor.StopTask
+StopTask = _executor_actions.StopTask
 SystemClock = _clock.SystemClock
+TargetState = _target_state.TargetState
 TargetView = _targets.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
@@ -180,6 +208,7 @@
 tune_policy = _weights.tune_policy
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 VersionWatch = _versions.VersionWatch
+VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
 WaitingJob = _backlog.WaitingJob
 WaitingTask = _backlog.WaitingTask
 WireError = _exceptions.WireError
--- a/packages/cowslipgate-core/src/cowslipgate_core/_acknowledgements.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_acknowledgements.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-ACKNOWLEDGE_WITHIN = datetime.timedelta(seconds=1)
+ACKNOWLEDGE_WITHIN = datetime.timedelta(milliseconds=700)
 
 
 @attrs.define
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -18,7 +18,6 @@
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _roster
-from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
 
 
@@ -228,26 +227,6 @@
         self._jobs[job.id] = job
         self._assigner.add_job(job)
 
-    def find_infeasible(self, job: _jobs.Job) -> int | None:
-        """Return the index of a task that no known target can run.
-
-        None is returned while no target of the service is known: then nothing
-        is proved.
-        """
-        offers = [
-            record.report.resources
-            for record in self._agents.values()
-            if record.report.service == job.service
-        ]
-        if not offers:
-            return None
-        for index, task in enumerate(job.request.tasks):
-            if not any(
-                _targets.fits_resources(offer, task.needs) for offer in offers
-            ):
-                return index
-        return None
-
     def hear_report(
         self, report: _messages.Report, now: datetime.datetime
     ) -> list[LedgerAction]:
@@ -611,7 +590,6 @@
     (
         _messages.Reason.BUSY,
         _messages.Reason.NOT_SERVING,
-        _messages.Reason.STALE_CONFIGURATION,
     )
 )
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -1,5 +1,6 @@
 """The component that owns the ledger: jobs, attempts, view of agents."""
 
+import collections
 import datetime
 import functools
 import itertools
@@ -15,6 +16,25 @@
 
 CHANNEL = "dispatcher"
 AGENTS_CHANNEL = "internal"
+MAX_ENDED = 10_000
+
+
+@attrs.define(eq=False)
+class _Wave:
+    """A cancellation whose jobs are being settled."""
+
+    cancellation: _requests.Cancellation
+    """What was asked for."""
+
+    pending: set[str]
+    """Jobs that are not answered yet."""
+
+    size: int = attrs.field()
+    """Number of jobs at the beginning."""
+
+    @size.default
+    def _count_jobs(self) -> int:
+        return len(self.pending)
 
 
 class Dispatcher(circuits.BaseComponent):
@@ -39,6 +59,12 @@
         self._assigning = False
         self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
+        self._waves: list[_Wave] = []
+        self._offers = core.OfferBook()
+        self._work: dict[str, float] = {}
+        self._ended: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
 
     @property
     def state(self) -> str:
@@ -78,8 +104,10 @@
         job = self._make_job(submission)
         refusal = self._find_refusal(job)
         if refusal is not None:
-            failure, message = refusal
-            answer = core.JobAnswer(job.id, failure=failure, message=message)
+            self._work.pop(job.id, None)
+            answer = core.JobAnswer(
+                job.id, failure=refusal.failure, message=refusal.message
+            )
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
         self.fire(_events.job_accepted(submission, job), "gateway")
@@ -87,7 +115,7 @@
             self._ledger.submit(job)
             self._schedule()
             return
-        key = core.digest_token(f"{submission.team}:{submission.key}")
+        key = core.digest_claim(submission.team, submission.key)
         claim = _requests.Claim(key, secrets.token_hex(8), job)
         self._claims[job.id] = claim
         self.fire(_events.claim_job(claim), "claims")
@@ -106,33 +134,41 @@
             self._ledger.submit(job)
             self._schedule()
             return
-        failure = core.Failure.STORE_UNAVAILABLE
-        message = "the claim could not be stored; send it again later"
         if outcome is _requests.ClaimOutcome.TAKEN:
-            failure = core.Failure.ALREADY_CLAIMED
-            message = f"the key was used before, by job {known}"
-        answer = core.JobAnswer(job.id, failure=failure, message=message)
-        self.fire(_events.job_answered(job, answer), "gateway")
+            answer = self._answer_taken(job, known)
+        else:
+            answer = core.JobAnswer(
+                job.id,
+                failure=core.Failure.STORE_UNAVAILABLE,
+                message="the claim was not confirmed; send it again later",
+            )
+        self._end_job(job, answer)
 
     @circuits.handler("abandon_job")
     def _on_abandon_job(self, job_id: str) -> None:
         job = self._ledger.jobs.get(job_id)
         if job is not None:
             self._perform(self._ledger.cancel(job, self._clock.now()))
+        elif job_id in self._claims:
+            self._drop_claims([job_id], core.Failure.CANCELLED)
 
     @circuits.handler("cancel_jobs")
     def _on_cancel_jobs(self, cancellation: _requests.Cancellation) -> None:
-        now = self._clock.now()
         jobs = [
             job
             for job in self._ledger.jobs.values()
             if _matches(cancellation, job)
         ]
-        actions = self._ledger.cancel_all(jobs, now)
-        self._perform(actions)
-        self.fire(
-            _events.jobs_cancelled(cancellation, len(jobs)), "cancellations"
-        )
+        claimed = [
+            claim.job.id
+            for claim in self._claims.values()
+            if _matches(cancellation, claim.job)
+        ]
+        wave = _Wave(cancellation, {job.id for job in jobs} | set(claimed))
+        self._waves.append(wave)
+        self._drop_claims(claimed, core.Failure.CANCELLED)
+        self._perform(self._ledger.cancel_all(jobs, self._clock.now()))
+        self._answer_waves()
 
     @circuits.handler("message_received", channel=AGENTS_CHANNEL)
     def _on_message_received(self, identity: bytes, message: object) -> None:
@@ -153,6 +189,10 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         self._perform(self._ledger.tick(now))
+        late = [
+            c.job.id for c in self._claims.values() if c.job.deadline <= now
+        ]
+        self._drop_claims(late, core.Failure.DEADLINE)
         self._acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
         if self._machine.state == "draining" and not (
@@ -187,6 +227,8 @@
 
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in an agent's heartbeat and answer it."""
+        if report.service:
+            self._offers.note(report.service, report.resources, now)
         self._perform(self._ledger.hear_report(report, now))
         self._hear_version(report.configuration_version)
         current = core.digest_members(self._members)
@@ -248,35 +290,75 @@
             traceparent=submission.traceparent,
         )
 
-    def _find_refusal(self, job: core.Job) -> tuple[core.Failure, str] | None:
+    def _find_refusal(self, job: core.Job) -> core.Refusal | None:
         if self._machine.get_attribute("accepts") != "yes":
-            if self._configuration is None:
-                return (
-                    core.Failure.NO_CONFIGURATION,
-                    "no configuration has been read yet; try again",
-                )
-            return core.Failure.STOPPING, "the entry is stopping; try again"
-        service = self._configuration.document.services.get(job.service)
+            return self._refuse_closed()
+        services = self._configuration.document.services
+        service = services.get(job.service)
         if service is None:
-            return (
+            return core.Refusal(
                 core.Failure.UNKNOWN_SERVICE,
                 f"there is no service {job.service!r}",
             )
-        if len(job.request.tasks) > service.max_tasks:
-            return (
-                core.Failure.TOO_LARGE,
-                f"a job may have {service.max_tasks} tasks",
+        waiting = self._ledger.count_waiting(job.service)
+        return (
+            core.check_limits(service, len(job.request.tasks), waiting)
+            or self._find_infeasible(job)
+            or self._check_wait(job)
+        )
+
+    def _refuse_closed(self) -> core.Refusal:
+        if self._configuration is None:
+            return core.Refusal(
+                core.Failure.NO_CONFIGURATION,
+                "no configuration has been read yet; try again",
             )
-        index = self._ledger.find_infeasible(job)
-        if index is not None:
-            return (
-                core.Failure.INFEASIBLE,
-                f"no target has what $.tasks[{index}].needs asks for",
+        return core.Refusal(
+            core.Failure.STOPPING, "the entry is stopping; try again"
+        )
+
+    def _find_infeasible(self, job: core.Job) -> core.Refusal | None:
+        index = self._offers.find_infeasible(
+            job.service, job.request, job.submitted_at
+        )
+        if index is None:
+            return None
+        return core.Refusal(
+            core.Failure.INFEASIBLE,
+            f"no target has what $.tasks[{index}].needs asks for",
+        )
+
+    def _check_wait(self, job: core.Job) -> core.Refusal | None:
+        own = self._estimate_work(job)
+        ahead = [
+            self._estimate_work(other)
+            for other in self._ledger.jobs.values()
+            if other.service == job.service and other.waiting
+        ]
+        shorter = sum(work for work in ahead if work <= own)
+        capacity = self._measure_capacity(job.service) if shorter else 0.0
+        return core.check_wait(
+            shorter, capacity, job.deadline - job.submitted_at
+        )
+
+    def _estimate_work(self, job: core.Job) -> float:
+        if job.id not in self._work:
+            self._work[job.id] = sum(
+                self._ledger.estimates.estimate_size(
+                    job.team, task.kind, task.size_ms
+                ).mean_seconds
+                for task in job.request.tasks
             )
-        waiting = self._ledger.count_waiting(job.service)
-        if waiting + len(job.request.tasks) > service.max_backlog:
-            return core.Failure.OVERLOADED, "too many tasks wait; try later"
-        return None
+        tasks = len(job.request.tasks)
+        left = tasks - len(job.results)
+        return self._work[job.id] * left / tasks
+
+    def _measure_capacity(self, service: str) -> float:
+        return sum(
+            record.load.slots * self._ledger.estimates.get_speed(name)
+            for name, record in self._ledger.agents.items()
+            if record.report.service == service
+        )
 
     def _get_quotas(self) -> dict[str, int]:
         teams = self._configuration.document.teams
@@ -320,10 +402,45 @@
                     self._ledger.counters.note_withdraw(action.stop)
                     self._send_to(action.agent, action.incarnation, message)
                 case core.AnswerJob():
-                    self.fire(
-                        _events.job_answered(action.job, action.answer),
-                        "gateway",
-                    )
+                    self._end_job(action.job, action.answer)
+
+    def _drop_claims(self, job_ids: list[str], failure: core.Failure) -> None:
+        # The claim may still be stored, but then it finds no job to run.
+        for job_id in job_ids:
+            job = self._claims.pop(job_id).job
+            message = "the job ended before its claim was stored"
+            answer = core.JobAnswer(job_id, failure=failure, message=message)
+            self._end_job(job, answer)
+
+    def _answer_taken(self, job: core.Job, known: str) -> core.JobAnswer:
+        status = self._ended.get(known, "unknown")
+        if known in self._ledger.jobs or known in self._claims:
+            status = "running"
+        return core.JobAnswer(
+            job.id,
+            failure=core.Failure.ALREADY_CLAIMED,
+            message=f"the key was used before, by job {known}",
+            claimed_by=known,
+            claimed_status=status,
+        )
+
+    def _end_job(self, job: core.Job, answer: core.JobAnswer) -> None:
+        self._work.pop(job.id, None)
+        self.fire(_events.job_answered(job, answer), "gateway")
+        if not job.request.repeatable:
+            failed = answer.failure is not None
+            self._ended[job.id] = "failed" if failed else "complete"
+            if len(self._ended) > MAX_ENDED:
+                self._ended.popitem(last=False)
+        for wave in self._waves:
+            wave.pending.discard(job.id)
+        self._answer_waves()
+
+    def _answer_waves(self) -> None:
+        for wave in [wave for wave in self._waves if not wave.pending]:
+            self._waves.remove(wave)
+            event = _events.jobs_cancelled(wave.cancellation, wave.size)
+            self.fire(event, "cancellations")
 
     def _dispatch(self, action: core.SendOrders) -> None:
         message = core.Dispatch(
@@ -332,10 +449,15 @@
             self._get_version(),
             action.orders,
             self._acknowledgements.take(action.agent),
+            self._get_link(action.agent),
         )
         self._ledger.counters.dispatches += 1
         self._send_to(action.agent, action.incarnation, message)
 
+    def _get_link(self, agent: str) -> int:
+        record = self._ledger.agents.get(agent)
+        return record.report.link if record is not None else 0
+
     def _send(self, agent: str, message: object) -> None:
         record = self._ledger.agents.get(agent)
         if record is not None:
