--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -145,4 +145,13 @@
     _control_cost.run_measurement()
 
 
+@app.command
+def decision_cost() -> None:
+    """Print the processor time of decisions at 11 and 2,000 targets."""
+    from cowslipgate_bench import _decision_cost
+
+    costs = _decision_cost.measure_costs((11, 2_000))
+    print(_decision_cost.format_costs(costs))
+
+
 app()
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -40,6 +40,7 @@
 from cowslipgate_core import _traceparents
 from cowslipgate_core import _validity
 from cowslipgate_core import _versions
+from cowslipgate_core import _weights
 
 Acknowledge = _messages.Acknowledge
 ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
@@ -61,6 +62,7 @@
 BodyError = _exceptions.BodyError
 BUCKETS_PER_OCTAVE = _sizes.BUCKETS_PER_OCTAVE
 can_run = _placement.can_run
+can_spare = _late_binding.can_spare
 CancelReply = _messages.CancelReply
 CancelRequest = _messages.CancelRequest
 Candidates = _membership.Candidates
@@ -118,9 +120,9 @@
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 FULL_HISTORY = _sizes.FULL_HISTORY
 Gossip = _messages.Gossip
+GROWTH_TO_REFRESH = _sizes.GROWTH_TO_REFRESH
 HEARTBEAT_BYTES = _heartbeats.HEARTBEAT_BYTES
 HEARTBEAT_BYTES_PER_SECOND = _heartbeats.HEARTBEAT_BYTES_PER_SECOND
-GROWTH_TO_REFRESH = _sizes.GROWTH_TO_REFRESH
 Held = _slots.Held
 HIDDEN = _settings.HIDDEN
 Horizon = _late_binding.Horizon
@@ -146,6 +148,7 @@
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
 LONGEST_BIN = _sizes.LONGEST_BIN
+LONGEST_PATIENCE = _weights.LONGEST_PATIENCE
 LONGEST_QUARANTINE = _health.LONGEST_QUARANTINE
 LONGEST_RESEND = _outcomes.LONGEST_RESEND
 LOST_HEARTBEATS = _heartbeats.LOST_HEARTBEATS
@@ -234,7 +237,6 @@
 SettingsError = _exceptions.SettingsError
 Share = _quotas.Share
 share_equally = _quotas.share_equally
-SHORTEST_HEARTBEAT = _heartbeats.SHORTEST_HEARTBEAT
 SHORTEST_BIN = _sizes.SHORTEST_BIN
 SHORTEST_HEARTBEAT = _heartbeats.SHORTEST_HEARTBEAT
 SizeEstimate = _sizes.SizeEstimate
@@ -259,6 +261,7 @@
 Traceparent = _traceparents.Traceparent
 TREND_LIMIT = _estimates.TREND_LIMIT
 TREND_STEP = _estimates.TREND_STEP
+tune_policy = _weights.tune_policy
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 UPPER_SHARE = _sizes.UPPER_SHARE
 VersionWatch = _versions.VersionWatch
