Refuse a waiting job once it is proved infeasible

Cause: 422 is said only when targets have been heard for 15 s, and a job that came before was never looked at again: it waited for its deadline, ten minutes in the test. Also test_job_that_proves_infeasible_while_it_waits_is_refused.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -112,6 +112,7 @@
 FAILURE_MEMORY = _health.FAILURE_MEMORY
 FailureWindow = _health.FailureWindow
 Fault = _exceptions.Fault
+FeasibilityWatch = _admission.FeasibilityWatch
 find_holder = _configuration.find_holder
 find_message_fault = _screening.find_message_fault
 find_quotas = _quotas.find_quotas
--- a/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
@@ -66,7 +66,7 @@
         None is returned while nothing is proved.
         """
         offers = self._get_offers(service, now)
-        if not offers or not self._is_settled(now):
+        if not offers or not self.is_settled(now):
             return None
         for index, task in enumerate(request.tasks):
             if not any(
@@ -75,9 +75,11 @@
                 return index
         return None
 
-    def _is_settled(self, now: datetime.datetime) -> bool:
-        full = len(self._seen) >= MAX_OFFERS
-        return not full and now - self._since >= VIEW_SETTLES_AFTER
+    def is_settled(self, now: datetime.datetime) -> bool:
+        """Tell whether what is missing here proves anything."""
+        if self._since is None or len(self._seen) >= MAX_OFFERS:
+            return False
+        return now - self._since >= VIEW_SETTLES_AFTER
 
     def _get_offers(
         self, service: str, now: datetime.datetime
@@ -96,6 +98,32 @@
         }
 
 
+@attrs.define
+class FeasibilityWatch:
+    """Jobs that were taken before anything was proved of the targets."""
+
+    _waiting: dict[str, _jobs.Job] = attrs.Factory(dict)
+    """Those jobs by id."""
+
+    def add(self, job: _jobs.Job) -> None:
+        """Take in a job that is not known to be infeasible."""
+        self._waiting[job.id] = job
+
+    def take_infeasible(
+        self, book: OfferBook, now: datetime.datetime
+    ) -> list[tuple[_jobs.Job, int]]:
+        """Return the jobs now proved infeasible, each with a task's index."""
+        if not self._waiting or not book.is_settled(now):
+            return []
+        found = []
+        for job in self._waiting.values():
+            index = book.find_infeasible(job.service, job.request, now)
+            if index is not None:
+                found.append((job, index))
+        self._waiting.clear()
+        return found
+
+
 def check_limits(
     service: _configuration.Service, tasks: int, waiting: int
 ) -> Refusal | None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -192,6 +192,9 @@
     message: str = ""
     """What the caller is told of the failure."""
 
+    path: str = ""
+    """Path of the offending value in the job, or empty."""
+
     settle_by: datetime.datetime | None = None
     """When a failed job is answered whatever its attempts' states."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -522,7 +522,9 @@
         job.machine.fire("settle")
         self.counters.failed += 1
         del self._jobs[job.id]
-        answer = _jobs.JobAnswer(job.id, (), job.failure, started, job.message)
+        answer = _jobs.JobAnswer(
+            job.id, (), job.failure, started, job.message, job.path
+        )
         return [AnswerJob(job, answer)]
 
     def _withdraw(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -61,6 +61,7 @@
         self._claims: dict[str, _requests.Claim] = {}
         self._waves: list[_Wave] = []
         self._offers = core.OfferBook()
+        self._unproved = core.FeasibilityWatch()
         self._work: dict[str, float] = {}
         self._ended: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
@@ -114,6 +115,8 @@
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
         self.fire(_events.job_accepted(submission, job), "gateway")
+        if not self._offers.is_settled(job.submitted_at):
+            self._unproved.add(job)
         if submission.request.repeatable:
             self._ledger.submit(job)
             self._schedule()
@@ -192,6 +195,7 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         self._perform(self._ledger.tick(now))
+        self._fail_infeasible(now)
         late = [
             c.job.id for c in self._claims.values() if c.job.deadline <= now
         ]
@@ -326,11 +330,17 @@
         )
         if index is None:
             return None
-        return core.Refusal(
-            core.Failure.INFEASIBLE,
-            "no target has what the task needs",
-            f"$.tasks[{index}].needs",
-        )
+        return _refuse_infeasible(index)
+
+    def _fail_infeasible(self, now: datetime.datetime) -> None:
+        for job, index in self._unproved.take_infeasible(self._offers, now):
+            if job.id not in self._ledger.jobs:
+                continue
+            refusal = _refuse_infeasible(index)
+            job.path = refusal.path
+            self._perform(
+                self._ledger.fail(job, refusal.failure, refusal.message, now)
+            )
 
     def _check_wait(self, job: core.Job) -> core.Refusal | None:
         own = self._estimate_work(job)
@@ -475,6 +485,14 @@
         self.fire(transport.send_message(identity, message), AGENTS_CHANNEL)
 
 
+def _refuse_infeasible(index: int) -> core.Refusal:
+    return core.Refusal(
+        core.Failure.INFEASIBLE,
+        "no target has what the task needs",
+        f"$.tasks[{index}].needs",
+    )
+
+
 def _matches(cancellation: _requests.Cancellation, job: core.Job) -> bool:
     if job.team != cancellation.team:
         return False
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/builders.py
@@ -55,9 +55,12 @@
         """Deliver a message of an agent."""
         self.tell(transport.message_received(b"", message), "internal")
 
-    def submit(self, tasks: int = 1) -> None:
+    def submit(
+        self, tasks: int = 1, needs: core.Resources = core.Resources()
+    ) -> None:
         """Submit a job of small tasks."""
-        request = core.JobRequest((core.TaskRequest(),) * tasks)
+        task = core.TaskRequest(needs=needs)
+        request = core.JobRequest((task,) * tasks)
         submission = _requests.Submission(
             None, "hall", "print", request, "", ""
         )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
@@ -6,6 +6,7 @@
 
 from cowslipgate_entry import _events
 from cowslipgate_entry.tests import builders
+from cowslipgate_entry.tests import control_builders
 
 SECOND = datetime.timedelta(seconds=1)
 
@@ -34,3 +35,20 @@
     bench.tell(_events.tick())
     (message,) = bench.outbox.take(core.Acknowledge)
     assert message.attempts == (1,)
+
+
+def test_job_that_proves_infeasible_while_it_waits_is_refused() -> None:
+    bench = builders.DispatcherBench()
+    gateway = control_builders.Recorder("gateway").register(bench.root)
+    bench.hear(builders.build_report())
+    bench.submit(needs=core.Resources(memory_mb=999_999))
+    bench.tell(_events.tick())
+    assert gateway.take("job_answered") == []
+    bench.clock.advance(core.VIEW_SETTLES_AFTER)
+    bench.tell(_events.tick())
+    ((_, answer),) = gateway.take("job_answered")
+    assert (answer.failure, answer.started, answer.path) == (
+        core.Failure.INFEASIBLE,
+        core.Started.NONE,
+        "$.tasks[0].needs",
+    )
