Let the target's stand-in answer before it sleeps

Cause: a task of 100 ms took 481 ms through an idle deployment (median of 60). The stand-in fired its answers while its event loop was about to sleep, and did not tell the loop that there is work; the answer left with the next event.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_target.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_target.py
@@ -122,13 +122,17 @@
     @circuits.handler("generate_events", channel="*")
     def _on_generate_events(self, event: circuits.Event) -> None:
         now = self._clock.now()
-        self._end_due(now)
+        if self._end_due(now):
+            # The answers just fired must not wait for the next event.
+            event.reduce_time_left(0)
         if self._ends:
             left = self._ends[0][0] - now
             event.reduce_time_left(left.total_seconds())
 
-    def _end_due(self, now: datetime.datetime) -> None:
+    def _end_due(self, now: datetime.datetime) -> bool:
+        ended = False
         while self._ends and self._ends[0][0] <= now:
+            ended = True
             task = heapq.heappop(self._ends)[2]
             exchange = self._running.pop(task, None)
             if exchange is not None:
@@ -136,6 +140,7 @@
                 payload = msgspec.json.decode(exchange.body)
                 body = json.dumps({"task": task, "echo": payload}).encode()
                 self._answer(exchange, task, HTTP_OK, body)
+        return ended
 
     @circuits.handler("announce")
     def _on_announce(self) -> None:
