--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -316,6 +316,18 @@
         reply = self.call("GET", "/v1/status", port=entry.port)
         return sorted(agent["agent"] for agent in reply.body["agents"])
 
+    def read_links(self, entry: Node) -> dict[str, int]:
+        """Return the number of the link to each agent that an entry knows."""
+        reply = self.call("GET", "/v1/status", port=entry.port)
+        return {
+            agent["agent"]: agent["link"] for agent in reply.body["agents"]
+        }
+
+    def list_members(self, entry: Node) -> list[int]:
+        """Return the incarnations of the entries that an entry knows."""
+        reply = self.call("GET", "/v1/status", port=entry.port)
+        return [member["incarnation"] for member in reply.body["members"]]
+
     def _count_serving(self, port: int) -> int:
         try:
             reply = self.call("GET", "/v1/status", port=port)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_acknowledgements.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_acknowledgements.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-ACKNOWLEDGE_WITHIN = datetime.timedelta(milliseconds=700)
+ACKNOWLEDGE_WITHIN = datetime.timedelta(milliseconds=1200)
 
 
 @attrs.define
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -102,9 +102,6 @@
     inquiries: int = 0
     """Attempts that an agent was asked about."""
 
-    withdrawals: int = 0
-    """Messages that withdrew attempts of failed jobs."""
-
     complete: int = 0
     """Jobs complete."""
 
@@ -124,7 +121,7 @@
     """Other messages of outcomes that carried no result."""
 
     withdrawals: int = 0
-    """Messages that withdrew attempts."""
+    """Messages that withdrew attempts of failed jobs."""
 
     inquiry_messages: int = 0
     """Messages that asked about attempts."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_outcomes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_outcomes.py
@@ -11,7 +11,7 @@
 MAX_KEPT_BYTES = 8_388_608
 MAX_UNACKNOWLEDGED = 10_000
 OUTCOME_LIFETIME = datetime.timedelta(seconds=60)
-RESEND_AFTER = datetime.timedelta(seconds=1)
+RESEND_AFTER = datetime.timedelta(milliseconds=1800)
 RESEND_BATCH = 256
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -408,7 +408,6 @@
                 case core.SendOrders():
                     self._dispatch(action)
                 case core.SendWithdraw():
-                    self._ledger.counters.withdrawals += action.stop
                     message = core.Withdraw(
                         self._member.incarnation,
                         action.incarnation,
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -18,7 +18,7 @@
 from cowslipgate_transport import _http_pool
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=3)
-MAX_ANSWER_BYTES = 4_194_304
+MAX_ANSWER_BYTES = core.MAX_RESULT_BYTES + 65_536
 READ_SIZE = 65_536
 RESPONSE_PARSER = 1
 TICK_SECONDS = 0.1
