--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
@@ -0,0 +1,99 @@
+"""What an entry knows when it decides whether a job may enter."""
+
+import datetime
+
+import cowslipgate_core as core
+
+
+class Admission:
+    """Offers of targets and the work that was taken."""
+
+    def __init__(self, ledger: core.Ledger) -> None:
+        self._ledger = ledger
+        self._offers = core.OfferBook()
+        self._unproved = core.FeasibilityWatch()
+        self._work: dict[str, float] = {}
+
+    def note_report(self, report: core.Report, now: datetime.datetime) -> None:
+        """Take in what an agent's target offers."""
+        if report.service:
+            self._offers.note(report.service, report.resources, now)
+
+    def find_refusal(
+        self, job: core.Job, services: dict[str, core.Service]
+    ) -> core.Refusal | None:
+        """Return why a job is not taken, or None."""
+        service = services.get(job.service)
+        if service is None:
+            return core.Refusal(
+                core.Failure.UNKNOWN_SERVICE,
+                f"there is no service {job.service!r}",
+            )
+        waiting = self._ledger.count_waiting(job.service)
+        return (
+            core.check_limits(service, len(job.request.tasks), waiting)
+            or self._find_infeasible(job)
+            or self._check_wait(job)
+        )
+
+    def add_job(self, job: core.Job) -> None:
+        """Take in that a job was taken."""
+        if not self._offers.is_settled(job.submitted_at):
+            self._unproved.add(job)
+
+    def forget_job(self, job: core.Job) -> None:
+        """Take in that a job was answered or refused."""
+        self._work.pop(job.id, None)
+
+    def take_infeasible(
+        self, now: datetime.datetime
+    ) -> list[tuple[core.Job, core.Refusal]]:
+        """Return the jobs taken that are now proved infeasible."""
+        found = self._unproved.take_infeasible(self._offers, now)
+        return [(job, _refuse_infeasible(index)) for job, index in found]
+
+    def _find_infeasible(self, job: core.Job) -> core.Refusal | None:
+        index = self._offers.find_infeasible(
+            job.service, job.request, job.submitted_at
+        )
+        return None if index is None else _refuse_infeasible(index)
+
+    def _check_wait(self, job: core.Job) -> core.Refusal | None:
+        own = self._estimate_work(job)
+        ahead = [
+            self._estimate_work(other)
+            for other in self._ledger.jobs.values()
+            if other.service == job.service and other.waiting
+        ]
+        shorter = sum(work for work in ahead if work <= own)
+        capacity = self._measure_capacity(job.service) if shorter else 0.0
+        return core.check_wait(
+            shorter, capacity, job.deadline - job.submitted_at
+        )
+
+    def _estimate_work(self, job: core.Job) -> float:
+        if job.id not in self._work:
+            self._work[job.id] = sum(
+                self._ledger.estimates.estimate_size(
+                    job.team, task.kind, task.size_ms
+                ).mean_seconds
+                for task in job.request.tasks
+            )
+        tasks = len(job.request.tasks)
+        left = tasks - len(job.results)
+        return self._work[job.id] * left / tasks
+
+    def _measure_capacity(self, service: str) -> float:
+        return sum(
+            record.load.slots * self._ledger.estimates.get_speed(name)
+            for name, record in self._ledger.agents.items()
+            if record.report.service == service
+        )
+
+
+def _refuse_infeasible(index: int) -> core.Refusal:
+    return core.Refusal(
+        core.Failure.INFEASIBLE,
+        "no target has what the task needs",
+        f"$.tasks[{index}].needs",
+    )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -10,8 +10,10 @@
 import circuits
 
 import cowslipgate_core as core
+from cowslipgate_entry import _admission
 from cowslipgate_entry import _events
 from cowslipgate_entry import _requests
+from cowslipgate_entry import _waves
 import cowslipgate_transport as transport
 
 CHANNEL = "dispatcher"
@@ -19,24 +21,6 @@
 MAX_ENDED = 10_000
 
 
-@attrs.define(eq=False)
-class _Wave:
-    """A cancellation whose jobs are being settled."""
-
-    cancellation: _requests.Cancellation
-    """What was asked for."""
-
-    pending: set[str]
-    """Jobs that are not answered yet."""
-
-    size: int = attrs.field()
-    """Number of jobs at the beginning."""
-
-    @size.default
-    def _count_jobs(self) -> int:
-        return len(self.pending)
-
-
 class Dispatcher(circuits.BaseComponent):
     """Takes jobs, sends their tasks to agents and answers."""
 
@@ -59,10 +43,8 @@
         self._assigning = False
         self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
-        self._waves: list[_Wave] = []
-        self._offers = core.OfferBook()
-        self._unproved = core.FeasibilityWatch()
-        self._work: dict[str, float] = {}
+        self._waves = _waves.Waves()
+        self._admission = _admission.Admission(ledger)
         self._ended: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
@@ -105,7 +87,7 @@
         job = self._make_job(submission)
         refusal = self._find_refusal(job)
         if refusal is not None:
-            self._work.pop(job.id, None)
+            self._admission.forget_job(job)
             answer = core.JobAnswer(
                 job.id,
                 failure=refusal.failure,
@@ -115,8 +97,7 @@
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
         self.fire(_events.job_accepted(submission, job), "gateway")
-        if not self._offers.is_settled(job.submitted_at):
-            self._unproved.add(job)
+        self._admission.add_job(job)
         if submission.request.repeatable:
             self._ledger.submit(job)
             self._schedule()
@@ -163,15 +144,14 @@
         jobs = [
             job
             for job in self._ledger.jobs.values()
-            if _matches(cancellation, job)
+            if _waves.matches(cancellation, job)
         ]
         claimed = [
             claim.job.id
             for claim in self._claims.values()
-            if _matches(cancellation, claim.job)
+            if _waves.matches(cancellation, claim.job)
         ]
-        wave = _Wave(cancellation, {job.id for job in jobs} | set(claimed))
-        self._waves.append(wave)
+        self._waves.add(cancellation, {job.id for job in jobs} | set(claimed))
         self._drop_claims(claimed, core.Failure.CANCELLED)
         self._perform(self._ledger.cancel_all(jobs, self._clock.now()))
         self._answer_waves()
@@ -234,8 +214,7 @@
 
     def hear_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in an agent's heartbeat and answer it."""
-        if report.service:
-            self._offers.note(report.service, report.resources, now)
+        self._admission.note_report(report, now)
         self._perform(self._ledger.hear_report(report, now))
         self._hear_version(report.configuration_version)
         current = core.digest_members(self._members)
@@ -301,18 +280,7 @@
         if self._machine.get_attribute("accepts") != "yes":
             return self._refuse_closed()
         services = self._configuration.document.services
-        service = services.get(job.service)
-        if service is None:
-            return core.Refusal(
-                core.Failure.UNKNOWN_SERVICE,
-                f"there is no service {job.service!r}",
-            )
-        waiting = self._ledger.count_waiting(job.service)
-        return (
-            core.check_limits(service, len(job.request.tasks), waiting)
-            or self._find_infeasible(job)
-            or self._check_wait(job)
-        )
+        return self._admission.find_refusal(job, services)
 
     def _refuse_closed(self) -> core.Refusal:
         if self._configuration is None:
@@ -324,56 +292,15 @@
             core.Failure.STOPPING, "the entry is stopping; try again"
         )
 
-    def _find_infeasible(self, job: core.Job) -> core.Refusal | None:
-        index = self._offers.find_infeasible(
-            job.service, job.request, job.submitted_at
-        )
-        if index is None:
-            return None
-        return _refuse_infeasible(index)
-
     def _fail_infeasible(self, now: datetime.datetime) -> None:
-        for job, index in self._unproved.take_infeasible(self._offers, now):
+        for job, refusal in self._admission.take_infeasible(now):
             if job.id not in self._ledger.jobs:
                 continue
-            refusal = _refuse_infeasible(index)
             job.path = refusal.path
             self._perform(
                 self._ledger.fail(job, refusal.failure, refusal.message, now)
             )
 
-    def _check_wait(self, job: core.Job) -> core.Refusal | None:
-        own = self._estimate_work(job)
-        ahead = [
-            self._estimate_work(other)
-            for other in self._ledger.jobs.values()
-            if other.service == job.service and other.waiting
-        ]
-        shorter = sum(work for work in ahead if work <= own)
-        capacity = self._measure_capacity(job.service) if shorter else 0.0
-        return core.check_wait(
-            shorter, capacity, job.deadline - job.submitted_at
-        )
-
-    def _estimate_work(self, job: core.Job) -> float:
-        if job.id not in self._work:
-            self._work[job.id] = sum(
-                self._ledger.estimates.estimate_size(
-                    job.team, task.kind, task.size_ms
-                ).mean_seconds
-                for task in job.request.tasks
-            )
-        tasks = len(job.request.tasks)
-        left = tasks - len(job.results)
-        return self._work[job.id] * left / tasks
-
-    def _measure_capacity(self, service: str) -> float:
-        return sum(
-            record.load.slots * self._ledger.estimates.get_speed(name)
-            for name, record in self._ledger.agents.items()
-            if record.report.service == service
-        )
-
     def _get_quotas(self) -> dict[str, int]:
         teams = self._configuration.document.teams
         slots = {name: team.slots for name, team in teams.items()}
@@ -440,20 +367,18 @@
         )
 
     def _end_job(self, job: core.Job, answer: core.JobAnswer) -> None:
-        self._work.pop(job.id, None)
+        self._admission.forget_job(job)
         self.fire(_events.job_answered(job, answer), "gateway")
         if not job.request.repeatable:
             failed = answer.failure is not None
             self._ended[job.id] = "failed" if failed else "complete"
             if len(self._ended) > MAX_ENDED:
                 self._ended.popitem(last=False)
-        for wave in self._waves:
-            wave.pending.discard(job.id)
+        self._waves.note_answer(job.id)
         self._answer_waves()
 
     def _answer_waves(self) -> None:
-        for wave in [wave for wave in self._waves if not wave.pending]:
-            self._waves.remove(wave)
+        for wave in self._waves.take_settled():
             event = _events.jobs_cancelled(wave.cancellation, wave.size)
             self.fire(event, "cancellations")
 
@@ -484,25 +409,6 @@
         self.fire(transport.send_message(identity, message), AGENTS_CHANNEL)
 
 
-def _refuse_infeasible(index: int) -> core.Refusal:
-    return core.Refusal(
-        core.Failure.INFEASIBLE,
-        "no target has what the task needs",
-        f"$.tasks[{index}].needs",
-    )
-
-
-def _matches(cancellation: _requests.Cancellation, job: core.Job) -> bool:
-    if job.team != cancellation.team:
-        return False
-    if cancellation.job:
-        return job.id == cancellation.job
-    return (
-        job.service == cancellation.service
-        and job.request.label == cancellation.label
-    )
-
-
 @functools.singledispatch
 def _handle_message(
     message: object, dispatcher: Dispatcher, now: datetime.datetime
