--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -23,6 +23,8 @@
 from cowslipgate_core import _late_binding
 from cowslipgate_core import _least_completion
 from cowslipgate_core import _ledger
+from cowslipgate_core import _ledger_actions
+from cowslipgate_core import _ledger_counters
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
 from cowslipgate_core import _outcomes
@@ -48,7 +50,7 @@
 AGEING = _late_binding.AGEING
 AgentRecord = _roster.AgentRecord
 Announcement = _executor_actions.Announcement
-AnswerJob = _ledger.AnswerJob
+AnswerJob = _ledger_actions.AnswerJob
 Assigner = _assignment.Assigner
 Assignment = _placement.Assignment
 Attempt = _jobs.Attempt
@@ -141,8 +143,8 @@
 LeaseWatch = _quotas.LeaseWatch
 LeastCompletion = _least_completion.LeastCompletion
 Ledger = _ledger.Ledger
-LedgerAction = _ledger.LedgerAction
-LedgerCounters = _ledger.LedgerCounters
+LedgerAction = _ledger_actions.LedgerAction
+LedgerCounters = _ledger_counters.LedgerCounters
 LIMITS_VALID_FOR = _validity.LIMITS_VALID_FOR
 LimitValidity = _validity.LimitValidity
 Load = _messages.Load
@@ -177,7 +179,7 @@
 Member = _messages.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
-merge_withdraws = _ledger.merge_withdraws
+merge_withdraws = _ledger_actions.merge_withdraws
 MIN_BELIEF = _estimates.MIN_BELIEF
 MIN_STEP = _estimates.MIN_STEP
 name_flag = _settings.name_flag
@@ -225,9 +227,9 @@
 Results = _messages.Results
 Roster = _roster.Roster
 RoundRobin = _round_robin.RoundRobin
-SendOrders = _ledger.SendOrders
+SendOrders = _ledger_actions.SendOrders
 SendReports = _executor_actions.SendReports
-SendWithdraw = _ledger.SendWithdraw
+SendWithdraw = _ledger_actions.SendWithdraw
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
 Session = _sessions.Session
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -15,6 +15,8 @@
 from cowslipgate_core import _configuration
 from cowslipgate_core import _estimates
 from cowslipgate_core import _jobs
+from cowslipgate_core import _ledger_actions
+from cowslipgate_core import _ledger_counters
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _roster
@@ -41,117 +43,6 @@
     """Silence after which an agent's attempts count as unknown."""
 
 
-@attrs.frozen
-class SendOrders:
-    """LedgerAction: dispatch attempts to one agent."""
-
-    agent: str
-    """Name of the agent."""
-
-    incarnation: int
-    """Incarnation of the agent."""
-
-    orders: tuple[_messages.Order, ...]
-    """The attempts."""
-
-
-@attrs.frozen
-class SendWithdraw:
-    """LedgerAction: ask one agent not to start attempts."""
-
-    agent: str
-    """Name of the agent."""
-
-    incarnation: int
-    """Incarnation of the agent."""
-
-    attempts: tuple[int, ...]
-    """Sequence numbers of the attempts."""
-
-    stop: bool
-    """Whether running attempts are stopped too."""
-
-
-@attrs.frozen
-class AnswerJob:
-    """LedgerAction: answer the caller of a job."""
-
-    job: _jobs.Job
-    """The job, in a final state."""
-
-    answer: _jobs.JobAnswer
-    """What the caller gets."""
-
-
-LedgerAction = SendOrders | SendWithdraw | AnswerJob
-
-
-@attrs.define
-class LedgerCounters:
-    """What the ledger has counted."""
-
-    dispatched: int = 0
-    """Attempts sent."""
-
-    refused: int = 0
-    """Attempts that the agent did not start."""
-
-    unmatched: int = 0
-    """Reports that belong to no attempt."""
-
-    inquiries: int = 0
-    """Attempts that an agent was asked about."""
-
-    complete: int = 0
-    """Jobs complete."""
-
-    failed: int = 0
-    """Jobs failed after they were accepted."""
-
-    dispatches: int = 0
-    """Messages that carried attempts."""
-
-    results: int = 0
-    """Messages that carried the result of a task."""
-
-    refusals: int = 0
-    """Messages of outcomes that told of refusals and carried no result."""
-
-    idle_results: int = 0
-    """Other messages of outcomes that carried no result."""
-
-    withdrawals: int = 0
-    """Messages that withdrew attempts of failed jobs."""
-
-    inquiry_messages: int = 0
-    """Messages that asked about attempts."""
-
-    acknowledgements: int = 0
-    """Messages that did nothing but acknowledge."""
-
-    heartbeats: int = 0
-    """Heartbeats of agents and the answers to them."""
-
-    def note_withdraw(self, stop: bool) -> None:
-        """Count a message that withdraws or asks about attempts."""
-        if stop:
-            self.withdrawals += 1
-        else:
-            self.inquiry_messages += 1
-
-    def note_results(
-        self, reports: tuple[_messages.AttemptReport, ...]
-    ) -> None:
-        """Count a message of outcomes by whether it carried a result."""
-        outcomes = {report.outcome for report in reports}
-        if outcomes & {_messages.Outcome.FINISHED, _messages.Outcome.FAILED}:
-            self.results += 1
-        elif _messages.Outcome.NOT_STARTED in outcomes:
-            self.refusals += 1
-        else:
-            self.idle_results += 1
-
-
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
@@ -178,7 +69,7 @@
         self._assigner = _assignment.Assigner(
             policy, self._roster, self.estimates
         )
-        self.counters = LedgerCounters()
+        self.counters = _ledger_counters.LedgerCounters()
 
     @property
     def jobs(self) -> dict[str, _jobs.Job]:
@@ -234,7 +125,7 @@
 
     def hear_report(
         self, report: _messages.Report, now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Take in an agent's heartbeat."""
         record = self._agents.get(report.agent)
         if record is None:
@@ -244,7 +135,7 @@
         known = record.report
         if report.incarnation < known.incarnation:
             return []
-        actions: list[LedgerAction] = []
+        actions: list[_ledger_actions.LedgerAction] = []
         if report.incarnation > known.incarnation:
             actions = self._lose_attempts(record, now)
         reconnected = report.link != known.link
@@ -256,7 +147,7 @@
 
     def hear_results(
         self, results: _messages.Results, now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Take in the outcomes of attempts."""
         self.counters.note_results(results.reports)
         record = self._agents.get(results.agent)
@@ -271,7 +162,7 @@
             return []
         record.heard_at = now
         record.held = False
-        actions: list[LedgerAction] = []
+        actions: list[_ledger_actions.LedgerAction] = []
         for report in results.reports:
             attempt = self._attempts.get(report.attempt)
             if attempt is None or attempt.agent != results.agent:
@@ -284,9 +175,9 @@
 
     def hear_unsent(
         self, agent: str, attempts: tuple[int, ...], now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Take in that a dispatch was not handed to the network."""
-        actions: list[LedgerAction] = []
+        actions: list[_ledger_actions.LedgerAction] = []
         for sequence in attempts:
             attempt = self._attempts.get(sequence)
             if attempt is None:
@@ -303,7 +194,7 @@
 
     def cancel(
         self, job: _jobs.Job, now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Fail a job because its caller asked or went away."""
         return self.fail(
             job, _jobs.Failure.CANCELLED, "the job was cancelled", now
@@ -311,12 +202,12 @@
 
     def cancel_all(
         self, jobs: list[_jobs.Job], now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Cancel many jobs with one message for each agent."""
-        actions: list[LedgerAction] = []
+        actions: list[_ledger_actions.LedgerAction] = []
         for job in jobs:
             actions.extend(self.cancel(job, now))
-        return merge_withdraws(actions)
+        return _ledger_actions.merge_withdraws(actions)
 
     def fail(
         self,
@@ -324,7 +215,7 @@
         failure: _jobs.Failure,
         message: str,
         now: datetime.datetime,
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Fail a job and withdraw its attempts."""
         if not job.machine.allows("fail"):
             return []
@@ -339,9 +230,11 @@
         actions = self._withdraw(list(job.active.values()), now, stop=True)
         return actions + self._settle(job, now)
 
-    def tick(self, now: datetime.datetime) -> list[LedgerAction]:
+    def tick(
+        self, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
         """Act on everything that time alone brings about."""
-        actions: list[LedgerAction] = []
+        actions: list[_ledger_actions.LedgerAction] = []
         for job in list(self._jobs.values()):
             if now >= job.deadline:
                 actions.extend(
@@ -355,7 +248,7 @@
             actions.extend(self._settle(job, now))
         for name, record in list(self._agents.items()):
             actions.extend(self._watch_agent(name, record, now))
-        return merge_withdraws(actions)
+        return _ledger_actions.merge_withdraws(actions)
 
     def assign(
         self,
@@ -363,7 +256,7 @@
         quotas: dict[str, int],
         entries: int = 1,
         services: Mapping[str, _configuration.Service] | None = None,
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         """Choose targets for waiting tasks and return the dispatches.
 
         :param quotas: slots that each team may use at this entry
@@ -375,13 +268,13 @@
 
     def _send(
         self, chosen: list[_placement.Assignment], now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         by_agent: dict[str, list[_messages.Order]] = {}
         for assignment in chosen:
             order = self._start_attempt(assignment, now)
             by_agent.setdefault(assignment.agent, []).append(order)
         return [
-            SendOrders(
+            _ledger_actions.SendOrders(
                 agent, self._agents[agent].report.incarnation, tuple(orders)
             )
             for agent, orders in by_agent.items()
@@ -427,7 +320,7 @@
         attempt: _jobs.Attempt,
         report: _messages.AttemptReport,
         now: datetime.datetime,
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         if attempt.machine.final:
             return []
         _advance_attempt(attempt.machine, report.outcome)
@@ -455,7 +348,7 @@
         attempt: _jobs.Attempt,
         report: _messages.AttemptReport,
         now: datetime.datetime,
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         job = attempt.job
         match report.outcome:
             case _messages.Outcome.FINISHED:
@@ -485,7 +378,7 @@
 
     def _finish_task(
         self, attempt: _jobs.Attempt, report: _messages.AttemptReport
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         job = attempt.job
         request = job.request.tasks[attempt.index]
         self.estimates.observe(
@@ -506,11 +399,13 @@
         del self._jobs[job.id]
         self._assigner.drop_job(job)
         results = tuple(job.results[i] for i in range(len(job.results)))
-        return [AnswerJob(job, _jobs.JobAnswer(job.id, results))]
+        return [
+            _ledger_actions.AnswerJob(job, _jobs.JobAnswer(job.id, results))
+        ]
 
     def _settle(
         self, job: _jobs.Job, now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         if job.failure is None or job.id not in self._jobs:
             return []
         if job.active and now < job.settle_by:
@@ -522,27 +417,29 @@
         answer = _jobs.JobAnswer(
             job.id, (), job.failure, started, job.message, job.path
         )
-        return [AnswerJob(job, answer)]
+        return [_ledger_actions.AnswerJob(job, answer)]
 
     def _withdraw(
         self,
         attempts: list[_jobs.Attempt],
         now: datetime.datetime,
         stop: bool,
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         by_agent: dict[tuple[str, int], list[int]] = {}
         for attempt in attempts:
             attempt.asked_at = now
             key = (attempt.agent, attempt.incarnation)
             by_agent.setdefault(key, []).append(attempt.sequence)
         return [
-            SendWithdraw(agent, incarnation, tuple(sequences), stop)
+            _ledger_actions.SendWithdraw(
+                agent, incarnation, tuple(sequences), stop
+            )
             for (agent, incarnation), sequences in by_agent.items()
         ]
 
     def _watch_agent(
         self, name: str, record: _roster.AgentRecord, now: datetime.datetime
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         limit = self._timing.agent_lost_after
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
@@ -572,7 +469,7 @@
         record: _roster.AgentRecord,
         now: datetime.datetime,
         overdue: set[int],
-    ) -> list[LedgerAction]:
+    ) -> list[_ledger_actions.LedgerAction]:
         self.counters.inquiries += len(overdue)
         attempts = [self._attempts[sequence] for sequence in sorted(overdue)]
         kept = [a for a in attempts if a.job.failure is None]
@@ -582,8 +479,8 @@
 
     def _lose_attempts(
         self, record: _roster.AgentRecord, now: datetime.datetime
-    ) -> list[LedgerAction]:
-        actions: list[LedgerAction] = []
+    ) -> list[_ledger_actions.LedgerAction]:
+        actions: list[_ledger_actions.LedgerAction] = []
         for sequence in sorted(record.outstanding):
             attempt = self._attempts[sequence]
             attempt.machine.fire("lose")
@@ -617,18 +514,3 @@
     # A repeated or crossed report may tell less than is known already.
     if machine.allows(event):
         machine.fire(event)
-
-
-def merge_withdraws(actions: list[LedgerAction]) -> list[LedgerAction]:
-    """Return the actions with one withdrawal for each agent."""
-    merged: list[LedgerAction] = []
-    attempts: dict[tuple[str, int, bool], list[int]] = {}
-    for action in actions:
-        if not isinstance(action, SendWithdraw):
-            merged.append(action)
-            continue
-        key = (action.agent, action.incarnation, action.stop)
-        attempts.setdefault(key, []).extend(action.attempts)
-    for (agent, incarnation, stop), sequences in attempts.items():
-        merged.append(SendWithdraw(agent, incarnation, tuple(sequences), stop))
-    return merged
