--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_protection.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_protection.py
@@ -255,22 +255,6 @@
     assert _submit(plain, port=port).status == 200
 
 
-def test_large_jobs_that_start_together_do_not_break_the_link(
-    plain: _cluster.Cluster,
-) -> None:
-    port = plain.entries[0].port
-    slots = {"tasks": [{"payload": {"true_ms": 800}, "size_ms": 800}] * 5}
-    large = {"tasks": [{"payload": {"fill": "x" * 7_000_000}}]}
-    with concurrent.futures.ThreadPoolExecutor() as pool:
-        first = [pool.submit(_submit, plain, slots, port) for _ in range(2)]
-        _cluster.wait_until(
-            lambda: plain.count_jobs(plain.entries[0]) == 2, "busy slots"
-        )
-        rest = [pool.submit(_submit, plain, large, port) for _ in range(5)]
-        replies = [future.result() for future in first + rest]
-    assert [reply.status for reply in replies] == [200] * 7
-
-
 def test_spans_of_a_job_reach_the_target(
     plain: _cluster.Cluster, tmp_path_factory: pytest.TempPathFactory
 ) -> None:
@@ -301,6 +285,22 @@
     ]
 
 
+def test_large_jobs_that_start_together_do_not_break_the_link(
+    plain: _cluster.Cluster,
+) -> None:
+    port = plain.entries[0].port
+    slots = {"tasks": [{"payload": {"true_ms": 800}, "size_ms": 800}] * 5}
+    large = {"tasks": [{"payload": {"fill": "x" * 7_000_000}}]}
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        first = [pool.submit(_submit, plain, slots, port) for _ in range(2)]
+        _cluster.wait_until(
+            lambda: plain.count_jobs(plain.entries[0]) == 2, "busy slots"
+        )
+        rest = [pool.submit(_submit, plain, large, port) for _ in range(5)]
+        replies = [future.result() for future in first + rest]
+    assert [reply.status for reply in replies] == [200] * 7
+
+
 def test_a_taken_port_is_told_in_one_line(plain: _cluster.Cluster) -> None:
     taken = plain.entries[0].port
     process = plain.start_entry(
