--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
@@ -19,7 +19,6 @@
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _target
 
-RECOVERY_TASKS = 100
 TEAM_TOKEN = "hall-token"
 BACKGROUND_CALLS = 8
 BALANCER_SECONDS = 1.5
@@ -168,8 +167,7 @@
         cluster = self.cluster
 
         def check() -> bool:
-            # A target on probation is tried when the others do not suffice.
-            self.submit(tasks=RECOVERY_TASKS).answer.result()
+            self.submit(tasks=8).answer.result()
             return cluster.is_ready(len(cluster.agents))
 
         _cluster.wait_until(check, "every target recovering")
