Give targets on probation a first task whatever their speed

Cause: targets that had refused connections stayed on probation under light load, so three tests of test_answers were red in whole runs. A failing run's status showed one target idle on probation and all 730 dispatches at the other: matching held it for slower (learned from few, very unlike tasks), and eight short tasks always fitted the faster target and its queue. Only a task takes a target off probation, so it would have stayed there for good. Ruled out: the target, the link and the agent (announcements went on, the one slot was told); remains of the test run before (the test file alone can fail as well, when the learned speeds come out so). Conclusion: every pass gives a target on probation that nobody tries the shortest task of the first job that fits. The naive twin does the same. test_slow_target_on_probation_is_tried_once fails without it.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
@@ -89,6 +89,16 @@
                 return position
         return None
 
+    def find_shortest(self, offer: _messages.Resources) -> int | None:
+        """Return the position of the shortest task that fits.
+
+        :param offer: what the target lets one task use
+        """
+        for position, task in enumerate(self.tasks):
+            if _targets.fits_resources(offer, task.needs):
+                return position
+        return None
+
     def take(self, position: int) -> WaitingTask:
         """Take the task at a position out."""
         task = self.tasks.pop(position)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -128,7 +128,7 @@
         job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
     ]
     ordered.sort(key=lambda job: rank_job(policy, job, now))
-    assignments: list[_placement.Assignment] = []
+    assignments = _try_targets(targets, ordered, pool, allowances, get_horizon)
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
     for target in targets:
@@ -147,13 +147,51 @@
             assignments.append(
                 _placement.take_task(job, position, target, pool, allowances)
             )
-            if not job.tasks:
-                ordered.remove(job)
-            if allowances[job.team] <= 0:
-                ordered = [j for j in ordered if j.team != job.team]
+            _drop_done(ordered, job, allowances)
     return assignments
 
 
+def _try_targets(
+    targets: list[_targets.TargetView],
+    ordered: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+    get_horizon: Horizon,
+) -> list[_placement.Assignment]:
+    """Give each target on probation a short task, whatever its speed.
+
+    Under a light load faster targets take everything, and a target that only
+    a task can take off probation would stay on it.
+    """
+    assignments = []
+    for target in targets:
+        if not target.awaits_trial:
+            continue
+        for job in ordered[:MAX_JOBS_TRIED]:
+            position = job.find_shortest(target.resources)
+            if position is None:
+                continue
+            # The horizon is that of the whole job.
+            get_horizon(job)
+            assignments.append(
+                _placement.take_task(job, position, target, pool, allowances)
+            )
+            _drop_done(ordered, job, allowances)
+            break
+    return assignments
+
+
+def _drop_done(
+    ordered: list[_backlog.WaitingJob],
+    job: _backlog.WaitingJob,
+    allowances: dict[str, int],
+) -> None:
+    if not job.tasks:
+        ordered.remove(job)
+    if allowances[job.team] <= 0:
+        ordered[:] = [j for j in ordered if j.team != job.team]
+
+
 def can_spare(
     policy: LateBinding,
     target: _targets.TargetView,
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -124,6 +124,7 @@
                 occupied,
                 self._get_speed(report.agent),
                 self._find_limit(record),
+                on_probation=report.state == _targets.PROBATION,
             )
             pool.add(view)
             return
@@ -132,6 +133,7 @@
         view.occupied = occupied
         view.usable_until = self._find_limit(record)
         view.held = record.held
+        view.on_probation = report.state == _targets.PROBATION
         pool.update(view)
 
     def _find_limit(self, record: AgentRecord) -> datetime.datetime:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_target_state.py
@@ -7,6 +7,7 @@
 from cowslipgate_core import _health
 from cowslipgate_core import _messages
 from cowslipgate_core import _slots
+from cowslipgate_core import _targets
 
 
 class TargetState:
@@ -93,12 +94,12 @@
             self._fire_allowed("recover")
         elif report.reason is _messages.Reason.TARGET_UNREACHABLE:
             self._fire_allowed("disconnect")
-            if self.state == "probation":
+            if self.state == _targets.PROBATION:
                 self._quarantine(now)
         elif not held.stopping:
             job = held.order.task.partition(".")[0]
             self._health.note_failure(job, held.started_at, now)
-            if self.state == "probation" or self._health.failing:
+            if self.state == _targets.PROBATION or self._health.failing:
                 self._quarantine(now)
 
     def _quarantine(self, now: datetime.datetime) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -7,6 +7,8 @@
 
 from cowslipgate_core import _messages
 
+PROBATION = "probation"
+
 
 @attrs.define(eq=False)
 class TargetView:
@@ -33,6 +35,9 @@
     held: bool = False
     """Whether it refused a task and has not told its load since."""
 
+    on_probation: bool = False
+    """Whether a first task has to show that it works again."""
+
     rank: int = 0
     """Position in the pool, the fastest target first."""
 
@@ -44,6 +49,11 @@
         """Number of slots that are likely free."""
         return self.slots - self.occupied
 
+    @property
+    def awaits_trial(self) -> bool:
+        """Whether it is on probation and nobody tries it yet."""
+        return self.on_probation and not self.occupied
+
     def is_usable(self, now: datetime.datetime) -> bool:
         """Tell whether work may be sent to it."""
         if self.held or not self.slots:
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
@@ -82,6 +82,22 @@
     }
     ordered = sorted(jobs, key=lambda job: _rank(policy, job, now))
     chosen: list[core.Assignment] = []
+    for target in pool.ranked:
+        if not target.is_usable(now):
+            continue
+        if target.slots + policy.margin - occupied[target.agent] <= 0:
+            continue
+        if not target.on_probation or occupied[target.agent]:
+            continue
+        tried = [
+            task
+            for job in ordered
+            if allowances[job.team] > 0
+            for task in reversed(_sort_longest_first(left[job.job]))
+            if core.can_run(target, task)
+        ]
+        if tried:
+            _take(tried[0], target, jobs, left, allowances, occupied, chosen)
     for target in pool.ranked:
         if not target.is_usable(now):
             continue
@@ -103,14 +119,26 @@
                 task = task or _pick(left, job, target, allowances, math.inf)
             if task is None:
                 break
-            team = next(j.team for j in jobs if j.job == task.job)
-            allowances[team] -= 1
-            left[task.job].remove(task)
-            occupied[target.agent] += 1
-            chosen.append(_assign(task, target))
+            _take(task, target, jobs, left, allowances, occupied, chosen)
     return chosen
 
 
+def _take(
+    task: core.WaitingTask,
+    target: core.TargetView,
+    jobs: list[core.WaitingJob],
+    left: dict[str, list[core.WaitingTask]],
+    allowances: dict[str, int],
+    occupied: dict[str, int],
+    chosen: list[core.Assignment],
+) -> None:
+    team = next(job.team for job in jobs if job.job == task.job)
+    allowances[team] -= 1
+    left[task.job].remove(task)
+    occupied[target.agent] += 1
+    chosen.append(_assign(task, target))
+
+
 def _can_spare(
     policy: core.LateBinding,
     target: core.TargetView,
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
@@ -56,6 +56,7 @@
                 draw(strategies.integers(0, 3)),
                 draw(strategies.sampled_from((0.5, 1.0, 2.0))),
                 held=draw(strategies.booleans()),
+                on_probation=draw(strategies.booleans()),
             )
         )
     margin = draw(strategies.integers(0, 1))
@@ -150,6 +151,27 @@
     assert [assignment.agent for assignment in chosen] == agents
 
 
+@pytest.mark.parametrize("occupied", [0, 1])
+def test_slow_target_on_probation_is_tried_once(occupied: int) -> None:
+    slow = _build_target("slow", 0.1, occupied)
+    slow.on_probation = True
+    pool = core.Pool([_build_target("fast", 2.0), slow], margin=1)
+    tasks = [
+        core.WaitingTask("job-1", index, seconds, upper_seconds=seconds)
+        for index, seconds in enumerate((3.0, 1.0))
+    ]
+    job = core.WaitingJob("job-1", "hall", builders.NOW, tasks)
+    chosen = core.choose_assignments(
+        core.Matching(queue_allowance=1),
+        [job],
+        pool,
+        {"hall": 9},
+        builders.NOW,
+    )
+    tried = [a.index for a in chosen if a.agent == "slow"]
+    assert tried == ([] if occupied else [1])
+
+
 def test_matching_uses_a_slow_slot_when_no_faster_one_is_at_work() -> None:
     pool = core.Pool([_build_target("slow", 0.5)])
     fast = _build_target("fast", 2.0)
