Keep more unused modules out of the agent's memory

Cause: circuits imports process pools, pickled links and the metadata of its distribution, its parsers import forms and with them tempfile, html brings tables for unescaping, msgspec the decimal type; charts were read through importlib.resources, which brings tempfile, shutil and the compressors. None of it is used.

The module that keeps such things out moves to a package of its own beside core, so that the entry can use it too: importing a module of core or transport would load what is to be kept out. Stand-ins now give classes instead of modules, so that `except ssl.SSLError` and `isinstance(x, Decimal)` hold. Charts are read with pkgutil.

Ruled out, trials in fresh interpreters: multiprocessing and pickle together save 0.4 MB, but Manager.__repr__ of circuits uses the first.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_main.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_main.py
@@ -2,10 +2,10 @@
 
 import importlib
 
-from cowslipgate_agent import _lean_imports
+import cowslipgate_startup as startup
 
 
 def run_agent() -> None:
     """Run the command line with little in memory."""
-    _lean_imports.exclude_unused()
+    startup.exclude_unused()
     importlib.import_module("cowslipgate_agent._command").run()
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lean_imports.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lean_imports.py
@@ -8,9 +8,9 @@
 import importlib
 import sys
 
-from cowslipgate_agent import _lean_imports
+import cowslipgate_startup as startup
 
-_lean_imports.exclude_unused()
+startup.exclude_unused()
 importlib.import_module("cowslipgate_agent._command")
 with open("/proc/self/status") as status:
     (line,) = [line for line in status if line.startswith("VmRSS:")]
--- a/packages/cowslipgate-core/src/cowslipgate_core/_charts.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_charts.py
@@ -1,7 +1,7 @@
 """Interpreter of the state charts kept in ``charts/*.toml``."""
 
 import functools
-import importlib.resources
+import pkgutil
 import tomllib
 from typing import Any
 
@@ -110,12 +110,11 @@
 
     :raises ChartError: when the file is missing or cannot be interpreted
     """
-    folder = importlib.resources.files("cowslipgate_core") / "charts"
     try:
-        text = (folder / f"{name}.toml").read_text(encoding="utf-8")
+        data = pkgutil.get_data("cowslipgate_core", f"charts/{name}.toml")
     except OSError as error:
         raise _exceptions.ChartError(name, "", "", str(error)) from error
-    return parse_chart(name, text)
+    return parse_chart(name, data.decode())
 
 
 def parse_chart(name: str, text: str) -> Chart:
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
@@ -0,0 +1,71 @@
+"""Stand-ins for modules that the binaries never use."""
+
+import subprocess
+import sys
+
+import cowslipgate_startup as startup
+import pytest
+
+_PROGRAM = """
+import importlib
+import sys
+
+import cowslipgate_startup as startup
+
+startup.exclude_unused()
+for name in sys.argv[1:]:
+    importlib.import_module(name)
+print(*sorted(sys.modules), sep="\\n")
+"""
+
+
+def _list_loaded(*names: str) -> set[str]:
+    command = [sys.executable, "-c", _PROGRAM, *names]
+    done = subprocess.run(command, capture_output=True, check=True)
+    return set(done.stdout.decode().split())
+
+
+def test_libraries_load_without_what_is_unused() -> None:
+    loaded = _list_loaded("circuits", "cowslipgate_transport", "msgspec")
+    unused = {
+        "_decimal",
+        "_hashlib",
+        "_ssl",
+        "circuits.web.servers",
+        "importlib.metadata",
+        "multiprocessing.pool",
+        "tempfile",
+    }
+    # None in sys.modules keeps a module from being loaded.
+    assert loaded & unused == {"_hashlib"}
+
+
+@pytest.mark.parametrize("name", ["SSLError", "Decimal"])
+def test_a_stand_in_has_every_name(name: str) -> None:
+    module = startup.UnusedModule("unused")
+    assert getattr(module, name) is getattr(module, name)
+
+
+def test_a_placeholder_has_every_name() -> None:
+    purpose = startup.UnusedModule("unused").Purpose
+    assert purpose.SERVER_AUTH is purpose.SERVER_AUTH
+
+
+def test_a_placeholder_catches_no_other_error() -> None:
+    module = startup.UnusedModule("unused")
+    with pytest.raises(KeyError):
+        try:
+            raise KeyError
+        except module.SSLError:
+            pass
+
+
+def test_no_value_is_an_instance_of_a_placeholder() -> None:
+    assert not isinstance(1, startup.UnusedModule("unused").Decimal)
+
+
+@pytest.mark.parametrize("name", ["__path__", "__wrapped__"])
+def test_special_names_are_missing(name: str) -> None:
+    module = startup.UnusedModule("unused")
+    assert not hasattr(module, name)
+    assert not hasattr(module.Purpose, name)
