Start an entry without the libraries of the callers' commands

Cause: the command line imported rich, http.client and the commands of callers before it served; circuits, hashlib and logbook brought OpenSSL, the servers of circuits.web and compiled extensions that an entry does not need; attrs keeps the source of every generated method (425 KB in 148 entries).

cyclopts now imports the callers' commands by name when one is used; `serve` starts with the stand-ins of cowslipgate_startup and logbook's Python fallback, and forgets the generated sources before it loads its components. For the pages of help nothing is excluded. The package imports its names when used, as the agent's does.

Histograms hold 27 KB of counts each, six in all: left.

--- a/packages/cowslipgate-core/src/cowslipgate_startup/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/__init__.py
@@ -7,4 +7,5 @@
 from cowslipgate_startup import _lean_imports
 
 exclude_unused = _lean_imports.exclude_unused
+forget_sources = _lean_imports.forget_sources
 UnusedModule = _lean_imports.UnusedModule
--- a/packages/cowslipgate-core/src/cowslipgate_startup/_lean_imports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/_lean_imports.py
@@ -5,6 +5,7 @@
 """
 
 import importlib.util
+import linecache
 import sys
 import types
 
@@ -20,6 +21,8 @@
     "html.entities",
     "ssl",
 )
+# Compiled modules that the importing library can do without.
+_OPTIONAL = ("_hashlib", "logbook._speedups")
 
 
 class _Placeholder(type):
@@ -49,12 +52,20 @@
     """Exclude the modules; call it before anything else is imported."""
     for name in _UNUSED:
         sys.modules[name] = UnusedModule(name)
-    # Without it hashlib falls back to its built-in functions.
-    sys.modules["_hashlib"] = None
+    for name in _OPTIONAL:
+        sys.modules[name] = None
     sys.modules["pkg_resources"] = _make_pkg_resources()
     _import_as_folder("circuits", "web")
 
 
+def forget_sources() -> None:
+    """Drop the sources of generated methods, which attrs keeps.
+
+    Only the source lines in tracebacks need them.
+    """
+    linecache.clearcache()
+
+
 def _make_pkg_resources() -> types.ModuleType:
     # circuits reads the metadata of its distribution when this is missing.
     module = types.ModuleType("pkg_resources")
--- a/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
@@ -1,5 +1,6 @@
 """Stand-ins for modules that the binaries never use."""
 
+import linecache
 import subprocess
 import sys
 
@@ -26,18 +27,20 @@
 
 
 def test_libraries_load_without_what_is_unused() -> None:
-    loaded = _list_loaded("circuits", "cowslipgate_transport", "msgspec")
+    names = ("circuits", "cowslipgate_transport", "logbook", "msgspec")
+    loaded = _list_loaded(*names)
     unused = {
         "_decimal",
         "_hashlib",
         "_ssl",
         "circuits.web.servers",
         "importlib.metadata",
+        "logbook._speedups",
         "multiprocessing.pool",
         "tempfile",
     }
     # None in sys.modules keeps a module from being loaded.
-    assert loaded & unused == {"_hashlib"}
+    assert loaded & unused == {"_hashlib", "logbook._speedups"}
 
 
 @pytest.mark.parametrize("name", ["SSLError", "Decimal"])
@@ -69,3 +72,12 @@
     module = startup.UnusedModule("unused")
     assert not hasattr(module, name)
     assert not hasattr(module.Purpose, name)
+
+
+def test_sources_of_generated_methods_are_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    kept = {"<attrs generated init>": (1, None, ["x\n"], "x")}
+    monkeypatch.setattr(linecache, "cache", kept)
+    startup.forget_sources()
+    assert not kept
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -1,5 +1,16 @@
-"""The entry process and the commands of callers and operators."""
+"""The entry process and the commands of callers and operators.
 
-from cowslipgate_entry import _settings
+Names are imported when they are used, so that the binary can choose what to
+keep out of memory before anything else is imported.
+"""
 
-EntrySettings = _settings.EntrySettings
+import importlib
+
+_MODULES = {"EntrySettings": "_settings"}
+
+
+def __getattr__(name: str) -> object:
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(name)
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_output.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_output.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import contextlib
-import enum
 import http
 import json
 import sys
@@ -13,21 +12,14 @@
 from rich import progress
 
 from cowslipgate_entry import _calls
+from cowslipgate_entry import _exit_statuses
 
 _INDENT = 2
 
 
-class ExitStatus(enum.IntEnum):
-    """Exit status of a command."""
-
-    COMPLETE = 0
-    FAILED = 1
-    SETTINGS = 2
-    REFUSED = 3
-    UNREACHABLE = 4
-
-
-def print_error(error: _calls.CallError, as_json: bool) -> ExitStatus:
+def print_error(
+    error: _calls.CallError, as_json: bool
+) -> _exit_statuses.ExitStatus:
     """Tell why there is no answer and return the exit status."""
     if as_json:
         kind = type(error).__name__.removesuffix("Error").lower()
@@ -36,33 +28,33 @@
     else:
         print(error, file=sys.stderr)
     if isinstance(error, _calls.AddressError):
-        return ExitStatus.SETTINGS
-    return ExitStatus.UNREACHABLE
+        return _exit_statuses.ExitStatus.SETTINGS
+    return _exit_statuses.ExitStatus.UNREACHABLE
 
 
-def judge_reply(reply: _calls.Reply) -> ExitStatus:
+def judge_reply(reply: _calls.Reply) -> _exit_statuses.ExitStatus:
     """Return the exit status for an answer.
 
     A refusal is an answer that proves that nothing was started or stored.
     """
     if reply.status == http.HTTPStatus.OK:
-        return ExitStatus.COMPLETE
+        return _exit_statuses.ExitStatus.COMPLETE
     error = reply.body.get("error", {})
     if error.get("started", "none") != "none":
-        return ExitStatus.FAILED
+        return _exit_statuses.ExitStatus.FAILED
     if error.get("type") == "outcome_unknown":
-        return ExitStatus.FAILED
-    return ExitStatus.REFUSED
+        return _exit_statuses.ExitStatus.FAILED
+    return _exit_statuses.ExitStatus.REFUSED
 
 
 def print_reply(
     reply: _calls.Reply, lines: list[str], as_json: bool
-) -> ExitStatus:
+) -> _exit_statuses.ExitStatus:
     """Print an answer, as JSON or as ``lines`` for people."""
     status = judge_reply(reply)
     if as_json:
         print(json.dumps(reply.body, indent=_INDENT))
-    elif status is ExitStatus.COMPLETE:
+    elif status is _exit_statuses.ExitStatus.COMPLETE:
         print("\n".join(lines))
     else:
         print("\n".join(_describe_error(reply)), file=sys.stderr)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_main.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_main.py
@@ -1,236 +1,86 @@
-"""The commands: what they send, print and return."""
+"""The binary as a process: what it keeps in memory, and that it works so."""
 
-import io
-import json
-import pathlib
-import socket
+import subprocess
 import sys
 
 import pytest
 
+LIMIT_KB = 32 * 1024
+_BINARY = "from cowslipgate_entry import _main; _main.run_command()"
+_PLACES = ["--platform=127.0.0.1:1", "--balancer=127.0.0.1:2"]
+# An address of no machine, so that the start fails.
+_FOREIGN = "--bind-http=192.0.2.1:8080"
+_LOADED = """
+import sys
+
 from cowslipgate_entry import _main
-from cowslipgate_entry.tests import observed
-from cowslipgate_entry.tests import stubs
-
-JOB = {"tasks": [{"payload": 1}]}
-COMPLETE = {"job": "a-1", "status": "complete", "results": [{"n": 1}, 2]}
-REFUSED = {
-    "job": "",
-    "status": "failed",
-    "error": {
-        "type": "malformed",
-        "started": "none",
-        "message": "Expected `float`",
-        "path": "$.tasks[3].size_ms",
-    },
-}
-FAILED = {
-    "job": "a-1",
-    "status": "failed",
-    "error": {"type": "task_failed", "started": "some", "message": "m"},
-}
-STATUS = {
-    "entry": "7",
-    "state": "serving",
-    "configuration_version": 3,
-    "jobs": 0,
-    "members": [{"incarnation": 7, "http": "h:1", "domain": "ruwi"}],
-    "agents": [
-        {
-            "agent": "agent-1",
-            "state": "serving",
-            "service": "print",
-            "domain": "ruwi",
-            "load": {"slots": 8, "own": 1, "others": 2},
-        }
-    ],
-}
 
 
-def _run(*arguments: str) -> int:
-    with pytest.raises(SystemExit) as caught:
-        _main.run_command(list(arguments))
-    return caught.value.code
+def run_entry(settings):
+    with open("/proc/self/status") as status:
+        (line,) = [line for line in status if line.startswith("VmRSS:")]
+    print(line.split()[1])
+    print(*sorted(sys.modules))
 
 
-@pytest.fixture
-def job_file(tmp_path: pathlib.Path) -> str:
-    """Return the name of a file with a job."""
-    path = tmp_path / "job.json"
-    path.write_text(json.dumps(JOB))
-    return str(path)
+def exclude_unused(exclude=_main.startup.exclude_unused):
+    exclude()
+    from cowslipgate_entry import _process
 
+    _process.run_entry = run_entry
 
-@pytest.mark.parametrize(
-    ("command", "status", "body", "code", "shown"),
-    [
-        (["submit", "print"], 200, COMPLETE, 0, "a-1 complete, 2 results"),
-        (["submit", "print"], 400, REFUSED, 3, "at $.tasks[3].size_ms"),
-        (["submit", "print"], 400, REFUSED, 3, "Nothing was run."),
-        (["submit", "print"], 502, FAILED, 1, "Some tasks were run."),
-        (
-            ["status"],
-            401,
-            {"error": {"type": "unauthorized", "message": "m"}},
-            3,
-            "--token",
-        ),
-        (["status"], 200, STATUS, 0, "agent-1 serving print ruwi 3 of 8"),
-        (["show"], 200, {"teams": {}}, 0, "version 3"),
-        (["cancel", "a-1"], 200, {"cancelled": 1}, 0, "cancelled jobs: 1"),
-        (
-            ["cancel", "--service=print", "--label=hall"],
-            200,
-            {"cancelled": 4},
-            0,
-            "cancelled jobs: 4",
-        ),
-        (
-            ["patch", "3"],
-            200,
-            {"version": 4, "in_force": ["7"], "lapsed": ["8"]},
-            0,
-            "not acknowledged in time by: 8",
-        ),
-        (
-            ["patch", "3"],
-            412,
-            {"version": 5, "error": {"type": "outdated", "message": "m"}},
-            3,
-            "outdated: m",
-        ),
-        (
-            ["patch", "3"],
-            422,
-            {
-                "error": {
-                    "type": "invalid",
-                    "message": "m",
-                    "faults": [{"path": "$.teams.a", "problem": "p"}],
-                }
-            },
-            3,
-            "$.teams.a: p",
-        ),
-        (
-            ["patch", "3"],
-            503,
-            {"error": {"type": "outcome_unknown", "message": "m"}},
-            1,
-            "outcome_unknown",
-        ),
-    ],
-)
-def test_answers_are_told_for_people_and_as_json(
-    command: list[str],
-    status: int,
-    body: dict,
-    code: int,
-    shown: str,
-    job_file: str,
-    capsys: pytest.CaptureFixture[str],
-) -> None:
-    stub = stubs.Stub(status, stubs.encode(body))
-    if command[0] in ("submit", "patch"):
-        command = [*command, job_file]
-    access = [f"--address={stub.address}", "--token=t"]
-    assert _run(*command, *access) == code
-    printed = capsys.readouterr()
-    assert shown in printed.out + printed.err
-    assert _run(*command, *access, "--json") == code
-    decoded = json.loads(capsys.readouterr().out)
-    assert decoded == body or decoded == {"version": 3, "document": body}
-    stub.shutdown()
 
+_main.startup.exclude_unused = exclude_unused
+_main.run_command()
+"""
 
-@pytest.mark.parametrize(
-    ("options", "repeatable", "keyed"),
-    [
-        ([], None, False),
-        (["--no-repeatable"], False, True),
-        (["--repeatable"], True, False),
-        (["--no-repeatable", "--key=abc"], False, True),
-    ],
-)
-def test_submit_reads_standard_input_and_takes_options(
-    options: list[str],
-    repeatable: bool | None,
-    keyed: bool,
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    stub = stubs.Stub(200, stubs.encode(COMPLETE))
-    given = io.TextIOWrapper(io.BytesIO(stubs.encode(JOB)))
-    monkeypatch.setattr(sys, "stdin", given)
-    monkeypatch.setenv("COWSLIPGATE_ADDRESS", stub.address)
-    monkeypatch.setenv("COWSLIPGATE_TOKEN", "hall")
-    monkeypatch.setenv("TRACEPARENT", observed.TRACEPARENT)
-    assert _run("submit", "print hall", *options) == 0
-    method, path, headers, body = stub.seen[0]
-    assert (method, path) == ("POST", "/v1/services/print%20hall/jobs")
-    assert headers["Authorization"] == "Bearer hall"
-    assert headers["traceparent"] == observed.TRACEPARENT
-    assert json.loads(body).get("repeatable") is repeatable
-    assert ("Idempotency-Key" in headers) is keyed
-    stub.shutdown()
 
+def _run(program: str, *arguments: str) -> subprocess.CompletedProcess:
+    command = [sys.executable, "-c", program, *arguments]
+    return subprocess.run(command, capture_output=True, text=True)
 
-@pytest.mark.parametrize(
-    ("arguments", "code"),
-    [
-        (["nonsense"], 2),
-        (["status", "--nope"], 2),
-        (["submit"], 2),
-        (["patch", "x", "f", "--address=a:1", "--token=t"], 2),
-        (["status", "--address=nowhere", "--token=t"], 2),
-        (["cancel", "--address=h:1", "--token=t"], 2),
-        (["cancel", "a", "--label=b", "--address=h:1", "--token=t"], 2),
-        (["submit", "s", "/no/file", "--address=h:1", "--token=t"], 2),
-        (["serve", "--max-connections=0"], 2),
-    ],
-)
-def test_wrong_arguments_are_told_without_a_traceback(
-    arguments: list[str], code: int, capsys: pytest.CaptureFixture[str]
-) -> None:
-    assert _run(*arguments) == code
-    printed = capsys.readouterr()
-    assert printed.err + printed.out
-    assert "Traceback" not in printed.err
 
+def _list_loaded(*arguments: str) -> tuple[int, set[str]]:
+    done = _run(_LOADED, "serve", "--domain=d", *_PLACES, *arguments)
+    resident, names = done.stdout.splitlines()
+    return int(resident), set(names.split())
 
-def test_no_entry_and_no_json_are_told_apart(
-    capsys: pytest.CaptureFixture[str],
-) -> None:
-    with socket.socket() as unused:
-        unused.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{unused.getsockname()[1]}"
-        assert _run("status", f"--address={address}", "--token=t") == 4
-    assert "nothing was sent" in capsys.readouterr().err
-    stub = stubs.Stub(200, b"<html>")
-    address = f"--address={stub.address}"
-    assert _run("status", address, "--token=t", "--json") == 4
-    error = json.loads(capsys.readouterr().out)["error"]
-    assert error["type"] == "foreignanswer"
-    stub.shutdown()
-
-
-def test_help_of_serve_has_every_setting(
-    capsys: pytest.CaptureFixture[str],
-) -> None:
-    assert _run("serve", "--help") == 0
-    shown = capsys.readouterr().out
-    for flag in ("--bind-http", "--trace-ratio", "--curve-agent-keys"):
-        assert flag in shown
+
+def test_imports_of_an_entry_stay_within_the_limit() -> None:
+    resident, _ = _list_loaded()
+    assert resident < LIMIT_KB
 
 
-def test_settings_are_checked_without_a_start(
-    capsys: pytest.CaptureFixture[str],
+def test_an_entry_loads_nothing_of_the_callers_commands() -> None:
+    _, names = _list_loaded()
+    unused = {
+        "_ssl",
+        "cowslipgate_entry._commands",
+        "cowslipgate_entry._traces",
+        "http.client",
+        "opentelemetry",
+        "rich",
+    }
+    assert not names & unused
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status", "shown"),
+    [
+        (["serve", "--help"], 0, "--trace-ratio"),
+        (["serve", "-h"], 0, "--trace-ratio"),
+        (["--help"], 0, "Submit the job in a JSON file"),
+        (["serve", "--nope"], 2, "--nope"),
+        (["serve", "--domain=d", *_PLACES, "--check-settings"], 0, ""),
+        (["serve", *_PLACES, "--check-settings"], 2, "--domain"),
+        (["serve", "--domain=d", *_PLACES, _FOREIGN], 1, "StartFailed"),
+        (["status", "--address=x", "--token=t"], 2, "x"),
+    ],
+)
+def test_the_binary_answers(
+    arguments: list[str], status: int, shown: str
 ) -> None:
-    places = ["--platform=10.0.0.1:1", "--balancer=10.0.0.1:2"]
-    assert _run("serve", "--domain=d", *places, "--check-settings") == 0
-    code = _run("serve", *places, "--log-level=x", "--check-settings")
-    assert code == 2
-    faults = capsys.readouterr().err.splitlines()
-    assert [line.partition("=")[0] for line in faults] == [
-        "--domain",
-        "--log-level",
-    ]
+    done = _run(_BINARY, *arguments)
+    assert done.returncode == status
+    assert shown in done.stdout + done.stderr
+    assert "Traceback" not in done.stderr
