Take the ideal of the metrics from the ranked pool, and count minutes plainly

Cause: for each answered job the metrics asked every agent's speed (two table look-ups and an exponential for each of 200 agents), 9% of the samples with jobs of one task and 4% with jobs of 40; each ended task built a record for the minute under way, 1.7%.

Ruled out: the histograms. Recording a value took 1.5% of the samples, most of it the reading of the clock.

The ideal now uses speeds and slots as the last choice of targets ranked them, at most half a second older than before while tasks wait. With every target closed no ratio is told, as before.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -20,6 +20,7 @@
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _roster
+from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
 
 
@@ -113,6 +114,10 @@
             if job.service == service
         )
 
+    def find_pool(self, service: str) -> _targets.Pool | None:
+        """Return the targets of a service as the last choice ranked them."""
+        return self._roster.find_pool(service)
+
     def make_machine(self) -> _charts.Machine:
         """Return a machine for a new job."""
         return _charts.Machine(self._job_chart)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -139,6 +139,10 @@
         since = max(record.heard_at, record.busy_since or record.heard_at)
         return since + self.get_suspicion(record)
 
+    def find_pool(self, service: str) -> _targets.Pool | None:
+        """Return the targets of a service as they were last ranked."""
+        return self._pools.get(service)
+
     def get_pool(
         self, service: str, now: datetime.datetime
     ) -> _targets.Pool | None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
@@ -182,19 +182,15 @@
             return
         use.runs.append((agent, seconds))
 
-    def _get_speed(self, agent: str) -> float:
-        return self._dispatcher.ledger.estimates.get_speed(agent)
-
     def _estimate_ideal(self, service: str, use: _JobUse) -> float:
-        speeds = []
-        capacity = 0.0
-        for name, record in self._dispatcher.ledger.agents.items():
-            if record.report.service == service and record.load.slots:
-                speed = self._get_speed(name)
-                speeds.append(speed)
-                capacity += speed * record.load.slots
-        if not capacity:
+        ledger = self._dispatcher.ledger
+        pool = ledger.find_pool(service)
+        if pool is None or pool.capacity <= 0:
+            return 0.0
+        fastest = next((v.speed for v in pool.ranked if v.slots), 0.0)
+        if fastest <= 0:
             return 0.0
         # Seconds on a target of speed one.
-        work = [s * self._get_speed(agent) for agent, s in use.runs]
-        return max(max(work) / max(speeds), sum(work) / capacity)
+        get_speed = ledger.estimates.get_speed
+        work = [seconds * get_speed(agent) for agent, seconds in use.runs]
+        return max(max(work) / fastest, sum(work) / pool.capacity)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_minutes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_minutes.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-SECONDS_PER_MINUTE = 60
+MINUTE = datetime.timedelta(minutes=1)
 
 
 @attrs.frozen
@@ -26,38 +26,39 @@
 class Minutes:
     """Slot-seconds by the minute in which tasks ended."""
 
-    number: int = 0
-    """Minutes since the epoch."""
-
-    current: Minute = Minute()
-    """Minute under way."""
-
     last: Minute = Minute()
     """Last whole minute."""
 
     busiest: Minute = Minute()
     """Whole minute in which most was used."""
 
+    _used: float = 0.0
+    """Slot-seconds used in the minute under way."""
+
+    _needed: float = 0.0
+    """Slot-seconds needed in the minute under way."""
+
+    _ends_at: datetime.datetime | None = None
+    """End of the minute under way, or None before the first."""
+
     def turn(self, now: datetime.datetime) -> None:
         """Begin another minute when the time has come."""
-        number = int(now.timestamp()) // SECONDS_PER_MINUTE
-        if number == self.number:
+        if self._ends_at is not None and now < self._ends_at:
             return
-        if self.current.used > self.busiest.used:
-            self.busiest = self.current
-        follows = number == self.number + 1
-        self.last = self.current if follows else Minute()
-        self.current = Minute()
-        self.number = number
+        ended = Minute(self._used, self._needed)
+        if ended.used > self.busiest.used:
+            self.busiest = ended
+        start = now.replace(second=0, microsecond=0)
+        self.last = ended if start == self._ends_at else Minute()
+        self._used = self._needed = 0.0
+        self._ends_at = start + MINUTE
 
     def add_used(self, seconds: float, now: datetime.datetime) -> None:
         """Add the slot time of a task that ended."""
         self.turn(now)
-        used = self.current.used + seconds
-        self.current = attrs.evolve(self.current, used=used)
+        self._used += seconds
 
     def add_needed(self, seconds: float, now: datetime.datetime) -> None:
         """Add the slot time of a complete job."""
         self.turn(now)
-        needed = self.current.needed + seconds
-        self.current = attrs.evolve(self.current, needed=needed)
+        self._needed += seconds
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -4,6 +4,7 @@
 import io
 import json
 
+import attrs
 import circuits
 import pytest
 
@@ -152,6 +153,24 @@
     assert (values[last], values[busiest]) == (0, 4)
 
 
+def test_no_ratio_is_told_when_every_target_has_closed() -> None:
+    bench = observed.build_bench()
+    root = circuits.BaseComponent()
+    metrics = _metrics.Metrics(bench.dispatcher, _Server(), bench.clock)
+    metrics.register(root)
+    closed = attrs.evolve(observed.build_report(), load=core.Load(0, 0, 0))
+    submission = observed.build_submission()
+    job = observed.build_job(bench, submission)
+    _fire(root, _events.job_accepted(submission, job), "gateway")
+    bench.ledger.assign(bench.clock.now(), {"hall": 9})
+    bench.ledger.hear_report(closed, bench.clock.now())
+    answer = core.JobAnswer(job.id, results=(b"1", b"1"))
+    _fire(root, _events.job_answered(job, answer), "gateway")
+    values = _read_metrics(metrics)
+    assert values["cowslipgate_response_seconds_count"] == 1
+    assert values["cowslipgate_response_ratio_count"] == 0
+
+
 def test_a_failed_job_wasted_its_sends() -> None:
     bench = observed.build_bench()
     root = circuits.BaseComponent()
