Keep running totals in admission instead of looking at every job

Cause: each submission counted the waiting tasks of all jobs of the entry and weighed the work of every waiting job. Now the assigner counts waiting tasks as they come and go, and admission first asks whether even all work in flight is done before the deadline; only when it is not are jobs looked at.

Ruled out: a sorted structure of the work of all jobs, which would keep the exact sum; the upper bound settles all but overloaded moments.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -40,8 +40,13 @@
         self._estimates = estimates
         self._plans: dict[str, _Plan] = {}
         self._waiting: dict[str, dict[str, _backlog.WaitingJob]] = {}
+        self._waiting_tasks: collections.Counter[str] = collections.Counter()
         self._active: collections.Counter[str] = collections.Counter()
 
+    def count_waiting(self, service: str) -> int:
+        """Return the number of tasks of a service that wait."""
+        return self._waiting_tasks[service]
+
     def add_job(self, job: _jobs.Job) -> None:
         """Take in a job all of whose tasks wait."""
         tasks = self._view_tasks(job)
@@ -50,10 +55,13 @@
         )
         self._plans[job.id] = _Plan(view, tasks)
         self._waiting.setdefault(job.service, {})[job.id] = view
+        self._waiting_tasks[job.service] += len(tasks)
 
     def drop_job(self, job: _jobs.Job) -> None:
         """Forget a job whose tasks are no longer sent."""
-        self._plans.pop(job.id, None)
+        plan = self._plans.pop(job.id, None)
+        if plan is not None:
+            self._waiting_tasks[job.service] -= len(plan.view.tasks)
         self._waiting.get(job.service, {}).pop(job.id, None)
 
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
@@ -73,6 +81,7 @@
         plan = self._plans.get(job.id)
         if plan is not None:
             plan.view.put_back(plan.tasks[attempt.index])
+            self._waiting_tasks[job.service] += 1
             self._waiting.setdefault(job.service, {})[job.id] = plan.view
 
     def finish_task(self, attempt: _jobs.Attempt) -> None:
@@ -106,16 +115,16 @@
             pool = self._roster.get_pool(service, now)
             if pool is None:
                 continue
-            chosen.extend(
-                _placement.choose_assignments(
-                    self._tune(services.get(service)),
-                    list(waiting.values()),
-                    pool,
-                    allowances,
-                    now,
-                    entries,
-                )
+            assignments = _placement.choose_assignments(
+                self._tune(services.get(service)),
+                list(waiting.values()),
+                pool,
+                allowances,
+                now,
+                entries,
             )
+            self._waiting_tasks[service] -= len(assignments)
+            chosen.extend(assignments)
         self._drop_empty(chosen)
         return chosen
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -108,11 +108,7 @@
 
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
-        return sum(
-            len(job.waiting)
-            for job in self._jobs.values()
-            if job.service == service
-        )
+        return self._assigner.count_waiting(service)
 
     def find_pool(self, service: str) -> _targets.Pool | None:
         """Return the targets of a service as the last choice ranked them."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
@@ -164,6 +164,13 @@
         repeated = {k: n for k, n in self.world.starts.items() if n > 1}
         assert not repeated
 
+    @stateful.invariant()
+    def waiting_tasks_are_counted(self) -> None:
+        for entry in self.world.entries:
+            jobs = entry.ledger.jobs.values()
+            waiting = sum(len(job.waiting) for job in jobs)
+            assert entry.ledger.count_waiting("print") == waiting
+
     @stateful.invariant()
     def answers_are_true(self) -> None:
         for job, answers in self.world.answers.items():
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
@@ -1,9 +1,45 @@
 """What an entry knows when it decides whether a job may enter."""
 
+import collections
 import datetime
+import math
+
+import attrs
 
 import cowslipgate_core as core
 
+MICROSECONDS_PER_SECOND = 1_000_000
+
+
+@attrs.define
+class TakenWork:
+    """Estimated work of the jobs in flight, by service.
+
+    It is kept in whole microseconds, so that the totals do not drift.
+    """
+
+    _jobs: dict[str, int] = attrs.Factory(dict)
+    """Work of each job in microseconds at speed one, rounded up."""
+
+    _totals: collections.Counter[str] = attrs.Factory(collections.Counter)
+    """Sum by service."""
+
+    def add(self, job: core.Job, seconds: float) -> None:
+        """Take in a job that was taken."""
+        work = math.ceil(seconds * MICROSECONDS_PER_SECOND)
+        self._jobs[job.id] = work
+        self._totals[job.service] += work
+
+    def drop(self, job: core.Job) -> None:
+        """Take in that a job was answered; others are ignored."""
+        self._totals[job.service] -= self._jobs.pop(job.id, 0)
+        if not self._totals[job.service]:
+            del self._totals[job.service]
+
+    def get_seconds(self, service: str) -> float:
+        """Return the sum for a service, what has ended of its jobs too."""
+        return self._totals[service] / MICROSECONDS_PER_SECOND
+
 
 class Admission:
     """Offers of targets and the work that was taken."""
@@ -13,6 +49,7 @@
         self._offers = core.OfferBook()
         self._unproved = core.FeasibilityWatch()
         self._work: dict[str, float] = {}
+        self._taken = TakenWork()
 
     def note_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in what an agent's target offers."""
@@ -38,12 +75,14 @@
 
     def add_job(self, job: core.Job) -> None:
         """Take in that a job was taken."""
+        self._taken.add(job, self._estimate_work(job))
         if not self._offers.is_settled(job.submitted_at):
             self._unproved.add(job)
 
     def forget_job(self, job: core.Job) -> None:
         """Take in that a job was answered or refused."""
         self._work.pop(job.id, None)
+        self._taken.drop(job)
 
     def take_infeasible(
         self, now: datetime.datetime
@@ -59,6 +98,9 @@
         return None if index is None else _refuse_infeasible(index)
 
     def _check_wait(self, job: core.Job) -> core.Refusal | None:
+        allowed = job.deadline - job.submitted_at
+        if self._is_soon(job.service, allowed):
+            return None
         own = self._estimate_work(job)
         ahead = [
             self._estimate_work(other)
@@ -67,9 +109,16 @@
         ]
         shorter = sum(work for work in ahead if work <= own)
         capacity = self._measure_capacity(job.service) if shorter else 0.0
-        return core.check_wait(
-            shorter, capacity, job.deadline - job.submitted_at
-        )
+        return core.check_wait(shorter, capacity, allowed)
+
+    def _is_soon(self, service: str, allowed: datetime.timedelta) -> bool:
+        # All work in flight is no less than what goes before any one job, so
+        # that most often no job has to be looked at.
+        pool = self._ledger.find_pool(service)
+        if pool is None:
+            return False
+        work = self._taken.get_seconds(service)
+        return work <= pool.capacity * allowed.total_seconds()
 
     def _estimate_work(self, job: core.Job) -> float:
         if job.id not in self._work:
