--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -40,23 +40,28 @@
         self._estimates = estimates
         self._plans: dict[str, _Plan] = {}
         self._waiting: dict[str, dict[str, _backlog.WaitingJob]] = {}
+        self._waiting_tasks: collections.Counter[str] = collections.Counter()
         self._active: collections.Counter[str] = collections.Counter()
 
+    def count_waiting(self, service: str) -> int:
+        """Return the number of tasks of a service that wait."""
+        return self._waiting_tasks[service]
+
     def add_job(self, job: _jobs.Job) -> None:
         """Take in a job all of whose tasks wait."""
-        tasks = tuple(
-            self._view_task(job, index)
-            for index in range(len(job.request.tasks))
-        )
+        tasks = self._view_tasks(job)
         view = _backlog.WaitingJob(
             job.id, job.team, job.submitted_at, list(tasks)
         )
         self._plans[job.id] = _Plan(view, tasks)
         self._waiting.setdefault(job.service, {})[job.id] = view
+        self._waiting_tasks[job.service] += len(tasks)
 
     def drop_job(self, job: _jobs.Job) -> None:
         """Forget a job whose tasks are no longer sent."""
-        self._plans.pop(job.id, None)
+        plan = self._plans.pop(job.id, None)
+        if plan is not None:
+            self._waiting_tasks[job.service] -= len(plan.view.tasks)
         self._waiting.get(job.service, {}).pop(job.id, None)
 
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
@@ -76,6 +81,7 @@
         plan = self._plans.get(job.id)
         if plan is not None:
             plan.view.put_back(plan.tasks[attempt.index])
+            self._waiting_tasks[job.service] += 1
             self._waiting.setdefault(job.service, {})[job.id] = plan.view
 
     def finish_task(self, attempt: _jobs.Attempt) -> None:
@@ -109,16 +115,16 @@
             pool = self._roster.get_pool(service, now)
             if pool is None:
                 continue
-            chosen.extend(
-                _placement.choose_assignments(
-                    self._tune(services.get(service)),
-                    list(waiting.values()),
-                    pool,
-                    allowances,
-                    now,
-                    entries,
-                )
+            assignments = _placement.choose_assignments(
+                self._tune(services.get(service)),
+                list(waiting.values()),
+                pool,
+                allowances,
+                now,
+                entries,
             )
+            self._waiting_tasks[service] -= len(assignments)
+            chosen.extend(assignments)
         self._drop_empty(chosen)
         return chosen
 
@@ -138,15 +144,18 @@
             for waiting in self._waiting.values():
                 waiting.pop(job_id, None)
 
-    def _view_task(self, job: _jobs.Job, index: int) -> _backlog.WaitingTask:
-        request = job.request.tasks[index]
-        size = self._estimates.estimate_size(
-            job.team, request.kind, request.size_ms
-        )
-        return _backlog.WaitingTask(
-            job.id,
-            index,
-            size.mean_seconds,
-            request.needs,
-            size.upper_seconds,
+    def _view_tasks(self, job: _jobs.Job) -> tuple[_backlog.WaitingTask, ...]:
+        requests = job.request.tasks
+        sizes = self._estimates.estimate_tasks(job.team, requests)
+        return tuple(
+            _backlog.WaitingTask(
+                job.id,
+                index,
+                size.mean_seconds,
+                request.needs,
+                size.upper_seconds,
+            )
+            for index, (request, size) in enumerate(
+                zip(requests, sizes, strict=True)
+            )
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -20,6 +20,7 @@
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _roster
+from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
 
 
@@ -107,11 +108,11 @@
 
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
-        return sum(
-            len(job.waiting)
-            for job in self._jobs.values()
-            if job.service == service
-        )
+        return self._assigner.count_waiting(service)
+
+    def find_pool(self, service: str) -> _targets.Pool | None:
+        """Return the targets of a service as the last choice ranked them."""
+        return self._roster.find_pool(service)
 
     def make_machine(self) -> _charts.Machine:
         """Return a machine for a new job."""
