Let jobs that fit no open target hold up no other

Cause: a pass tries the first 256 jobs in rank, jobs that fit no open target among them. 256 jobs that wait for an absent or busy target left the others waiting beside free slots, as long as they were not proved infeasible (the offers of an absent target count for ten minutes).

Ruled out: more jobs tried, which moves the limit and costs each pass.

The twins of the policies still agree: what a target may be spared for counts every job as before.

test_declared_sizes proves that a job is not refused for what it declares.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -128,6 +128,8 @@
         job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
     ]
     ordered.sort(key=lambda job: rank_job(policy, job, now))
+    # Only some jobs are tried, so those that fit nothing make way.
+    fitting = _find_fitting(ordered, targets)
     assignments: list[_placement.Assignment] = []
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
@@ -136,10 +138,10 @@
             policy, target, pool, ordered, now, entries
         ):
             break
-        while target.free + policy.margin > 0 and ordered:
+        while target.free + policy.margin > 0 and fitting:
             if target.resources in exhausted:
                 break
-            found = _find_task(ordered, target, pool, get_horizon)
+            found = _find_task(fitting, target, pool, get_horizon)
             if found is None:
                 exhausted.add(target.resources)
                 break
@@ -149,11 +151,35 @@
             )
             if not job.tasks:
                 ordered.remove(job)
+                fitting.remove(job)
             if allowances[job.team] <= 0:
                 ordered = [j for j in ordered if j.team != job.team]
+                fitting = [j for j in fitting if j.team != job.team]
     return assignments
 
 
+def _find_fitting(
+    jobs: list[_backlog.WaitingJob], targets: list[_targets.TargetView]
+) -> list[_backlog.WaitingJob]:
+    offers = {target.resources for target in targets}
+    needs = frozenset[_messages.Resources]().union(
+        *(job.needs for job in jobs)
+    )
+    covered = {
+        need
+        for need in needs
+        if any(_targets.fits_resources(offer, need) for offer in offers)
+    }
+    if len(covered) == len(needs):
+        return list(jobs)
+    return [
+        job
+        for job in jobs
+        if job.needs <= covered
+        or any(task.needs in covered for task in job.tasks)
+    ]
+
+
 def can_spare(
     policy: LateBinding,
     target: _targets.TargetView,
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_declared_sizes.py
@@ -0,0 +1,20 @@
+"""Tests that a job is not refused for what it declares of itself."""
+
+import cowslipgate_core as core
+
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+from cowslipgate_entry.tests import builders
+
+DEADLINE_MS = 20_000
+DECLARED_MS = 100 * DEADLINE_MS
+
+
+def test_job_that_declares_more_than_its_deadline_is_sent() -> None:
+    bench = builders.DispatcherBench()
+    bench.hear(builders.build_report())
+    task = core.TaskRequest(size_ms=DECLARED_MS)
+    request = core.JobRequest((task,), deadline_ms=DEADLINE_MS)
+    submission = _requests.Submission(None, "hall", "print", request, "", "")
+    bench.tell(_events.submit_job(submission))
+    assert len(bench.outbox.take(core.Dispatch)) == 1
