--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -124,11 +124,14 @@
     targets = pool.list_open(now)
     if not targets:
         return []
-    ordered = [
-        job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
-    ]
+    ordered = _list_ready(jobs, allowances)
     ordered.sort(key=lambda job: rank_job(policy, job, now))
-    assignments = _try_targets(targets, ordered, pool, allowances, get_horizon)
+    # Only some jobs are tried, so those that fit nothing make way.
+    fitting = _find_fitting(ordered, targets)
+    assignments = _try_targets(targets, fitting, pool, allowances, get_horizon)
+    if assignments:
+        ordered = _list_ready(ordered, allowances)
+        fitting = _list_ready(fitting, allowances)
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
     for target in targets:
@@ -136,10 +139,10 @@
             policy, target, pool, ordered, now, entries
         ):
             break
-        while target.free + policy.margin > 0 and ordered:
+        while target.free + policy.margin > 0 and fitting:
             if target.resources in exhausted:
                 break
-            found = _find_task(ordered, target, pool, get_horizon)
+            found = _find_task(fitting, target, pool, get_horizon)
             if found is None:
                 exhausted.add(target.resources)
                 break
@@ -148,12 +151,13 @@
                 _placement.take_task(job, position, target, pool, allowances)
             )
             _drop_done(ordered, job, allowances)
+            _drop_done(fitting, job, allowances)
     return assignments
 
 
 def _try_targets(
     targets: list[_targets.TargetView],
-    ordered: list[_backlog.WaitingJob],
+    jobs: list[_backlog.WaitingJob],
     pool: _targets.Pool,
     allowances: dict[str, int],
     get_horizon: Horizon,
@@ -167,7 +171,9 @@
     for target in targets:
         if not target.awaits_trial:
             continue
-        for job in ordered[:MAX_JOBS_TRIED]:
+        for job in jobs[:MAX_JOBS_TRIED]:
+            if allowances[job.team] <= 0:
+                continue
             position = job.find_shortest(target.resources)
             if position is None:
                 continue
@@ -176,20 +182,49 @@
             assignments.append(
                 _placement.take_task(job, position, target, pool, allowances)
             )
-            _drop_done(ordered, job, allowances)
             break
     return assignments
 
 
+def _list_ready(
+    jobs: list[_backlog.WaitingJob], allowances: dict[str, int]
+) -> list[_backlog.WaitingJob]:
+    return [
+        job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
+    ]
+
+
 def _drop_done(
-    ordered: list[_backlog.WaitingJob],
+    jobs: list[_backlog.WaitingJob],
     job: _backlog.WaitingJob,
     allowances: dict[str, int],
 ) -> None:
     if not job.tasks:
-        ordered.remove(job)
+        jobs.remove(job)
     if allowances[job.team] <= 0:
-        ordered[:] = [j for j in ordered if j.team != job.team]
+        jobs[:] = [j for j in jobs if j.team != job.team]
+
+
+def _find_fitting(
+    jobs: list[_backlog.WaitingJob], targets: list[_targets.TargetView]
+) -> list[_backlog.WaitingJob]:
+    offers = {target.resources for target in targets}
+    needs = frozenset[_messages.Resources]().union(
+        *(job.needs for job in jobs)
+    )
+    covered = {
+        need
+        for need in needs
+        if any(_targets.fits_resources(offer, need) for offer in offers)
+    }
+    if len(covered) == len(needs):
+        return list(jobs)
+    return [
+        job
+        for job in jobs
+        if job.needs <= covered
+        or any(task.needs in covered for task in job.tasks)
+    ]
 
 
 def can_spare(
