Leave paused entries out of the soak's look at versions

Cause: RacePatches asks every entry for its version.

Ruled out: a fault of the product.

Now a version is waited for at most 2 s. `deploy` takes flags of agents too, which replace the defaults of the same name, as those of entries do now: the entry's command refuses a flag that is given twice.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -23,6 +23,7 @@
 HOST = "127.0.0.1"
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+CALL_SECONDS = 60.0
 LOG_CHARACTERS = 500
 STOP_SECONDS = 20.0
 OPERATOR_TOKEN = "operator-token"
@@ -274,10 +275,17 @@
         token: str = OPERATOR_TOKEN,
         port: int | None = None,
         headers: dict[str, str] | None = None,
+        timeout_seconds: float = CALL_SECONDS,
     ) -> Reply:
         """Make a request through the balancer or to a given port."""
         return call_http(
-            port or self.balancer_port, method, path, body, token, headers
+            port or self.balancer_port,
+            method,
+            path,
+            body,
+            token,
+            headers,
+            timeout_seconds,
         )
 
     def patch(self, version: int, changes: object) -> Reply:
@@ -308,8 +316,12 @@
 
     def count_withdrawals(self, entry: Node) -> int:
         """Return the number of withdrawals that an entry has sent."""
+        return self.read_counter(entry, "withdrawals")
+
+    def read_counter(self, entry: Node, name: str) -> int:
+        """Return one of an entry's counters by its name."""
         reply = self.call("GET", "/v1/status", port=entry.port)
-        return reply.body["counters"]["withdrawals"]
+        return reply.body["counters"][name]
 
     def list_agents(self, entry: Node) -> list[str]:
         """Return the names of the agents that an entry knows."""
@@ -358,9 +370,12 @@
     body: object = None,
     token: str = OPERATOR_TOKEN,
     headers: dict[str, str] | None = None,
+    timeout_seconds: float = CALL_SECONDS,
 ) -> Reply:
     """Make one HTTP request on loopback and decode the JSON answer."""
-    connection = http.client.HTTPConnection(HOST, port, timeout=60)
+    connection = http.client.HTTPConnection(
+        HOST, port, timeout=timeout_seconds
+    )
     data = None if body is None else json.dumps(body).encode()
     every = {"Authorization": f"Bearer {token}"} | (headers or {})
     try:
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
@@ -21,6 +21,7 @@
 
 TEAM_TOKEN = "hall-token"
 BACKGROUND_CALLS = 8
+STATUS_SECONDS = 2.0
 BALANCER_SECONDS = 1.5
 DOMAINS = ["kaai-zuid", "dokken-noord", "depot-berchem"]
 ENTRY_FLAGS = (
@@ -93,9 +94,18 @@
         missed_until = time.monotonic() + BALANCER_SECONDS
         self.kills.append((killed_at, missed_until))
 
-    def read_version(self, entry: _cluster.Node) -> tuple[str, int]:
+    def read_version(
+        self,
+        entry: _cluster.Node,
+        timeout_seconds: float = _cluster.CALL_SECONDS,
+    ) -> tuple[str, int]:
         """Return an entry's incarnation and configuration version."""
-        reply = self.cluster.call("GET", "/v1/status", port=entry.port)
+        reply = self.cluster.call(
+            "GET",
+            "/v1/status",
+            port=entry.port,
+            timeout_seconds=timeout_seconds,
+        )
         version = reply.body["configuration_version"]
         return reply.body["entry"], version or 0
 
@@ -104,7 +114,8 @@
         versions = {}
         for entry in self.cluster.entries:
             with contextlib.suppress(OSError):
-                name, version = self.read_version(entry)
+                # An entry that is paused does not answer.
+                name, version = self.read_version(entry, STATUS_SECONDS)
                 # An entry that still starts has none to revert from.
                 if version:
                     versions[name] = version
@@ -236,6 +247,7 @@
     agents: int = 2,
     slots: int = 2,
     entry_flags: tuple[str, ...] = (),
+    agent_flags: tuple[str, ...] = (),
     targets: tuple[dict[str, Any], ...] = ({},),
     callers: int = 256,
 ) -> Iterator[Deployment]:
@@ -249,13 +261,14 @@
         cluster = stack.enter_context(_cluster.Cluster(folder, proxy))
         pool = stack.enter_context(_callers.Callers(TEAM_TOKEN, callers))
         cluster.start_table()
-        cluster.start_entries(DOMAINS[:entries], *ENTRY_FLAGS, *entry_flags)
+        flags = _merge_flags(ENTRY_FLAGS, entry_flags)
+        cluster.start_entries(DOMAINS[:entries], *flags)
         for number in range(agents):
             options = {"slots": slots} | targets[number % len(targets)]
             cluster.start_agent(
                 DOMAINS[number % len(DOMAINS)],
                 _target.TargetOptions("print", 0, **options),
-                *AGENT_FLAGS,
+                *_merge_flags(AGENT_FLAGS, agent_flags),
             )
         _cluster.wait_until(
             lambda: _configure(cluster), "the first configuration"
@@ -264,6 +277,13 @@
         yield Deployment(cluster, pool)
 
 
+def _merge_flags(
+    defaults: tuple[str, ...], flags: tuple[str, ...]
+) -> tuple[str, ...]:
+    by_name = {flag.partition("=")[0]: flag for flag in defaults + flags}
+    return tuple(by_name.values())
+
+
 def _configure(cluster: _cluster.Cluster) -> bool:
     try:
         reply = cluster.patch(0, CONFIGURATION)
