Run four test files at once

Ruled out: shorter leases and intervals in the tests, which are bounds that other tests rely on; more files at once, which a smaller host would notice. Conclusion: pytest-xdist spreads whole files, since the tests of one file share a deployment; ports are chosen by the system and waits are on conditions, so files do not disturb each other. `make test WORKERS=1` runs one at a time.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PACKAGES := core transport entry agent bench
 BENCH_FLAGS ?=
 
+# Test files that run at once; the tests of one file share processes.
+WORKERS := 4
 MINUTES := 5
 SEED := 1
 
@@ -17,7 +19,7 @@
 	touch $@
 
 test: setup
-	$(PYTHON) -m pytest packages
+	$(PYTHON) -m pytest --numprocesses $(WORKERS) --dist loadfile packages
 
 soak: setup
 	$(PYTHON) -m cowslipgate_bench soak --minutes $(MINUTES) --seed $(SEED)
