Plan no choice of targets while no task waits

Cause: every result and heartbeat planned a pass of its own, an event, the quotas of every team and the allowances, also when the backlog was empty.

Whether a task waits is an invariant of the delivery machine.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -43,6 +43,11 @@
         self._waiting_tasks: collections.Counter[str] = collections.Counter()
         self._active: collections.Counter[str] = collections.Counter()
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a task of any service waits."""
+        return any(self._waiting.values())
+
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
         return self._waiting_tasks[service]
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -92,6 +92,11 @@
         """Attempts that are not final, by sequence number."""
         return self._attempts
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a task waits for a target."""
+        return self._assigner.has_waiting
+
     def count_demand(self) -> dict[str, int]:
         """Return the tasks waiting or under way by team."""
         demand: collections.Counter[str] = collections.Counter()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -325,9 +325,10 @@
 
     def _schedule(self) -> None:
         # One pass takes in everything that arrived in the same turn.
-        if not self._assigning:
-            self._assigning = True
-            self.fire(_events.assign_tasks())
+        if self._assigning or not self._ledger.has_waiting:
+            return
+        self._assigning = True
+        self.fire(_events.assign_tasks())
 
     def _perform(self, actions: list[core.LedgerAction]) -> None:
         for action in actions:
