Tell of connections made before their socket is watched

Cause: open_dealer connects before MessageSocket asks for the monitor, and what the monitor holds when its descriptor is registered signals no more. No key has to fail for it, as had been suspected.

Now the monitor is opened before the connection, and a socket is read once when its component is registered. test_message_socket failed before ("never: the connection") and with the first half alone; it passes now.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -69,9 +69,7 @@
         self._routed = sock.type == zmq.ROUTER
         self._monitor: zmq.Socket | None = None
         if not self._routed:
-            self._monitor = sock.get_monitor_socket(
-                zmq.EVENT_HANDSHAKE_SUCCEEDED
-            )
+            self._monitor = _open_monitor(sock)
         self.sent_bytes = 0
         self.received_bytes = 0
         for descriptor in self._get_descriptors():
@@ -98,6 +96,14 @@
         self._socket.close(linger=LINGER_MS)
         self.unregister()
 
+    @circuits.handler("registered", channel="*")
+    def _on_registered(
+        self, component: circuits.BaseComponent, manager: object
+    ) -> None:
+        # What arrived before the descriptor was watched signals no more.
+        if component is self:
+            self._drain()
+
     @circuits.handler("send_message")
     def _on_send_message(self, identity: bytes, message: Any) -> None:
         frames = list(core.encode_message(message))
@@ -206,10 +212,17 @@
     sock.setsockopt(zmq.IMMEDIATE, 1)
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    # The first handshake may be over before a component owns the socket.
+    _open_monitor(sock)
     sock.connect(connect)
     return sock
 
 
+def _open_monitor(sock: zmq.Socket) -> zmq.Socket:
+    # Each socket has one monitor, which is returned when asked for again.
+    return sock.get_monitor_socket(zmq.EVENT_HANDSHAKE_SUCCEEDED)
+
+
 def _open_socket(context: zmq.Context, kind: int) -> zmq.Socket:
     sock = context.socket(kind)
     sock.setsockopt(zmq.LINGER, 0)
