Have agents leave entries that drop out of their subset

Cause: an agent opened links to the entries that it chose and closed only those of entries that died, so links and heartbeats to entries no longer chosen piled up as entries came and went.

It sends no more work, and answers by a release once it awaits no outcome; the agent closes the link when it holds nothing of that entry's. Goodbyes are numbered, so that a release of an earlier departure closes nothing. The entry logs AgentLeft, not AgentLost, and fails no job.

Ruled out: a goodbye without an answer, since a dispatch that crosses it would be lost and its outcome unknown.

Before: test_subset failed, "the agent leaving the other entry did not happen in 30.0 s". After: it passes (8.0 s, most of it planned stops), as do test_pauses, test_stops, test_starts and test_agent_life (33 tests) and the packages core, entry, agent and transport.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -41,6 +41,21 @@
     lost: bool = False
     """Whether the entry has been given up until it is heard again."""
 
+    unchosen_since: datetime.datetime | None = None
+    """Since when the entry has not been of the subset, or None."""
+
+    departure: int = 0
+    """Number of the departure under way, or zero."""
+
+    released: bool = False
+    """Whether the entry has forgotten the agent."""
+
+    def stay(self) -> None:
+        """Take in that the entry is of the subset."""
+        self.unchosen_since = None
+        self.departure = 0
+        self.released = False
+
 
 class Links(circuits.BaseComponent):
     """Owns one link for each entry of the agent's subset."""
@@ -80,6 +95,7 @@
     def _on_tick(self) -> None:
         now = self._clock.now()
         self._check_silence(now)
+        self._leave_unchosen(now)
         alone = all(link.lost for link in self._links.values())
         if alone and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
@@ -132,6 +148,8 @@
             self.fire(_events.entry_heard(message), "runner")
             if isinstance(message, core.Beat):
                 self._follow_interval(message, link)
+            elif isinstance(message, core.Release):
+                link.released = message.number == link.departure
         if sender >= int(peer) and isinstance(message, core.Beat):
             self._hear_beat(message)
 
@@ -157,9 +175,10 @@
 
     def _get_interval(self, incarnation: int) -> datetime.timedelta:
         # The entry watches a link that carries work more closely.
-        if self._executor.measure_load(incarnation).own:
+        link = self._links[incarnation]
+        if link.departure or self._executor.measure_load(incarnation).own:
             return self._settings.heartbeat
-        return self._links[incarnation].interval
+        return link.interval
 
     def _check_silence(self, now: datetime.datetime) -> None:
         members = {member.incarnation for member in self._members}
@@ -194,6 +213,7 @@
             self._settings.name, members, self._settings.entries
         )
         wanted = {member.incarnation: member for member in chosen}
+        self._note_choice(members, set(wanted))
         reborn = {member.address: member.incarnation for member in members}
         for incarnation, link in list(self._links.items()):
             newest = reborn.get(link.member.address, incarnation)
@@ -210,6 +230,40 @@
                 self._open(member)
         self._members = members
 
+    def _note_choice(
+        self, members: tuple[core.Member, ...], wanted: set[int]
+    ) -> None:
+        now = self._clock.now()
+        known = {member.incarnation for member in members}
+        for incarnation, link in self._links.items():
+            if incarnation in wanted:
+                link.stay()
+            elif incarnation in known and link.unchosen_since is None:
+                link.unchosen_since = now
+
+    def _leave_unchosen(self, now: datetime.datetime) -> None:
+        for incarnation, link in list(self._links.items()):
+            if link.released and not self._executor.holds(incarnation):
+                self._close(incarnation)
+            elif self._may_leave(link, now):
+                link.departure = next(self._numbers)
+                self._report(incarnation, link)
+
+    def _may_leave(self, link: Link, now: datetime.datetime) -> bool:
+        since = link.unchosen_since
+        if since is None or link.lost or link.departure:
+            return False
+        # Entries that see each other differently may choose in turn.
+        if now - since <= self._settings.entry_lost_after:
+            return False
+        chosen = core.choose_entries(
+            self._settings.name, self._members, self._settings.entries
+        )
+        links = [self._links.get(member.incarnation) for member in chosen]
+        return bool(links) and not any(
+            other is None or other.lost for other in links
+        )
+
     def _open(self, member: core.Member) -> None:
         identity = core.encode_identity(self._settings.name, self._incarnation)
         sock = transport.open_dealer(self._context, member.address, identity)
@@ -226,12 +280,13 @@
         self._executor.connect(member.incarnation)
 
     def _drop(self, incarnation: int) -> None:
-        link = self._links.pop(incarnation, None)
-        if link is None:
-            return
-        link.socket.close()
-        # The next entry that answers tells whom to connect to.
-        self._members = ()
+        if incarnation in self._links:
+            self._close(incarnation)
+            # The next entry that answers tells whom to connect to.
+            self._members = ()
+
+    def _close(self, incarnation: int) -> None:
+        self._links.pop(incarnation).socket.close()
         self.fire(_events.entry_dropped(incarnation), "runner")
 
     def _report_all(self) -> None:
@@ -240,9 +295,17 @@
 
     def _report(self, incarnation: int, link: Link) -> None:
         link.reported_at = self._clock.now()
+        message = self._make_report(incarnation)
+        if link.departure:
+            message = core.Goodbye(
+                self._settings.name, self._incarnation, link.departure
+            )
+        self.fire(transport.send_message(b"", message), link.socket.channel)
+
+    def _make_report(self, incarnation: int) -> core.Report:
         executor = self._executor
         announcement = executor.announcement
-        report = core.Report(
+        return core.Report(
             self._settings.name,
             self._incarnation,
             announcement.service if announcement else "",
@@ -254,4 +317,3 @@
             core.digest_members(self._members),
             executor.get_link(incarnation),
         )
-        self.fire(transport.send_message(b"", report), link.socket.channel)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
@@ -132,6 +132,14 @@
     return []
 
 
+@_apply_message.register
+def _apply_release(
+    message: core.Release, executor: core.Executor, now: datetime.datetime
+) -> list[core.ExecutorAction]:
+    executor.acknowledge(message.entry, message.acknowledged)
+    return []
+
+
 @_apply_message.register
 def _apply_beat(
     message: core.Beat, executor: core.Executor, now: datetime.datetime
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
@@ -0,0 +1,153 @@
+"""An agent's links to entries that a test plays."""
+
+from collections.abc import Callable
+import datetime
+import threading
+import time
+
+import circuits
+from circuits.core import events
+from circuits.core import pollers
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+import msgspec
+import zmq
+
+from cowslipgate_agent import _events
+from cowslipgate_agent import _links
+from cowslipgate_agent import _runner
+from cowslipgate_agent import _settings
+
+AGENT = "agent-1"
+ROUNDS = 5_000
+ROUND_SECONDS = 0.002
+INSTANT = datetime.timedelta(microseconds=1)
+STEP = datetime.timedelta(milliseconds=500)
+TARGET_LAPSE = datetime.timedelta(hours=1)
+FLAGS = {
+    "name": AGENT,
+    "domain": "kaai-zuid",
+    "balancer": "127.0.0.1:1",
+    "heartbeat": "1s",
+    "entry_lost_after": "5s",
+    "entries": "1",
+}
+
+
+class EntryTwin:
+    """An entry that answers each report by a heartbeat."""
+
+    def __init__(self, incarnation: int) -> None:
+        context = zmq.Context.instance()
+        self.incarnation = incarnation
+        self.router = transport.open_router(context, "tcp://127.0.0.1:0")
+        self.address = self.router.getsockopt(zmq.LAST_ENDPOINT).decode()
+        self.member = core.Member(
+            incarnation, self.address, "127.0.0.1:1", "kaai-zuid"
+        )
+        self.identity = b""
+        self.answering = True
+        self.received: list[object] = []
+
+    def take(self, kind: type) -> list[object]:
+        """Return and forget the messages of one type."""
+        found = [m for m in self.received if isinstance(m, kind)]
+        self.received = [m for m in self.received if not isinstance(m, kind)]
+        return found
+
+    def send(self, message: object) -> None:
+        """Send a message to the agent."""
+        frames = core.encode_message(message)
+        self.router.send_multipart([self.identity, *frames])
+
+    def poll(self) -> None:
+        """Take in what has arrived and answer reports."""
+        while self.router.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+            identity, *frames = self.router.recv_multipart()
+            message = core.decode_message(*frames)
+            self.received.append(message)
+            self.identity = identity
+            if self.answering and isinstance(message, core.Report):
+                self.send(core.Beat(self.incarnation, 1, ()))
+
+
+class LinksRig:
+    """Links and runner of an agent, with a manual clock and no target."""
+
+    def __init__(self, *entries: EntryTwin) -> None:
+        self.entries = entries
+        self.clock = core.ManualClock()
+        self.root = circuits.BaseComponent(channel="root")
+        poller = pollers.EPoll().register(self.root)
+        settings = core.load_settings(_settings.AgentSettings, FLAGS, {})
+        self.executor = core.Executor(1, 2, settings.entry_lost_after)
+        self.links = _links.Links(
+            settings, self.executor, 1, self.clock, poller
+        ).register(self.root)
+        _runner.Runner(self.executor, self.clock, TARGET_LAPSE).register(
+            self.root
+        )
+
+    def introduce(self, *members: core.Member) -> None:
+        """Tell the agent of the live entries."""
+        call = transport.Call(
+            1, transport.Address("127.0.0.1", 1), "GET", "/v1/members"
+        )
+        body = msgspec.json.encode(members)
+        answer = transport.CallAnswer(call, 200, {}, body)
+        self.root.fire(transport.http_answered(answer), "discovery")
+        self.run_until(self._is_quiet, "quiet")
+
+    def turn(self) -> None:
+        """Run one round of components and entries."""
+        if not len(self.root):
+            event = events.generate_events(threading.RLock(), ROUND_SECONDS)
+            self.root.fire(event, "*")
+            time.sleep(ROUND_SECONDS / 10)
+        self.root.tick()
+        for entry in self.entries:
+            entry.poll()
+
+    def deliver(self, entry: EntryTwin, message: object) -> None:
+        """Send a message of an entry and wait until it was taken in."""
+        link = self.links.get_link(entry.incarnation)
+        self.clock.advance(INSTANT)
+        entry.send(message)
+        self.run_until(
+            lambda: link.heard_at == self.clock.now(), "the message"
+        )
+        self.run_until(self._is_quiet, "quiet")
+
+    def _is_quiet(self) -> bool:
+        now = self.clock.now()
+        for entry in self.entries:
+            link = self.links.get_link(entry.incarnation)
+            if link is None:
+                continue
+            entry_heard = link.heard_at == now or not entry.answering
+            if link.reported_at == now and not (entry_heard or link.departure):
+                return False
+        return not len(self.root)
+
+    def run_until(self, check: Callable[[], object], what: str) -> None:
+        """Run rounds until ``check`` is true."""
+        for _ in range(ROUNDS):
+            if check():
+                return
+            self.turn()
+        raise AssertionError(f"never: {what}")
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass in steps, with a tick after each."""
+        span = datetime.timedelta(seconds=seconds)
+        for _ in range(span // STEP):
+            self.clock.advance(STEP)
+            self.root.fire(_events.tick(), _links.CHANNEL, _runner.CHANNEL)
+            self.run_until(self._is_quiet, "quiet")
+
+    def close(self) -> None:
+        """Close every socket."""
+        for sock in self.links.sockets:
+            sock.close()
+        for entry in self.entries:
+            entry.router.close(linger=0)
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_subset.py
@@ -0,0 +1,57 @@
+"""An agent leaves entries that are no longer of its subset."""
+
+import pathlib
+
+import cowslipgate_core as core
+import msgspec
+
+from cowslipgate_bench import _cluster
+from cowslipgate_bench import _deployment
+
+AGENT = "agent-0"
+AGENT_FLAGS = ("--heartbeat=100ms", "--entry-lost-after=700ms")
+
+
+def _find_chosen(cluster: _cluster.Cluster) -> _cluster.Node:
+    """Return the entry that ranks first for the agent."""
+    body = cluster.call("GET", "/v1/members").body
+    members = msgspec.convert(body, tuple[core.Member, ...])
+    (member,) = core.choose_entries(AGENT, members, 1)
+    port = int(member.http.rpartition(":")[2])
+    (node,) = [entry for entry in cluster.entries if entry.port == port]
+    return node
+
+
+def test_agent_leaves_an_entry_that_drops_out_of_its_subset(
+    tmp_path: pathlib.Path,
+) -> None:
+    with _deployment.deploy(
+        tmp_path, entries=2, agents=1, agent_flags=AGENT_FLAGS
+    ) as deployment:
+        cluster = deployment.cluster
+        (agent,) = cluster.agents
+        assert _cluster.stop_gracefully(agent.process) == 0
+        agent.command += ("--entries=1",)
+        cluster.restart(agent)
+        first, second = cluster.entries
+        chosen = _find_chosen(cluster)
+        other = second if chosen is first else first
+        assert _cluster.stop_gracefully(chosen.process) == 0
+        _cluster.wait_until(
+            lambda: cluster.list_agents(other) == [AGENT],
+            "the agent's move to the other entry",
+        )
+        number = cluster.entries.index(other)
+        job = deployment.submit(entry=number, tasks=1, true_ms=(1_500.0,))
+        deployment.wait_started(job)
+        cluster.restart(chosen)
+        _cluster.wait_until(
+            lambda: cluster.list_agents(chosen) == [AGENT],
+            "the agent's return to the entry that ranks first",
+        )
+        _cluster.wait_until(
+            lambda: not cluster.list_agents(other),
+            "the agent leaving the other entry",
+        )
+        assert job.answer.result().complete
+        assert deployment.judge().find_violations() == {}
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -92,6 +92,10 @@
         """Slots open to work now."""
         return self._target.slots
 
+    def holds(self, entry: int) -> bool:
+        """Tell whether work of an entry is in hand or not acknowledged."""
+        return bool(self._slots.count(entry) or self._outcomes.count(entry))
+
     def measure_load(self, entry: int) -> _messages.Load:
         """Return the load as one entry is told of it."""
         own = self._slots.count(entry)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -145,6 +145,26 @@
             actions.extend(self._inquire(record, now, set(record.outstanding)))
         return actions
 
+    def hear_goodbye(
+        self, goodbye: _messages.Goodbye, now: datetime.datetime
+    ) -> bool:
+        """Forget an agent that leaves, once it owes no outcome.
+
+        Return whether it is forgotten; until then it gets no new work.
+        """
+        record = self._agents.get(goodbye.agent)
+        if record is None:
+            return True
+        if record.report.incarnation != goodbye.incarnation:
+            return False
+        if not record.outstanding:
+            self._roster.remove(goodbye.agent)
+            return True
+        record.heard_at = now
+        record.departing = True
+        self._roster.update(record)
+        return False
+
     def hear_results(
         self, results: _messages.Results, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -267,6 +267,40 @@
     """Attempts whose outcome the entry has received."""
 
 
+@attrs.frozen
+class Goodbye:
+    """Tells an entry that the agent wants to be sent no more work.
+
+    It is repeated in place of reports until the entry answers by a release.
+    """
+
+    agent: _Text
+    """Name of the agent."""
+
+    incarnation: _Count
+    """Incarnation of the agent process."""
+
+    number: _Count
+    """Number of the departure, which a release returns."""
+
+
+@attrs.frozen
+class Release:
+    """Tells an agent that the entry has forgotten it.
+
+    The entry awaits no outcome and sends nothing before another report.
+    """
+
+    entry: int
+    """Incarnation of the sending entry."""
+
+    number: _Count
+    """Number of the departure."""
+
+    acknowledged: tuple[int, ...] = ()
+    """Attempts whose outcome the entry has received."""
+
+
 @attrs.frozen
 class Gossip:
     """What one entry tells the others once a second."""
@@ -367,6 +401,8 @@
     Withdraw,
     Acknowledge,
     Beat,
+    Goodbye,
+    Release,
     Gossip,
     ConfigurationPush,
     ConfigurationRequest,
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -34,6 +34,9 @@
     held: bool = False
     """Whether it refused a task and has not told its load since."""
 
+    departing: bool = False
+    """Whether it said goodbye and waits to be released."""
+
 
 class Roster:
     """Agents by name, kept in step with a pool for each service.
@@ -105,6 +108,7 @@
         record.report = report
         record.load = report.load
         record.held = False
+        record.departing = False
         self.update(record)
 
     def update(self, record: AgentRecord) -> None:
@@ -115,12 +119,13 @@
             pool = _targets.Pool(margin=self._margin)
             self._pools[report.service] = pool
         view = pool.get(report.agent)
+        slots = 0 if record.departing else record.load.slots
         occupied = record.load.others + len(record.outstanding)
         if view is None:
             view = _targets.TargetView(
                 report.agent,
                 report.resources,
-                record.load.slots,
+                slots,
                 occupied,
                 self._get_speed(report.agent),
                 self._find_limit(record),
@@ -128,7 +133,7 @@
             pool.add(view)
             return
         view.resources = report.resources
-        view.slots = record.load.slots
+        view.slots = slots
         view.occupied = occupied
         view.usable_until = self._find_limit(record)
         view.held = record.held
--- a/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
@@ -19,7 +19,11 @@
 
 @find_message_fault.register(_messages.Report)
 @find_message_fault.register(_messages.Results)
-def _(message: _messages.Report | _messages.Results, identity: bytes) -> str:
+@find_message_fault.register(_messages.Goodbye)
+def _(
+    message: _messages.Report | _messages.Results | _messages.Goodbye,
+    identity: bytes,
+) -> str:
     if not _AGENT.fullmatch(message.agent):
         return "the agent's name is not allowed"
     known = _messages.encode_identity(message.agent, message.incarnation)
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_departures.py
@@ -0,0 +1,64 @@
+"""Tests of agents that leave an entry."""
+
+import cowslipgate_core as core
+from cowslipgate_core.tests import builders
+
+NOW = builders.NOW
+GOODBYE = core.Goodbye("agent-1", 1, 1)
+QUOTAS = {"hall": 8}
+
+
+def _build_ledger() -> core.Ledger:
+    ledger = core.Ledger(core.LateBinding(), incarnation=7)
+    ledger.hear_report(builders.build_report(), NOW)
+    return ledger
+
+
+def _send_job(ledger: core.Ledger, job_id: str) -> list[core.LedgerAction]:
+    ledger.submit(builders.build_job(ledger, job_id=job_id))
+    return ledger.assign(NOW, QUOTAS)
+
+
+def _finish(ledger: core.Ledger, attempt: int) -> list[core.LedgerAction]:
+    report = core.AttemptReport(attempt, core.Outcome.FINISHED)
+    results = core.Results("agent-1", 1, core.Load(8, 0, 0), (report,), 7)
+    return ledger.hear_results(results, NOW)
+
+
+def test_idle_agent_is_forgotten_at_once() -> None:
+    ledger = _build_ledger()
+    assert ledger.hear_goodbye(GOODBYE, NOW)
+    assert not ledger.agents
+    assert _send_job(ledger, "job-1") == []
+
+
+def test_agent_that_owes_outcomes_is_kept_and_gets_no_more_work() -> None:
+    ledger = _build_ledger()
+    assert len(_send_job(ledger, "job-1")) == 1
+    assert not ledger.hear_goodbye(GOODBYE, NOW)
+    assert _send_job(ledger, "job-2") == []
+    (answer,) = _finish(ledger, 1)
+    assert answer.answer.failure is None
+    # The result told of free slots, which are not for this entry.
+    assert ledger.assign(NOW, QUOTAS) == []
+    assert ledger.hear_goodbye(GOODBYE, NOW)
+
+
+def test_agent_that_stays_gets_work_again() -> None:
+    ledger = _build_ledger()
+    _send_job(ledger, "job-1")
+    ledger.hear_goodbye(GOODBYE, NOW)
+    ledger.hear_report(builders.build_report(own=1), NOW)
+    assert len(_send_job(ledger, "job-2")) == 1
+
+
+def test_goodbye_of_another_incarnation_forgets_nothing() -> None:
+    ledger = _build_ledger()
+    assert not ledger.hear_goodbye(core.Goodbye("agent-1", 2, 1), NOW)
+    assert "agent-1" in ledger.agents
+
+
+def test_goodbye_is_repeatable() -> None:
+    ledger = _build_ledger()
+    ledger.hear_goodbye(GOODBYE, NOW)
+    assert ledger.hear_goodbye(GOODBYE, NOW)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_changes.py
@@ -83,6 +83,17 @@
     """State that it is in."""
 
 
+@attrs.frozen
+class AgentLeft(Change):
+    """An agent went over to other entries."""
+
+    agent: str
+    """Name of the agent."""
+
+    incarnation: int
+    """Incarnation of the agent."""
+
+
 @attrs.frozen
 class AgentLost(Change):
     """An agent was silent too long."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -226,6 +226,20 @@
         self._send(report.agent, beat)
         self._schedule()
 
+    def hear_goodbye(
+        self, goodbye: core.Goodbye, now: datetime.datetime
+    ) -> None:
+        """Release an agent that leaves, once it owes no outcome."""
+        message = self._make_beat(with_members=False)
+        if self._ledger.hear_goodbye(goodbye, now):
+            message = core.Release(
+                self._member.incarnation,
+                goodbye.number,
+                self._acknowledgements.take(goodbye.agent),
+            )
+        self._ledger.counters.heartbeats += 2
+        self._send_to(goodbye.agent, goodbye.incarnation, message)
+
     def hear_results(
         self, results: core.Results, now: datetime.datetime
     ) -> None:
@@ -423,6 +437,13 @@
     dispatcher.hear_report(message, now)
 
 
+@_handle_message.register
+def _handle_goodbye(
+    message: core.Goodbye, dispatcher: Dispatcher, now: datetime.datetime
+) -> None:
+    dispatcher.hear_goodbye(message, now)
+
+
 @_handle_message.register
 def _handle_results(
     message: core.Results, dispatcher: Dispatcher, now: datetime.datetime
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
@@ -32,6 +32,7 @@
         self._state = dispatcher.state
         self._members: dict[int, core.Member] = {member.incarnation: member}
         self._agents: dict[str, core.Report] = {}
+        self._departing: set[str] = set()
         self._store_reachable = True
         self._failures: set[tuple[str, str]] = set()
         self._ticks = itertools.count(1)
@@ -59,8 +60,13 @@
 
     @circuits.handler("message_received", channel=_dispatcher.AGENTS_CHANNEL)
     def _on_message_received(self, identity: bytes, message: object) -> None:
+        if isinstance(message, core.Goodbye):
+            if message.agent in self._agents:
+                self._departing.add(message.agent)
+            return
         if not isinstance(message, core.Report):
             return
+        self._departing.discard(message.agent)
         known = self._agents.get(message.agent)
         if known is None or known.incarnation < message.incarnation:
             change = _changes.AgentSeen(
@@ -121,12 +127,16 @@
             self._tell(_changes.EntryStateChanged(self._state, state))
             self._state = state
         if next(self._ticks) % CHECK_TICKS == 0:
-            self._find_lost()
+            self._find_missing()
 
-    def _find_lost(self) -> None:
+    def _find_missing(self) -> None:
         for name in self._agents.keys() - self._dispatcher.ledger.agents:
-            lost = self._agents.pop(name)
-            self._tell(_changes.AgentLost(name, lost.incarnation))
+            missing = self._agents.pop(name)
+            change = _changes.AgentLost(name, missing.incarnation)
+            if name in self._departing:
+                self._departing.remove(name)
+                change = _changes.AgentLeft(name, missing.incarnation)
+            self._tell(change)
 
     def _tell(self, change: _changes.Change) -> None:
         self.fire(_events.changed(change), "logs")
