Give up connections that stand but lead nowhere

A ROUTER hands an identity over to the latest connection that has it and reads nothing more from the earlier one, which stands all the same; when the latest ends, nobody is left. Sends succeed, no lease and no keepalive notices. An entry used one identity for all its connections, so a connection meant for an earlier incarnation at the same address could take over. An agent waited for such a connection for ever, since it kept the socket of an entry that it had given up.

Ruled out: the proxy (its links were healed) and the order of gossip and goodbyes (the later incarnation was known).

Connections of entries have identities of their own, which nobody addresses. An agent whose entry is silent past its limit opens another connection, again and again.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -38,6 +38,9 @@
     reported_at: datetime.datetime
     """When the last report was sent."""
 
+    opened_at: datetime.datetime
+    """When the connection was opened."""
+
     lost: bool = False
     """Whether the entry has been given up until it is heard again."""
 
@@ -186,14 +189,15 @@
             limit = self._settings.entry_lost_after
             if not self._executor.measure_load(incarnation).own:
                 limit = core.stretch_loss(limit, link.interval)
-            if link.lost or now - link.heard_at <= limit:
+            if now - max(link.heard_at, link.opened_at) <= limit:
+                continue
+            if incarnation not in members:
+                self._drop(incarnation)
                 continue
-            if incarnation in members:
-                # The socket connects again when the entry comes back.
+            if not link.lost:
                 link.lost = True
                 self.fire(_events.entry_dropped(incarnation), "runner")
-            else:
-                self._drop(incarnation)
+            self._connect_anew(link)
 
     def _discover(self) -> None:
         address = transport.Address(
@@ -265,19 +269,29 @@
         )
 
     def _open(self, member: core.Member) -> None:
+        now = self._clock.now()
+        component = self._open_socket(member)
+        link = Link(member, component, now, self._settings.heartbeat, now, now)
+        self._links[member.incarnation] = link
+        # The handshake may be over before the socket is watched.
+        self._executor.connect(member.incarnation)
+
+    def _connect_anew(self, link: Link) -> None:
+        # A connection may stand and lead nowhere: the entry reads the latest
+        # one of an identity only, and a refused key ends all tries.
+        link.socket.close()
+        link.socket = self._open_socket(link.member)
+        link.opened_at = self._clock.now()
+
+    def _open_socket(self, member: core.Member) -> transport.MessageSocket:
         identity = core.encode_identity(self._settings.name, self._incarnation)
         sock = transport.open_dealer(self._context, member.address, identity)
-        component = transport.MessageSocket(
-            f"entry-{member.incarnation}",
+        return transport.MessageSocket(
+            f"entry-{member.incarnation}-{next(self._numbers)}",
             self._poller,
             sock,
             str(member.incarnation).encode(),
         ).register(self)
-        now = self._clock.now()
-        link = Link(member, component, now, self._settings.heartbeat, now)
-        self._links[member.incarnation] = link
-        # The handshake may be over before the socket is watched.
-        self._executor.connect(member.incarnation)
 
     def _drop(self, incarnation: int) -> None:
         if incarnation in self._links:
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -0,0 +1,71 @@
+"""Tests that an agent connects anew to an entry that went silent."""
+
+from collections.abc import Iterator
+
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+import pytest
+import zmq
+
+from cowslipgate_agent.tests import link_builders
+
+LOST_SECONDS = 8
+WAIT_MS = 10_000
+
+
+@pytest.fixture
+def entry() -> link_builders.EntryTwin:
+    return link_builders.EntryTwin(7)
+
+
+@pytest.fixture
+def rig(
+    entry: link_builders.EntryTwin,
+) -> Iterator[link_builders.LinksRig]:
+    rig = link_builders.LinksRig(entry)
+    rig.introduce(entry.member)
+    rig.run_until(lambda: entry.take(core.Report), "a first report")
+    yield rig
+    rig.close()
+
+
+def _take_over(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    """Have another connection take the agent's identity and end.
+
+    The entry's socket then reads nothing more from the agent's connection,
+    which stands nevertheless.
+    """
+    context = zmq.Context.instance()
+    other = transport.open_dealer(context, entry.address, entry.identity)
+    assert other.poll(WAIT_MS, zmq.POLLOUT)
+    other.send_multipart(core.encode_message(core.Acknowledge(7, ())))
+    rig.run_until(lambda: entry.take(core.Acknowledge), "the take-over")
+    other.close(linger=0)
+
+
+def test_agent_whose_connection_leads_nowhere_connects_anew(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    entry.answering = False
+    _take_over(rig, entry)
+    rig.pass_time(LOST_SECONDS)
+    rig.run_until(lambda: entry.take(core.Report), "a report to the entry")
+
+
+def test_silent_entry_gets_one_connection_at_a_time(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    entry.answering = False
+    rig.pass_time(10 * LOST_SECONDS)
+    assert len(rig.links.sockets) == 1
+
+
+def test_link_that_was_made_anew_has_another_number(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    before = rig.executor.get_link(7)
+    entry.answering = False
+    rig.pass_time(LOST_SECONDS)
+    assert rig.executor.get_link(7) > before
--- a/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
@@ -54,11 +54,18 @@
 
 
 def _check_entry(entry: int, identity: bytes) -> str:
-    if identity != encode_entry_identity(entry):
+    name, _, number = identity.partition(b":")
+    if name != f"entry-{entry}".encode() or not number.isdigit():
         return "the entry is not the sender"
     return ""
 
 
-def encode_entry_identity(incarnation: int) -> bytes:
-    """Return the ZeroMQ identity of an entry's incarnation."""
-    return f"entry-{incarnation}".encode()
+def encode_entry_identity(incarnation: int, number: int) -> bytes:
+    """Return the ZeroMQ identity of a connection of an entry.
+
+    Connections have identities of their own: of two with the same one only
+    the latest is read, and none when that one ends.
+
+    :param number: number of the connection at its entry
+    """
+    return f"entry-{incarnation}:{number}".encode()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_peers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_peers.py
@@ -52,6 +52,7 @@
         self._membership.hear(member, clock.now())
         self._candidates = core.Candidates()
         self._sockets: dict[int, transport.MessageSocket] = {}
+        self._opened_at: dict[int, datetime.datetime] = {}
         self._version = -1
         self._lease_revision = 0
         self._starved = False
@@ -59,6 +60,11 @@
         self._next_gossip = clock.now()
         self._leaving = False
 
+    @property
+    def sockets(self) -> list[transport.MessageSocket]:
+        """Sockets of the links, for measurements."""
+        return list(self._sockets.values())
+
     @circuits.handler("configuration_adopted")
     def _on_configuration_adopted(
         self, configuration: core.Configuration
@@ -146,6 +152,8 @@
             self._connect(gossip.member)
             self._drop_superseded()
             self._tell_members()
+        if gossip.members and self._member not in gossip.members:
+            self._connect_anew(gossip.member)
         for member in gossip.members:
             self._consider(member)
         if gossip.configuration_version > self._version:
@@ -166,7 +174,9 @@
             return
         if member.address == self._member.address:
             return
-        identity = f"entry-{self._member.incarnation}".encode()
+        identity = core.encode_entry_identity(
+            self._member.incarnation, next(self._numbers)
+        )
         sock = transport.open_dealer(self._context, member.address, identity)
         component = transport.MessageSocket(
             f"peer-{member.incarnation}",
@@ -175,10 +185,21 @@
             str(member.incarnation).encode(),
         ).register(self)
         self._sockets[member.incarnation] = component
+        self._opened_at[member.incarnation] = self._clock.now()
+
+    def _connect_anew(self, member: core.Member) -> None:
+        # The peer has had time to hear of this entry and has not.
+        opened_at = self._opened_at.get(member.incarnation)
+        if opened_at is None:
+            return
+        if self._clock.now() - opened_at > core.LAPSE_AFTER:
+            self._disconnect(member.incarnation)
+            self._connect(member)
 
     def _disconnect(self, entry: int) -> None:
         sock = self._sockets.pop(entry, None)
         if sock is not None:
+            del self._opened_at[entry]
             sock.close()
 
     def _drop_superseded(self) -> None:
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_peer_links.py
@@ -0,0 +1,116 @@
+"""Tests of the links between entries over real connections."""
+
+from collections.abc import Callable, Iterator
+import datetime
+import threading
+import time
+
+from circuits.core import events
+from circuits.core import pollers
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+import pytest
+import zmq
+
+from cowslipgate_entry import _events
+from cowslipgate_entry import _peers
+from cowslipgate_entry.tests import control_builders
+
+OWN = control_builders.build_member(1, 9)
+EARLIER = 7
+LATER = 8
+ROUNDS = 5_000
+ROUND_SECONDS = 0.001
+SECOND = datetime.timedelta(seconds=1)
+
+
+class Rig:
+    """The peers component of one entry, and a socket that others bind."""
+
+    def __init__(self) -> None:
+        self.bench = control_builders.ComponentBench()
+        poller = pollers.EPoll().register(self.bench.root)
+        self.peers = _peers.Peers(
+            OWN,
+            transport.Address("127.0.0.1", 1),
+            self.bench.clock,
+            poller,
+        ).register(self.bench.root)
+        context = zmq.Context.instance()
+        self.router = transport.open_router(context, "tcp://127.0.0.1:0")
+        self.address = self.router.getsockopt(zmq.LAST_ENDPOINT).decode()
+        self.identities: list[bytes] = []
+
+    def build_member(self, incarnation: int) -> core.Member:
+        """Return an incarnation of the entry at the socket's address."""
+        return core.Member(incarnation, self.address, "127.0.0.1:1", "ruwi")
+
+    def find(self, incarnation: int) -> None:
+        """Tell of an incarnation."""
+        event = _events.members_found((self.build_member(incarnation),))
+        self.bench.root.fire(event, _peers.CHANNEL)
+
+    def hear(self, gossip: core.Gossip) -> None:
+        """Deliver gossip of the entry at the socket's address."""
+        event = transport.message_received(b"", gossip)
+        self.bench.root.fire(event, _peers.INTERNAL_CHANNEL)
+
+    def wait_gossip(self, connections: int = 1) -> None:
+        """Let time pass until gossip came from so many connections."""
+        self.identities.clear()
+
+        def check() -> bool:
+            self.bench.clock.advance(SECOND / 100)
+            self.bench.root.fire(_events.tick(), _peers.CHANNEL)
+            return len(set(self.identities)) >= connections
+
+        self._run_until(check, f"gossip from {connections} connections")
+
+    def _run_until(self, check: Callable[[], object], what: str) -> None:
+        root = self.bench.root
+        for _ in range(ROUNDS):
+            if check():
+                return
+            root.fire(
+                events.generate_events(threading.RLock(), ROUND_SECONDS), "*"
+            )
+            root.tick()
+            time.sleep(ROUND_SECONDS)
+            while self.router.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                self.identities.append(self.router.recv_multipart()[0])
+        raise AssertionError(f"never: {what}")
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    rig = Rig()
+    yield rig
+    for sock in rig.peers.sockets:
+        sock.close()
+    rig.router.close(linger=0)
+
+
+def test_gossip_arrives_after_a_late_connection_to_an_earlier_incarnation(
+    rig: Rig,
+) -> None:
+    rig.find(LATER)
+    rig.wait_gossip()
+    rig.find(EARLIER)
+    rig.wait_gossip(connections=2)
+    rig.hear(core.Gossip(rig.build_member(LATER), 1))
+    rig.wait_gossip()
+    assert len(rig.peers.sockets) == 1
+
+
+def test_peer_that_does_not_know_this_entry_gets_another_connection(
+    rig: Rig,
+) -> None:
+    peer = rig.build_member(LATER)
+    rig.hear(core.Gossip(peer, 1))
+    rig.wait_gossip()
+    before = set(rig.identities)
+    for _ in range(2):
+        rig.bench.clock.advance(core.LAPSE_AFTER / 2 + SECOND)
+        rig.hear(core.Gossip(peer, 1, (peer,)))
+    rig.wait_gossip()
+    assert not before & set(rig.identities)
