--- a/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
@@ -19,7 +19,11 @@
 
 @find_message_fault.register(_messages.Report)
 @find_message_fault.register(_messages.Results)
-def _(message: _messages.Report | _messages.Results, identity: bytes) -> str:
+@find_message_fault.register(_messages.Goodbye)
+def _(
+    message: _messages.Report | _messages.Results | _messages.Goodbye,
+    identity: bytes,
+) -> str:
     if not _AGENT.fullmatch(message.agent):
         return "the agent's name is not allowed"
     known = _messages.encode_identity(message.agent, message.incarnation)
@@ -50,11 +54,18 @@
 
 
 def _check_entry(entry: int, identity: bytes) -> str:
-    if identity != encode_entry_identity(entry):
+    name, _, number = identity.partition(b":")
+    if name != f"entry-{entry}".encode() or not number.isdigit():
         return "the entry is not the sender"
     return ""
 
 
-def encode_entry_identity(incarnation: int) -> bytes:
-    """Return the ZeroMQ identity of an entry's incarnation."""
-    return f"entry-{incarnation}".encode()
+def encode_entry_identity(incarnation: int, number: int) -> bytes:
+    """Return the ZeroMQ identity of a connection of an entry.
+
+    Connections have identities of their own: of two with the same one only
+    the latest is read, and none when that one ends.
+
+    :param number: number of the connection at its entry
+    """
+    return f"entry-{incarnation}:{number}".encode()
