Look at open targets only until the backlog is empty

Cause: each pass asked of every open target whether it may be used, though a job of one task takes the first; each outcome updated its target's view twice and worked out the heartbeat interval anew.

The pass chooses what its twin chooses (test_placement.py; the list of open targets there became an iterator). That pools agree with the records is a new invariant of the delivery machine, since the view is now updated once a message.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_heartbeats.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_heartbeats.py
@@ -1,14 +1,17 @@
 """How often idle agents report, and after what silence they are suspect."""
 
 import datetime
+import functools
 
 HEARTBEAT_BYTES = 450
 HEARTBEAT_BYTES_PER_SECOND = 11_000
 LOST_HEARTBEATS = 5
+MAX_CACHED = 64
 SHORTEST_HEARTBEAT = datetime.timedelta(seconds=1)
 SUSPECT_HEARTBEATS = 2.5
 
 
+@functools.lru_cache(maxsize=MAX_CACHED)
 def choose_heartbeat(agents: int) -> datetime.timedelta:
     """Return the interval that keeps an entry's heartbeats in their budget.
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -121,9 +121,6 @@
     entries: int,
     get_horizon: Horizon,
 ) -> list[_placement.Assignment]:
-    targets = pool.list_open(now)
-    if not targets:
-        return []
     ordered = [
         job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
     ]
@@ -131,7 +128,9 @@
     assignments: list[_placement.Assignment] = []
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
-    for target in targets:
+    for target in pool.iterate_open(now):
+        if not ordered:
+            break
         if policy.patience and can_spare(
             policy, target, pool, ordered, now, entries
         ):
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -327,6 +327,7 @@
         report: _messages.AttemptReport,
         now: datetime.datetime,
     ) -> list[_ledger_actions.LedgerAction]:
+        # The caller updates the roster, once for all reports of a message.
         if attempt.machine.final:
             return []
         _advance_attempt(attempt.machine, report.outcome)
@@ -344,7 +345,6 @@
         record = self._agents.get(attempt.agent)
         if record is not None:
             record.outstanding.discard(attempt.sequence)
-            self._roster.update(record)
         started = attempt.machine.get_attribute("started")
         job.known_started |= started == "yes"
         job.maybe_started |= started == "unknown"
@@ -380,7 +380,6 @@
         record = self._agents.get(attempt.agent)
         if record is not None and report.reason in _HOLDING_REASONS:
             record.held = True
-            self._roster.update(record)
 
     def _finish_task(
         self, attempt: _jobs.Attempt, report: _messages.AttemptReport
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -1,6 +1,7 @@
 """What an entry knows of the targets of one service."""
 
 import bisect
+from collections.abc import Iterator
 import datetime
 
 import attrs
@@ -142,10 +143,15 @@
         target.occupied += 1
         self.update(target)
 
-    def list_open(self, now: datetime.datetime) -> list[TargetView]:
-        """Return the targets that may take a task, the fastest first."""
-        views = (self._ranked[rank] for rank in self._open)
-        return [view for view in views if view.is_usable(now)]
+    def iterate_open(self, now: datetime.datetime) -> Iterator[TargetView]:
+        """Return the targets that may take a task, the fastest first.
+
+        Those that close meanwhile are returned too.
+        """
+        for rank in tuple(self._open):
+            view = self._ranked[rank]
+            if view.is_usable(now):
+                yield view
 
     def get_fastest(self, needs: _messages.Resources) -> float:
         """Return the speed of the fastest target that covers ``needs``."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
@@ -172,6 +172,17 @@
             assert entry.ledger.count_waiting("print") == waiting
             assert entry.ledger.has_waiting == bool(waiting)
 
+    @stateful.invariant()
+    def pools_agree_with_the_records(self) -> None:
+        for entry in self.world.entries:
+            pool = entry.ledger.find_pool("print")
+            for name, record in entry.ledger.agents.items():
+                view = pool.get(name)
+                known = len(record.outstanding) + record.load.others
+                assert view.occupied == known
+                assert view.slots == record.load.slots
+                assert view.held == record.held
+
     @stateful.invariant()
     def answers_are_true(self) -> None:
         for job, answers in self.world.answers.items():
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
@@ -183,4 +183,4 @@
         for view in pool.ranked
         if view.slots and view.free + 1 > 0 and not view.held
     ]
-    assert pool.list_open(builders.NOW) == scanned
+    assert list(pool.iterate_open(builders.NOW)) == scanned
