Rank waiting jobs without a time difference for each

Cause: where many jobs wait, each pass sorts them, and half of the ranking of a job was the difference of two instants that only aged jobs need.

`core.rank_job`, which nothing used, is gone.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -215,7 +215,6 @@
 PRIOR_RUNS = _estimates.PRIOR_RUNS
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
-rank_job = _late_binding.rank_job
 RANKING_INTERVAL = _roster.RANKING_INTERVAL
 Reason = _messages.Reason
 Refusal = _admission.Refusal
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -102,14 +102,20 @@
     return policy.horizon_factor * max(alone, shared)
 
 
-def rank_job(
-    policy: LateBinding, job: _backlog.WaitingJob, now: datetime.datetime
-) -> tuple[int, float]:
-    """Return the key that orders jobs: aged ones, then the least work."""
-    waited = now - job.submitted_at
-    if waited > policy.ageing:
-        return (0, -waited.total_seconds())
-    return (1, job.remaining_seconds)
+def sort_jobs(
+    policy: LateBinding,
+    jobs: list[_backlog.WaitingJob],
+    now: datetime.datetime,
+) -> None:
+    """Put aged jobs first, the oldest before the others, then the smallest."""
+    aged_before = now - policy.ageing
+
+    def rank(job: _backlog.WaitingJob) -> tuple[int, float]:
+        if job.submitted_at < aged_before:
+            return (0, (job.submitted_at - now).total_seconds())
+        return (1, job.remaining_seconds)
+
+    jobs.sort(key=rank)
 
 
 def _fill_slots(
@@ -121,10 +127,12 @@
     entries: int,
     get_horizon: Horizon,
 ) -> list[_placement.Assignment]:
+    if not pool.has_open(now):
+        return []
     ordered = [
         job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
     ]
-    ordered.sort(key=lambda job: rank_job(policy, job, now))
+    sort_jobs(policy, ordered, now)
     assignments: list[_placement.Assignment] = []
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -143,6 +143,10 @@
         target.occupied += 1
         self.update(target)
 
+    def has_open(self, now: datetime.datetime) -> bool:
+        """Tell whether a target may take a task."""
+        return next(self.iterate_open(now), None) is not None
+
     def iterate_open(self, now: datetime.datetime) -> Iterator[TargetView]:
         """Return the targets that may take a task, the fastest first.
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
@@ -184,3 +184,4 @@
         if view.slots and view.free + 1 > 0 and not view.held
     ]
     assert list(pool.iterate_open(builders.NOW)) == scanned
+    assert pool.has_open(builders.NOW) == bool(scanned)
