--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -102,14 +102,20 @@
     return policy.horizon_factor * max(alone, shared)
 
 
-def rank_job(
-    policy: LateBinding, job: _backlog.WaitingJob, now: datetime.datetime
-) -> tuple[int, float]:
-    """Return the key that orders jobs: aged ones, then the least work."""
-    waited = now - job.submitted_at
-    if waited > policy.ageing:
-        return (0, -waited.total_seconds())
-    return (1, job.remaining_seconds)
+def sort_jobs(
+    policy: LateBinding,
+    jobs: list[_backlog.WaitingJob],
+    now: datetime.datetime,
+) -> None:
+    """Put aged jobs first, the oldest before the others, then the smallest."""
+    aged_before = now - policy.ageing
+
+    def rank(job: _backlog.WaitingJob) -> tuple[int, float]:
+        if job.submitted_at < aged_before:
+            return (0, (job.submitted_at - now).total_seconds())
+        return (1, job.remaining_seconds)
+
+    jobs.sort(key=rank)
 
 
 def _fill_slots(
@@ -121,20 +127,21 @@
     entries: int,
     get_horizon: Horizon,
 ) -> list[_placement.Assignment]:
-    targets = pool.list_open(now)
-    if not targets:
+    if not pool.has_open(now):
         return []
     ordered = _list_ready(jobs, allowances)
-    ordered.sort(key=lambda job: rank_job(policy, job, now))
-    # Only some jobs are tried, so those that fit nothing make way.
-    fitting = _find_fitting(ordered, targets)
-    assignments = _try_targets(targets, fitting, pool, allowances, get_horizon)
+    sort_jobs(policy, ordered, now)
+    fitting = _find_fitting(ordered, pool, now)
+    trials = pool.list_trials(now)
+    assignments = _try_targets(trials, fitting, pool, allowances, get_horizon)
     if assignments:
         ordered = _list_ready(ordered, allowances)
         fitting = _list_ready(fitting, allowances)
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
-    for target in targets:
+    for target in pool.iterate_open(now):
+        if not ordered:
+            break
         if policy.patience and can_spare(
             policy, target, pool, ordered, now, entries
         ):
@@ -162,15 +169,13 @@
     allowances: dict[str, int],
     get_horizon: Horizon,
 ) -> list[_placement.Assignment]:
-    """Give each target on probation a short task, whatever its speed.
+    """Give each of some targets a short task, whatever its speed.
 
-    Under a light load faster targets take everything, and a target that only
-    a task can take off probation would stay on it.
+    Only a task takes a target off probation, and under a light load faster
+    targets would take them all.
     """
     assignments = []
     for target in targets:
-        if not target.awaits_trial:
-            continue
         for job in jobs[:MAX_JOBS_TRIED]:
             if allowances[job.team] <= 0:
                 continue
@@ -206,9 +211,17 @@
 
 
 def _find_fitting(
-    jobs: list[_backlog.WaitingJob], targets: list[_targets.TargetView]
+    jobs: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    now: datetime.datetime,
 ) -> list[_backlog.WaitingJob]:
-    offers = {target.resources for target in targets}
+    """Return the jobs that have a task for an open target.
+
+    Where all are tried, those that fit nothing are in nobody's way.
+    """
+    if len(jobs) <= MAX_JOBS_TRIED:
+        return list(jobs)
+    offers = {target.resources for target in pool.iterate_open(now)}
     needs = frozenset[_messages.Resources]().union(
         *(job.needs for job in jobs)
     )
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -1,6 +1,7 @@
 """What an entry knows of the targets of one service."""
 
 import bisect
+from collections.abc import Iterator
 import datetime
 
 import attrs
@@ -73,6 +74,7 @@
         self._views: dict[str, TargetView] = {}
         self._ranked: list[TargetView] = []
         self._open: list[int] = []
+        self._probation: dict[str, TargetView] = {}
         self._faster: list[float] = []
         self._fastest: dict[_messages.Resources, float] = {}
         self._margin = margin
@@ -125,6 +127,7 @@
         )
         self._fastest.clear()
         self._open.clear()
+        self._probation.clear()
         for rank, view in enumerate(self._ranked):
             view.rank = rank
             view.listed = False
@@ -136,7 +139,11 @@
         self.capacity = self._faster[-1]
 
     def update(self, target: TargetView) -> None:
-        """Take in that a target's load has changed."""
+        """Take in that a target's load or state has changed."""
+        if target.on_probation:
+            self._probation[target.agent] = target
+        else:
+            self._probation.pop(target.agent, None)
         is_open = target.free + self._margin > 0 and target.slots > 0
         if is_open == target.listed:
             return
@@ -152,10 +159,29 @@
         target.occupied += 1
         self.update(target)
 
-    def list_open(self, now: datetime.datetime) -> list[TargetView]:
-        """Return the targets that may take a task, the fastest first."""
-        views = (self._ranked[rank] for rank in self._open)
-        return [view for view in views if view.is_usable(now)]
+    def has_open(self, now: datetime.datetime) -> bool:
+        """Tell whether a target may take a task."""
+        return next(self.iterate_open(now), None) is not None
+
+    def iterate_open(self, now: datetime.datetime) -> Iterator[TargetView]:
+        """Return the targets that may take a task, the fastest first.
+
+        Those that close meanwhile are returned too.
+        """
+        for rank in tuple(self._open):
+            view = self._ranked[rank]
+            if view.is_usable(now):
+                yield view
+
+    def list_trials(self, now: datetime.datetime) -> list[TargetView]:
+        """Return the targets that wait for a trial, the fastest first."""
+        waiting = [
+            view
+            for view in self._probation.values()
+            if view.awaits_trial and view.listed and view.is_usable(now)
+        ]
+        waiting.sort(key=lambda view: view.rank)
+        return waiting
 
     def get_fastest(self, needs: _messages.Resources) -> float:
         """Return the speed of the fastest target that covers ``needs``."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_peers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_peers.py
@@ -5,6 +5,7 @@
 can answer. Members that died are therefore not kept alive by hearsay.
 """
 
+import datetime
 import itertools
 
 import circuits
