Learn speeds from the first tasks

Cause: speeds were learned only once sizes rested on history by nine parts of ten, which took some four seconds of load; until then all targets looked alike.

Speeds count from half a belief, and logarithms are kept around a mean of zero, so that early runs do not move all targets together.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
@@ -3,7 +3,8 @@
 Run times are compared in logarithms: a run takes its task's size less its
 target's speed. Both are learned from the same runs. Tasks that are declared
 alike go to all targets, so their mean tells the size and a target's distance
-from that mean tells its speed.
+from that mean tells its speed. Only ratios of speeds show, so the logarithms
+are kept around a mean of zero.
 """
 
 import math
@@ -19,7 +20,7 @@
 KIND_PRIOR_RUNS = 50.0
 KIND_SHRINKAGE = 0.3
 MAX_RESIDUAL = 2.5
-MIN_BELIEF = 0.9
+MIN_BELIEF = 0.5
 TREND_STEP = 0.15
 TREND_LIMIT = 1.2
 
@@ -76,6 +77,7 @@
         self._speeds: dict[str, _Level] = {}
         self._kind_speeds: dict[tuple[str, str], _Deviation] = {}
         self._sizes = _sizes.SizeTable()
+        self._level_sum = 0.0
 
     def get_speed(self, agent: str, kind: str | None = None) -> float:
         """Return a target's speed; only ratios of speeds mean anything."""
@@ -110,7 +112,9 @@
         if level is None:
             return 0.0
         special = self._kind_speeds.get((agent, kind))
-        return level.value + (special.value if special is not None else 0.0)
+        mean = self._level_sum / len(self._speeds)
+        own = special.value if special is not None else 0.0
+        return level.value - mean + own
 
     def _learn_speed(self, agent: str, kind: str, residual: float) -> None:
         level = self._speeds.get(agent)
@@ -120,6 +124,7 @@
             level = self._speeds[agent] = _Level()
         before = level.value
         level.learn(residual)
+        self._level_sum += level.value - before
         special = self._kind_speeds.get((agent, kind))
         if special is None:
             if len(self._kind_speeds) >= MAX_KIND_SPEEDS:
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_estimates.py
@@ -66,3 +66,17 @@
     for _ in range(30):
         estimates.observe("fast", "hall", "tag", 250, 2500 / 2)
     assert estimates.get_speed("fast") < before / 4
+
+
+def test_slow_target_is_noticed_among_the_first_tasks() -> None:
+    estimates = core.Estimates()
+    source = random.Random(3)
+    speeds = {"bad": 0.1, "even": 1.0}
+    for number in range(48):
+        size_ms = math.exp(source.uniform(math.log(50), math.log(1000)))
+        agent = "bad" if number % 4 == 0 else "even"
+        estimates.observe(
+            agent, "hall", "tag", size_ms, size_ms / speeds[agent]
+        )
+    bad = estimates.get_speed("bad")
+    assert bad < estimates.get_speed("even") / 2
