Give slow targets the shortest fitting tasks

Targets below 0.8 of the mean speed of the slots now take the shortest task.

The twin learned the same decision; the hypothesis test compares them.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_ideal.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_ideal.py
@@ -101,8 +101,12 @@
         "fastest free slot, least remaining work": core.LateBinding()
     }
     for factor in HORIZON_FACTORS:
+        # Where sizes are known slow targets may take long tasks as well.
         policies[f"matching, factor {factor}"] = core.Matching(
-            horizon_factor=factor
+            horizon_factor=factor, slow_speed=0.0
+        )
+        policies[f"matching, factor {factor}, shortest if slow"] = (
+            core.Matching(horizon_factor=factor)
         )
     schedules = [
         make_schedule(name, policy, trace, targets)
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -118,6 +118,7 @@
 find_holder = _configuration.find_holder
 find_message_fault = _screening.find_message_fault
 find_quotas = _quotas.find_quotas
+Finder = _late_binding.Finder
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
 fits_resources = _targets.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
--- a/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
@@ -89,6 +89,21 @@
                 return position
         return None
 
+    def find_shortest(
+        self, limit_seconds: float, offer: _messages.Resources
+    ) -> int | None:
+        """Return the position of the shortest task that fits.
+
+        :param limit_seconds: upper run time at speed one that is allowed
+        :param offer: what the target lets one task use
+        """
+        for position, task in enumerate(self.tasks):
+            if task.upper_seconds > limit_seconds:
+                return None
+            if _targets.fits_resources(offer, task.needs):
+                return position
+        return None
+
     def take(self, position: int) -> WaitingTask:
         """Take the task at a position out."""
         task = self.tasks.pop(position)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -15,6 +15,7 @@
 AGEING = datetime.timedelta(seconds=10)
 
 Horizon = Callable[[_backlog.WaitingJob], float]
+Finder = Callable[[_backlog.WaitingJob, _targets.TargetView], int | None]
 
 
 @attrs.frozen
@@ -43,6 +44,9 @@
     horizon_factor: float = 1.5
     """Time allowed to a task over the time that its job needs anyway."""
 
+    slow_speed: float = 0.8
+    """Targets below this share of the mean speed take the shortest tasks."""
+
 
 @_placement.choose_assignments.register
 def choose_late_binding(
@@ -55,7 +59,7 @@
 ) -> list[_placement.Assignment]:
     """Fill free slots, the fastest first, with the longest tasks."""
     return _fill_slots(
-        policy, jobs, pool, allowances, now, entries, lambda job: math.inf
+        policy, jobs, pool, allowances, now, entries, _find_longest
     )
 
 
@@ -68,7 +72,10 @@
     now: datetime.datetime,
     entries: int = 1,
 ) -> list[_placement.Assignment]:
-    """Fill free slots with tasks that end within their job's horizon."""
+    """Fill free slots with tasks that end within their job's horizon.
+
+    Slow targets take the shortest of them, the others the longest.
+    """
     horizons: dict[str, float] = {}
 
     def get_horizon(job: _backlog.WaitingJob) -> float:
@@ -78,11 +85,27 @@
             horizons[job.job] = known
         return known
 
+    def find_fitting(
+        job: _backlog.WaitingJob, target: _targets.TargetView
+    ) -> int | None:
+        limit = get_horizon(job) * target.speed
+        # A task that is longer than declared costs most on a slow target.
+        if is_slow(policy, target, pool):
+            return job.find_shortest(limit, target.resources)
+        return job.find_longest(limit, target.resources)
+
     return _fill_slots(
-        policy, jobs, pool, allowances, now, entries, get_horizon
+        policy, jobs, pool, allowances, now, entries, find_fitting
     )
 
 
+def is_slow(
+    policy: Matching, target: _targets.TargetView, pool: _targets.Pool
+) -> bool:
+    """Tell whether a target is far below the mean speed of all slots."""
+    return target.speed * pool.slots < policy.slow_speed * pool.capacity
+
+
 def measure_horizon(
     policy: Matching,
     job: _backlog.WaitingJob,
@@ -119,7 +142,7 @@
     allowances: dict[str, int],
     now: datetime.datetime,
     entries: int,
-    get_horizon: Horizon,
+    find: Finder,
 ) -> list[_placement.Assignment]:
     targets = pool.list_open(now)
     if not targets:
@@ -139,7 +162,7 @@
         while target.free + policy.margin > 0 and ordered:
             if target.resources in exhausted:
                 break
-            found = _find_task(ordered, target, pool, get_horizon)
+            found = _find_task(ordered, target, pool, find)
             if found is None:
                 exhausted.add(target.resources)
                 break
@@ -182,17 +205,22 @@
     jobs: list[_backlog.WaitingJob],
     target: _targets.TargetView,
     pool: _targets.Pool,
-    get_horizon: Horizon,
+    find: Finder,
 ) -> tuple[_backlog.WaitingJob, int] | None:
     for job in jobs[:MAX_JOBS_TRIED]:
-        limit = get_horizon(job) * target.speed
-        position = job.find_longest(limit, target.resources)
+        position = find(job, target)
         if position is not None:
             return job, position
     if pool.is_faster_busy(target):
         return None
     for job in jobs[:MAX_JOBS_TRIED]:
-        position = job.find_longest(math.inf, target.resources)
+        position = _find_longest(job, target)
         if position is not None:
             return job, position
     return None
+
+
+def _find_longest(
+    job: _backlog.WaitingJob, target: _targets.TargetView
+) -> int | None:
+    return job.find_longest(math.inf, target.resources)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
@@ -90,6 +90,7 @@
             policy, target, pool, ordered, left, occupied, allowances, now
         ):
             break
+        slow = _is_slow(policy, target, pool)
         for _ in range(room):
             faster_busy = any(
                 occupied[t.agent] and t.slots and t.speed > target.speed
@@ -98,7 +99,9 @@
             task = None
             for job in ordered:
                 limit = horizons.get(job.job, 0.0) * target.speed
-                task = task or _pick(left, job, target, allowances, limit)
+                task = task or _pick(
+                    left, job, target, allowances, limit, slow
+                )
             for job in ordered if not faster_busy else []:
                 task = task or _pick(left, job, target, allowances, math.inf)
             if task is None:
@@ -145,15 +148,27 @@
     target: core.TargetView,
     allowances: dict[str, int],
     limit: float,
+    shortest: bool = False,
 ) -> core.WaitingTask | None:
     if allowances[job.team] <= 0:
         return None
-    for task in _sort_longest_first(left[job.job]):
+    tasks = _sort_longest_first(left[job.job])
+    for task in reversed(tasks) if shortest else tasks:
         if task.upper_seconds <= limit and core.can_run(target, task):
             return task
     return None
 
 
+def _is_slow(
+    policy: core.LateBinding, target: core.TargetView, pool: core.Pool
+) -> bool:
+    if not isinstance(policy, core.Matching):
+        return False
+    capacity = sum(t.slots * t.speed for t in pool.ranked)
+    slots = sum(t.slots for t in pool.ranked)
+    return target.speed * slots < policy.slow_speed * capacity
+
+
 def _find_horizon(
     policy: core.LateBinding,
     job: core.WaitingJob,
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_placement.py
@@ -162,6 +162,26 @@
     assert [assignment.agent for assignment in chosen] == ["slow"]
 
 
+@pytest.mark.parametrize(
+    ("speed", "seconds"), [(2.0, 0.5), (0.9, 0.5), (0.7, 0.25)]
+)
+def test_matching_gives_a_slow_target_the_shortest_task(
+    speed: float, seconds: float
+) -> None:
+    sizes = (0.25, 0.5)
+    busy = [_build_target(f"busy-{n}", 1.0, occupied=1) for n in range(9)]
+    pool = core.Pool([*busy, _build_target("free", speed)])
+    tasks = [
+        core.WaitingTask("job-1", index, size, upper_seconds=size)
+        for index, size in enumerate(sizes)
+    ]
+    job = core.WaitingJob("job-1", "hall", builders.NOW, tasks)
+    chosen = core.choose_assignments(
+        core.Matching(), [job], pool, {"hall": 9}, builders.NOW
+    )
+    assert [sizes[a.index] for a in chosen] == [seconds]
+
+
 @SETTINGS
 @hypothesis.given(
     _make_pool(),
