--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -49,7 +49,7 @@
     """Targets below this share of the mean speed take the shortest tasks."""
 
     probed_speed: float = 0.3
-    """Targets below this share of the mean speed may get one task at a time."""
+    """Targets below this share of the mean speed get one task at a time."""
 
     probed_capacity: float = 0.05
     """Share of the capacity that these targets make up at most."""
