Lower a target's speed while its tasks are overdue

Cause: speeds were learned from finished tasks, so a target that turned slow kept its rank until its late tasks ended.

A task under way for more than three times what tasks declared alike would take there counts against the target: by the time beyond that, against a prior of eight runs, so that one long task changes little and a full target much. Time in the agent's queue counts too, since the entry cannot see it.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -28,6 +28,7 @@
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
 from cowslipgate_core import _outcomes
+from cowslipgate_core import _overdue
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
 from cowslipgate_core import _roster
@@ -193,6 +194,7 @@
 Outcome = _messages.Outcome
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
+OverdueTasks = _overdue.OverdueTasks
 parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -62,9 +62,14 @@
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt was sent."""
         self._active[attempt.job.team] += 1
+        task = self._plans[attempt.job.id].tasks[attempt.index]
+        self._estimates.overdue.start(
+            attempt.agent, attempt.sequence, task.seconds, attempt.sent_at
+        )
 
     def close_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt is final."""
+        self._estimates.overdue.end(attempt.agent, attempt.sequence)
         team = attempt.job.team
         self._active[team] -= 1
         if not self._active[team]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
@@ -7,10 +7,12 @@
 are kept around a mean of zero.
 """
 
+import datetime
 import math
 
 import attrs
 
+from cowslipgate_core import _overdue
 from cowslipgate_core import _sizes
 
 MAX_SPEEDS = 10_000
@@ -78,11 +80,16 @@
         self._kind_speeds: dict[tuple[str, str], _Deviation] = {}
         self._sizes = _sizes.SizeTable()
         self._level_sum = 0.0
+        self.overdue = _overdue.OverdueTasks()
 
     def get_speed(self, agent: str, kind: str | None = None) -> float:
         """Return a target's speed; only ratios of speeds mean anything."""
         return math.exp(self._get_log_speed(agent, kind))
 
+    def get_present_speed(self, agent: str, now: datetime.datetime) -> float:
+        """Return a target's speed, lower while its tasks are overdue."""
+        return self.overdue.lower_speed(agent, self.get_speed(agent), now)
+
     def estimate_size(
         self, team: str, kind: str, size_ms: float
     ) -> _sizes.SizeEstimate:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -61,7 +61,7 @@
         self._sequence = 0
         self.estimates = _estimates.Estimates()
         self._roster = _roster.Roster(
-            self.estimates.get_speed,
+            self.estimates.get_present_speed,
             policy.margin,
             timing.agent_suspect_after,
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -38,14 +38,14 @@
 class Roster:
     """Agents by name, kept in step with a pool for each service.
 
-    :param get_speed: returns the learned speed of an agent's target
+    :param get_speed: returns the present speed of an agent's target
     :param margin: tasks that may queue at a target beyond its slots
     :param suspect_after: silence after which an agent gets no new work
     """
 
     def __init__(
         self,
-        get_speed: Callable[[str], float],
+        get_speed: Callable[[str, datetime.datetime], float],
         margin: int,
         suspect_after: datetime.timedelta,
     ) -> None:
@@ -122,7 +122,7 @@
                 report.resources,
                 record.load.slots,
                 occupied,
-                self._get_speed(report.agent),
+                self._get_speed(report.agent, record.heard_at),
                 self._find_limit(record),
             )
             pool.add(view)
@@ -150,6 +150,6 @@
         if ranked_at is None or now - ranked_at >= RANKING_INTERVAL:
             self._ranked_at[service] = now
             for view in pool.ranked:
-                view.speed = self._get_speed(view.agent)
+                view.speed = self._get_speed(view.agent, now)
             pool.rank_targets()
         return pool
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
@@ -178,3 +178,15 @@
     ledger.hear_report(builders.build_report(slots=5), builders.NOW)
     (action,) = ledger.assign(builders.NOW, QUOTAS)
     assert action.orders[0].task.startswith("job-short")
+
+
+def test_target_whose_tasks_are_overdue_is_passed_over() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    for agent in ("agent-1", "agent-2"):
+        ledger.hear_report(builders.build_report(agent), builders.NOW)
+    ledger.submit(builders.build_job(ledger))
+    (first,) = ledger.assign(builders.NOW, QUOTAS)
+    later = builders.NOW + datetime.timedelta(seconds=4)
+    ledger.submit(builders.build_job(ledger, job_id="job-2"))
+    (second,) = ledger.assign(later, QUOTAS)
+    assert second.agent != first.agent
