--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -29,6 +29,7 @@
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
 from cowslipgate_core import _outcomes
+from cowslipgate_core import _overdue
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
 from cowslipgate_core import _roster
@@ -121,6 +122,7 @@
 find_holder = _configuration.find_holder
 find_message_fault = _screening.find_message_fault
 find_quotas = _quotas.find_quotas
+Finder = _late_binding.Finder
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
 fits_resources = _targets.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
@@ -199,6 +201,7 @@
 Outcome = _messages.Outcome
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
+OverdueTasks = _overdue.OverdueTasks
 parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
 parse_body = _bodies.parse_body
--- a/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
@@ -3,15 +3,18 @@
 Run times are compared in logarithms: a run takes its task's size less its
 target's speed. Both are learned from the same runs. Tasks that are declared
 alike go to all targets, so their mean tells the size and a target's distance
-from that mean tells its speed.
+from that mean tells its speed. Only ratios of speeds show, so the logarithms
+are kept around a mean of zero.
 """
 
 from collections.abc import Iterable
+import datetime
 import math
 
 import attrs
 
 from cowslipgate_core import _jobs
+from cowslipgate_core import _overdue
 from cowslipgate_core import _sizes
 
 MAX_SPEEDS = 10_000
@@ -21,7 +24,7 @@
 KIND_PRIOR_RUNS = 50.0
 KIND_SHRINKAGE = 0.3
 MAX_RESIDUAL = 2.5
-MIN_BELIEF = 0.9
+MIN_BELIEF = 0.5
 TREND_STEP = 0.15
 TREND_LIMIT = 1.2
 
@@ -78,11 +81,17 @@
         self._speeds: dict[str, _Level] = {}
         self._kind_speeds: dict[tuple[str, str], _Deviation] = {}
         self._sizes = _sizes.SizeTable()
+        self._level_sum = 0.0
+        self.overdue = _overdue.OverdueTasks()
 
     def get_speed(self, agent: str, kind: str | None = None) -> float:
         """Return a target's speed; only ratios of speeds mean anything."""
         return math.exp(self._get_log_speed(agent, kind))
 
+    def get_present_speed(self, agent: str, now: datetime.datetime) -> float:
+        """Return a target's speed, lower while its tasks are overdue."""
+        return self.overdue.lower_speed(agent, self.get_speed(agent), now)
+
     def estimate_size(
         self, team: str, kind: str, size_ms: float
     ) -> _sizes.SizeEstimate:
@@ -126,10 +135,11 @@
         level = self._speeds.get(agent)
         if level is None:
             return 0.0
+        value = level.value - self._level_sum / len(self._speeds)
         if kind is None:
-            return level.value
+            return value
         special = self._kind_speeds.get((agent, kind))
-        return level.value + (special.value if special is not None else 0.0)
+        return value + (special.value if special is not None else 0.0)
 
     def _learn_speed(self, agent: str, kind: str, residual: float) -> None:
         level = self._speeds.get(agent)
@@ -139,6 +149,7 @@
             level = self._speeds[agent] = _Level()
         before = level.value
         level.learn(residual)
+        self._level_sum += level.value - before
         special = self._kind_speeds.get((agent, kind))
         if special is None:
             if len(self._kind_speeds) >= MAX_KIND_SPEEDS:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import datetime
+import functools
 import math
 
 import attrs
@@ -15,6 +16,7 @@
 AGEING = datetime.timedelta(seconds=10)
 
 Horizon = Callable[[_backlog.WaitingJob], float]
+Finder = Callable[[_backlog.WaitingJob, _targets.TargetView], int | None]
 
 
 @attrs.frozen
@@ -43,6 +45,15 @@
     horizon_factor: float = 1.5
     """Time allowed to a task over the time that its job needs anyway."""
 
+    slow_speed: float = 0.8
+    """Targets below this share of the mean speed take the shortest tasks."""
+
+    probed_speed: float = 0.3
+    """Targets below this share of the mean speed get one task at a time."""
+
+    probed_capacity: float = 0.05
+    """Share of the capacity that these targets make up at most."""
+
 
 @_placement.choose_assignments.register
 def choose_late_binding(
@@ -55,7 +66,7 @@
 ) -> list[_placement.Assignment]:
     """Fill free slots, the fastest first, with the longest tasks."""
     return _fill_slots(
-        policy, jobs, pool, allowances, now, entries, lambda job: math.inf
+        policy, jobs, pool, allowances, now, entries, _find_longest
     )
 
 
@@ -68,7 +79,10 @@
     now: datetime.datetime,
     entries: int = 1,
 ) -> list[_placement.Assignment]:
-    """Fill free slots with tasks that end within their job's horizon."""
+    """Fill free slots with tasks that end within their job's horizon.
+
+    Slow targets take the shortest of them, the others the longest.
+    """
     horizons: dict[str, float] = {}
 
     def get_horizon(job: _backlog.WaitingJob) -> float:
@@ -78,11 +92,27 @@
             horizons[job.job] = known
         return known
 
+    def find_fitting(
+        job: _backlog.WaitingJob, target: _targets.TargetView
+    ) -> int | None:
+        limit = get_horizon(job) * target.speed
+        # A task that is longer than declared costs most on a slow target.
+        if is_slow(policy, target, pool):
+            return job.find_shortest(limit, target.resources)
+        return job.find_longest(limit, target.resources)
+
     return _fill_slots(
-        policy, jobs, pool, allowances, now, entries, get_horizon
+        policy, jobs, pool, allowances, now, entries, find_fitting
     )
 
 
+def is_slow(
+    policy: Matching, target: _targets.TargetView, pool: _targets.Pool
+) -> bool:
+    """Tell whether a target is far below the mean speed of all slots."""
+    return target.speed * pool.slots < policy.slow_speed * pool.capacity
+
+
 def measure_horizon(
     policy: Matching,
     job: _backlog.WaitingJob,
@@ -125,7 +155,7 @@
     allowances: dict[str, int],
     now: datetime.datetime,
     entries: int,
-    get_horizon: Horizon,
+    find: Finder,
 ) -> list[_placement.Assignment]:
     if not pool.has_open(now):
         return []
@@ -133,7 +163,7 @@
     sort_jobs(policy, ordered, now)
     fitting = _find_fitting(ordered, pool, now)
     trials = pool.list_trials(now)
-    assignments = _try_targets(trials, fitting, pool, allowances, get_horizon)
+    assignments = _try_targets(trials, fitting, pool, allowances)
     if assignments:
         ordered = _list_ready(ordered, allowances)
         fitting = _list_ready(fitting, allowances)
@@ -149,7 +179,9 @@
         while target.free + policy.margin > 0 and fitting:
             if target.resources in exhausted:
                 break
-            found = _find_task(fitting, target, pool, get_horizon)
+            if target.occupied and is_probed(policy, target, pool):
+                break
+            found = _find_task(fitting, target, pool, find)
             if found is None:
                 exhausted.add(target.resources)
                 break
@@ -167,7 +199,6 @@
     jobs: list[_backlog.WaitingJob],
     pool: _targets.Pool,
     allowances: dict[str, int],
-    get_horizon: Horizon,
 ) -> list[_placement.Assignment]:
     """Give each of some targets a short task, whatever its speed.
 
@@ -179,11 +210,9 @@
         for job in jobs[:MAX_JOBS_TRIED]:
             if allowances[job.team] <= 0:
                 continue
-            position = job.find_shortest(target.resources)
+            position = job.find_shortest(math.inf, target.resources)
             if position is None:
                 continue
-            # The horizon is that of the whole job.
-            get_horizon(job)
             assignments.append(
                 _placement.take_task(job, position, target, pool, allowances)
             )
@@ -240,6 +269,29 @@
     ]
 
 
+@functools.singledispatch
+def is_probed(
+    policy: LateBinding, target: _targets.TargetView, pool: _targets.Pool
+) -> bool:
+    """Tell whether a target gets one task at a time.
+
+    Its speed is learned from these tasks, in case it becomes faster again.
+    """
+    return False
+
+
+@is_probed.register
+def _is_probed_in_matching(
+    policy: Matching, target: _targets.TargetView, pool: _targets.Pool
+) -> bool:
+    if target.speed * pool.slots >= policy.probed_speed * pool.capacity:
+        return False
+    lost = pool.capacity - pool.measure_faster(target)
+    if lost > policy.probed_capacity * pool.capacity:
+        return False
+    return pool.is_faster_busy(target)
+
+
 def can_spare(
     policy: LateBinding,
     target: _targets.TargetView,
@@ -268,17 +320,22 @@
     jobs: list[_backlog.WaitingJob],
     target: _targets.TargetView,
     pool: _targets.Pool,
-    get_horizon: Horizon,
+    find: Finder,
 ) -> tuple[_backlog.WaitingJob, int] | None:
     for job in jobs[:MAX_JOBS_TRIED]:
-        limit = get_horizon(job) * target.speed
-        position = job.find_longest(limit, target.resources)
+        position = find(job, target)
         if position is not None:
             return job, position
     if pool.is_faster_busy(target):
         return None
     for job in jobs[:MAX_JOBS_TRIED]:
-        position = job.find_longest(math.inf, target.resources)
+        position = _find_longest(job, target)
         if position is not None:
             return job, position
     return None
+
+
+def _find_longest(
+    job: _backlog.WaitingJob, target: _targets.TargetView
+) -> int | None:
+    return job.find_longest(math.inf, target.resources)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
@@ -75,11 +75,6 @@
     """Return the assignments of late binding, with or without matching."""
     left = {job.job: list(job.tasks) for job in jobs}
     occupied = {target.agent: target.occupied for target in pool.ranked}
-    horizons = {
-        job.job: _find_horizon(policy, job, pool, now)
-        for job in jobs
-        if job.tasks
-    }
     ordered = sorted(jobs, key=lambda job: _rank(policy, job, now))
     chosen: list[core.Assignment] = []
     for target in pool.ranked:
@@ -98,6 +93,13 @@
         ]
         if tried:
             _take(tried[0], target, jobs, left, allowances, occupied, chosen)
+    for job in jobs:
+        job.tasks[:] = left[job.job]
+    horizons = {
+        job.job: _find_horizon(policy, job, pool, now)
+        for job in jobs
+        if job.tasks
+    }
     for target in pool.ranked:
         if not target.is_usable(now):
             continue
@@ -106,15 +108,24 @@
             policy, target, pool, ordered, left, occupied, allowances, now
         ):
             break
+        slow = _is_slow(policy, target, pool)
         for _ in range(room):
             faster_busy = any(
                 occupied[t.agent] and t.slots and t.speed > target.speed
                 for t in pool.ranked
             )
+            if (
+                occupied[target.agent]
+                and faster_busy
+                and _is_probed(policy, target, pool)
+            ):
+                break
             task = None
             for job in ordered:
                 limit = horizons.get(job.job, 0.0) * target.speed
-                task = task or _pick(left, job, target, allowances, limit)
+                task = task or _pick(
+                    left, job, target, allowances, limit, slow
+                )
             for job in ordered if not faster_busy else []:
                 task = task or _pick(left, job, target, allowances, math.inf)
             if task is None:
@@ -173,15 +184,41 @@
     target: core.TargetView,
     allowances: dict[str, int],
     limit: float,
+    shortest: bool = False,
 ) -> core.WaitingTask | None:
     if allowances[job.team] <= 0:
         return None
-    for task in _sort_longest_first(left[job.job]):
+    tasks = _sort_longest_first(left[job.job])
+    for task in reversed(tasks) if shortest else tasks:
         if task.upper_seconds <= limit and core.can_run(target, task):
             return task
     return None
 
 
+def _is_slow(
+    policy: core.LateBinding, target: core.TargetView, pool: core.Pool
+) -> bool:
+    if not isinstance(policy, core.Matching):
+        return False
+    capacity = sum(t.slots * t.speed for t in pool.ranked)
+    slots = sum(t.slots for t in pool.ranked)
+    return target.speed * slots < policy.slow_speed * capacity
+
+
+def _is_probed(
+    policy: core.LateBinding, target: core.TargetView, pool: core.Pool
+) -> bool:
+    if not isinstance(policy, core.Matching):
+        return False
+    capacity = sum(t.slots * t.speed for t in pool.ranked)
+    slots = sum(t.slots for t in pool.ranked)
+    if target.speed * slots >= policy.probed_speed * capacity:
+        return False
+    slower = pool.ranked[pool.ranked.index(target) :]
+    lost = sum(t.slots * t.speed for t in slower)
+    return lost <= policy.probed_capacity * capacity
+
+
 def _find_horizon(
     policy: core.LateBinding,
     job: core.WaitingJob,
@@ -192,7 +229,6 @@
         return math.inf
     if now - job.submitted_at > policy.ageing:
         return math.inf
-    needs = [task.needs for task in job.tasks]
     fastest = min(
         max(
             [
@@ -202,7 +238,7 @@
             ],
             default=0.0,
         )
-        for need in needs
+        for need in job.needs
     )
     capacity = sum(t.slots * t.speed for t in pool.ranked)
     slots = sum(t.slots for t in pool.ranked)
