Bound what an entry keeps of services and of answered jobs

Cause: an entry kept a pool for every service that an agent ever named, a table of waiting jobs for every service that ever had one, and, while no target had announced itself or once 1,000 offers were known, every job that it had answered (FeasibilityWatch forgot jobs only when the offers proved something).

Ruled out, by reading: connections of the HTTP client, which are watched while idle; sockets to peers; traces; uses counted by metrics.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
@@ -109,6 +109,13 @@
         """Take in a job that is not known to be infeasible."""
         self._waiting[job.id] = job
 
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def forget(self, job_id: str) -> None:
+        """Take in that a job was answered."""
+        self._waiting.pop(job_id, None)
+
     def take_infeasible(
         self, book: OfferBook, now: datetime.datetime
     ) -> list[tuple[_jobs.Job, int]]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -42,6 +42,11 @@
         self._waiting: dict[str, dict[str, _backlog.WaitingJob]] = {}
         self._active: collections.Counter[str] = collections.Counter()
 
+    @property
+    def services(self) -> set[str]:
+        """Services with tasks that wait."""
+        return set(self._waiting)
+
     def add_job(self, job: _jobs.Job) -> None:
         """Take in a job all of whose tasks wait."""
         tasks = tuple(
@@ -57,7 +62,7 @@
     def drop_job(self, job: _jobs.Job) -> None:
         """Forget a job whose tasks are no longer sent."""
         self._plans.pop(job.id, None)
-        self._waiting.get(job.service, {}).pop(job.id, None)
+        self._drop_waiting(job.service, job.id)
 
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt was sent."""
@@ -104,8 +109,6 @@
         }
         chosen: list[_placement.Assignment] = []
         for service, waiting in self._waiting.items():
-            if not waiting:
-                continue
             pool = self._roster.get_pool(service, now)
             if pool is None:
                 continue
@@ -135,8 +138,14 @@
         for job_id in {assignment.job for assignment in chosen}:
             if self._plans[job_id].view.tasks:
                 continue
-            for waiting in self._waiting.values():
-                waiting.pop(job_id, None)
+            for service in list(self._waiting):
+                self._drop_waiting(service, job_id)
+
+    def _drop_waiting(self, service: str, job_id: str) -> None:
+        waiting = self._waiting.get(service, {})
+        waiting.pop(job_id, None)
+        if not waiting:
+            self._waiting.pop(service, None)
 
     def _view_task(self, job: _jobs.Job, index: int) -> _backlog.WaitingTask:
         request = job.request.tasks[index]
--- a/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
@@ -77,6 +77,21 @@
         self._kind_speeds: dict[tuple[str, str], _Deviation] = {}
         self._sizes = _sizes.SizeTable()
 
+    @property
+    def speeds(self) -> int:
+        """Number of targets whose speed is kept."""
+        return len(self._speeds)
+
+    @property
+    def kind_speeds(self) -> int:
+        """Number of targets' kinds whose speed is kept."""
+        return len(self._kind_speeds)
+
+    @property
+    def histories(self) -> int:
+        """Number of histories of sizes that are kept."""
+        return len(self._sizes)
+
     def get_speed(self, agent: str, kind: str | None = None) -> float:
         """Return a target's speed; only ratios of speeds mean anything."""
         return math.exp(self._get_log_speed(agent, kind))
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -59,6 +59,11 @@
         self._ranked_at: dict[str, datetime.datetime] = {}
         self.agents: dict[str, AgentRecord] = {}
 
+    @property
+    def services(self) -> set[str]:
+        """Services that have targets."""
+        return set(self._pools)
+
     @property
     def heartbeat(self) -> datetime.timedelta:
         """Interval of reports that agents should use on idle links."""
@@ -93,24 +98,29 @@
     def remove(self, agent: str) -> None:
         """Forget an agent."""
         record = self.agents.pop(agent)
-        pool = self._pools.get(record.report.service)
-        if pool is not None:
-            pool.remove(agent)
+        self._remove_target(agent, record.report.service)
 
     def replace_report(
         self, record: AgentRecord, report: _messages.Report
     ) -> None:
         """Take in a report; the agent may have changed its service."""
         if record.report.service != report.service:
-            pool = self._pools.get(record.report.service)
-            if pool is not None:
-                pool.remove(report.agent)
+            self._remove_target(report.agent, record.report.service)
         record.report = report
         record.load = report.load
         record.held = False
         record.departing = False
         self.update(record)
 
+    def _remove_target(self, agent: str, service: str) -> None:
+        pool = self._pools.get(service)
+        if pool is None:
+            return
+        pool.remove(agent)
+        if not len(pool):
+            del self._pools[service]
+            self._ranked_at.pop(service, None)
+
     def update(self, record: AgentRecord) -> None:
         """Bring the pool in step with what is known of an agent."""
         report = record.report
--- a/packages/cowslipgate-core/src/cowslipgate_core/_sizes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_sizes.py
@@ -96,6 +96,9 @@
     def __init__(self) -> None:
         self._histories: dict[tuple[str, ...], _History] = {}
 
+    def __len__(self) -> int:
+        return len(self._histories)
+
     def estimate(self, team: str, kind: str, size_ms: float) -> SizeEstimate:
         """Return the estimate of a task declared as ``size_ms``."""
         seconds = size_ms / 1000
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
@@ -14,6 +14,11 @@
         self._unproved = core.FeasibilityWatch()
         self._work: dict[str, float] = {}
 
+    @property
+    def unproved(self) -> int:
+        """Number of jobs that may yet prove infeasible."""
+        return len(self._unproved)
+
     def note_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in what an agent's target offers."""
         if report.service:
@@ -44,6 +49,7 @@
     def forget_job(self, job: core.Job) -> None:
         """Take in that a job was answered or refused."""
         self._work.pop(job.id, None)
+        self._unproved.forget(job.id)
 
     def take_infeasible(
         self, now: datetime.datetime
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_purposes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_purposes.py
@@ -26,6 +26,11 @@
     return "beat"
 
 
+@get_purpose.register
+def _(message: core.Release) -> str:
+    return "release"
+
+
 @get_purpose.register
 def _(message: core.Gossip) -> str:
     return "gossip"
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_bounds.py
@@ -0,0 +1,69 @@
+"""Tests that what an entry remembers of ended jobs stays bounded."""
+
+import cowslipgate_core as core
+import pytest
+
+from cowslipgate_entry import _admission
+from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+from cowslipgate_entry.tests import builders
+from cowslipgate_entry.tests import control_builders
+
+KEPT = 5
+STORE_UNKNOWN = _requests.ClaimOutcome.UNAVAILABLE
+TAKEN = _requests.ClaimOutcome.TAKEN
+
+
+class _Claimer:
+    """Submits jobs with keys and decides their claims."""
+
+    def __init__(self) -> None:
+        self.bench = builders.DispatcherBench()
+        root = self.bench.root
+        self.claims = control_builders.Recorder("claims").register(root)
+        self.gateway = control_builders.Recorder("gateway").register(root)
+
+    def run(
+        self, outcome: _requests.ClaimOutcome, known: str = ""
+    ) -> core.JobAnswer:
+        """Submit a job and return the answer after its claim's outcome."""
+        submission = control_builders.build_submission("key")
+        self.bench.tell(_events.submit_job(submission))
+        ((claim,),) = self.claims.take("claim_job")
+        self.bench.tell(_events.job_claimed(claim, outcome, known))
+        ((_, answer),) = self.gateway.take("job_answered")
+        return answer
+
+
+@pytest.mark.parametrize(
+    ("later", "status"), [(KEPT - 1, "failed"), (KEPT, "unknown")]
+)
+def test_jobs_with_keys_that_ended_are_remembered_up_to_a_number(
+    monkeypatch: pytest.MonkeyPatch, later: int, status: str
+) -> None:
+    monkeypatch.setattr(_dispatcher, "MAX_ENDED", KEPT)
+    claimer = _Claimer()
+    first = claimer.run(STORE_UNKNOWN)
+    for _ in range(later):
+        claimer.run(STORE_UNKNOWN)
+    assert claimer.run(TAKEN, first.job).claimed_status == status
+
+
+def test_answered_jobs_are_not_watched_without_targets() -> None:
+    bench = builders.DispatcherBench()
+    admission = _admission.Admission(bench.dispatcher.ledger)
+    for number in range(KEPT):
+        request = core.JobRequest((core.TaskRequest(),))
+        job = core.Job(
+            f"job-{number}",
+            "hall",
+            "print",
+            request,
+            bench.clock.now(),
+            bench.clock.now(),
+            bench.dispatcher.ledger.make_machine(),
+        )
+        admission.add_job(job)
+        admission.forget_job(job)
+    assert admission.unproved == 0
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -104,6 +104,7 @@
         core.Withdraw(7, 1, (1,), True),
         core.Acknowledge(7, (1,)),
         core.Beat(7, 1, ()),
+        core.Release(7, 1),
     ):
         _fire(root, transport.send_message(b"agent-1/1", message), INTERNAL)
     error = core.WireError(b"", "p")
@@ -121,6 +122,7 @@
         'cowslipgate_sends_total{purpose="withdraw",work="wasted"}': 1,
         'cowslipgate_sends_total{purpose="acknowledge",work="wasted"}': 1,
         'cowslipgate_sends_total{purpose="beat",work="wasted"}': 1,
+        'cowslipgate_sends_total{purpose="release",work="wasted"}': 1,
         'cowslipgate_attempts_total{outcome="finished"}': 2,
         "cowslipgate_starts_total": 2,
         'cowslipgate_slot_seconds_total{use="used"}': 4,
