--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -52,6 +52,11 @@
         """Return the number of tasks of a service that wait."""
         return self._waiting_tasks[service]
 
+    @property
+    def services(self) -> set[str]:
+        """Services with tasks that wait."""
+        return set(self._waiting)
+
     def add_job(self, job: _jobs.Job) -> None:
         """Take in a job all of whose tasks wait."""
         tasks = self._view_tasks(job)
@@ -67,7 +72,7 @@
         plan = self._plans.pop(job.id, None)
         if plan is not None:
             self._waiting_tasks[job.service] -= len(plan.view.tasks)
-        self._waiting.get(job.service, {}).pop(job.id, None)
+        self._drop_waiting(job.service, job.id)
 
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt was sent."""
@@ -120,8 +125,6 @@
         }
         chosen: list[_placement.Assignment] = []
         for service, waiting in self._waiting.items():
-            if not waiting:
-                continue
             pool = self._roster.get_pool(service, now)
             if pool is None:
                 continue
@@ -151,8 +154,15 @@
         for job_id in {assignment.job for assignment in chosen}:
             if self._plans[job_id].view.tasks:
                 continue
-            for waiting in self._waiting.values():
-                waiting.pop(job_id, None)
+            for service in list(self._waiting):
+                self._drop_waiting(service, job_id)
+
+    def _drop_waiting(self, service: str, job_id: str) -> None:
+        waiting = self._waiting.get(service, {})
+        waiting.pop(job_id, None)
+        if not waiting:
+            self._waiting.pop(service, None)
+            del self._waiting_tasks[service]
 
     def _view_tasks(self, job: _jobs.Job) -> tuple[_backlog.WaitingTask, ...]:
         requests = job.request.tasks
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_admission.py
@@ -51,6 +51,11 @@
         self._work: dict[str, float] = {}
         self._taken = TakenWork()
 
+    @property
+    def unproved(self) -> int:
+        """Number of jobs that may yet prove infeasible."""
+        return len(self._unproved)
+
     def note_report(self, report: core.Report, now: datetime.datetime) -> None:
         """Take in what an agent's target offers."""
         if report.service:
@@ -83,6 +88,7 @@
         """Take in that a job was answered or refused."""
         self._work.pop(job.id, None)
         self._taken.drop(job)
+        self._unproved.forget(job.id)
 
     def take_infeasible(
         self, now: datetime.datetime
