Add a bench command that prints what a task costs an entry

Cause: processor time varied from 132 to 235 us a task for commits that differ by a few percent, with what else the machine was doing, so single changes could not be judged by `make capacity`.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -145,6 +145,29 @@
     _control_cost.run_measurement()
 
 
+@app.command
+def task_cost(
+    *,
+    tasks: int = 40,
+    agents: int = 200,
+    longest_ms: float = 200.0,
+    connections: int = 24,
+    runs: int = 3,
+) -> None:
+    """Print what a task costs an entry under the load of ``capacity``.
+
+    :param tasks: tasks of a job
+    :param agents: number of agents, without targets
+    :param longest_ms: longest run time of a task
+    :param connections: callers that submit one job after the other
+    :param runs: number of measurements
+    """
+    from cowslipgate_bench import _task_cost
+
+    load = _task_cost.Load(tasks, agents, longest_ms, connections)
+    _task_cost.print_task_cost(load, runs)
+
+
 @app.command
 def decision_cost() -> None:
     """Print the processor time of decisions at 11 and 2,000 targets."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity.py
@@ -151,7 +151,8 @@
 
 
 @contextlib.contextmanager
-def _start_cluster(entries: int) -> Iterator[_cluster.Cluster]:
+def start_cluster(entries: int) -> Iterator[_cluster.Cluster]:
+    """Run a deployment of entries with one service and one team."""
     with tempfile.TemporaryDirectory() as folder:
         with _cluster.Cluster(pathlib.Path(folder)) as cluster:
             cluster.start_table()
@@ -163,9 +164,13 @@
             yield cluster
 
 
-def _start_agents(
+def start_agents(
     cluster: _cluster.Cluster, count: int, longest_ms: float = 0.0
 ) -> None:
+    """Start agents without targets and wait until the entries see them.
+
+    :param longest_ms: longest run time of a task in milliseconds
+    """
     for first in range(0, count, AGENTS_IN_A_PROCESS):
         size = min(AGENTS_IN_A_PROCESS, count - first)
         name = f"agents-{first}"
@@ -191,14 +196,14 @@
 
 
 def _measure_entry(agents: int) -> Idle:
-    with _start_cluster(1) as cluster:
-        _start_agents(cluster, agents)
+    with start_cluster(1) as cluster:
+        start_agents(cluster, agents)
         return _measure_idle(cluster.entries[0].process.pid)
 
 
 def _measure_entries(entries: int) -> tuple[Idle, Idle, float, float]:
     options = _target.TargetOptions(SERVICE, 0)
-    with _start_cluster(entries) as cluster:
+    with start_cluster(entries) as cluster:
         agent = cluster.start_agent(DOMAIN, options, f"--entries={entries}")
         cluster.wait_ready(1)
         before = cluster.call("GET", "/counts", port=cluster.table_port).body
@@ -216,26 +221,28 @@
 ) -> list[tuple[float, float]]:
     points = []
     connections = SPREAD_CONNECTIONS if longest_ms else CONNECTIONS
-    with _start_cluster(1) as cluster:
-        _start_agents(cluster, agents, longest_ms)
+    with start_cluster(1) as cluster:
+        start_agents(cluster, agents, longest_ms)
         entry = cluster.entries[0]
         for size in sizes:
-            used, jobs = _load(cluster, entry.process.pid, size, connections)
+            used, jobs = load_entry(
+                cluster, entry.process.pid, size, connections
+            )
             points.append((size, used / MICROSECOND / jobs))
     return points
 
 
 def _measure_agent() -> float:
     options = _target.TargetOptions(SERVICE, 0, slots=FAST_SLOTS)
-    with _start_cluster(1) as cluster:
+    with start_cluster(1) as cluster:
         agent = cluster.start_agent(DOMAIN, options)
         cluster.wait_ready(1)
         size = JOB_SIZES[2]
-        used, jobs = _load(cluster, agent.process.pid, size, CONNECTIONS)
+        used, jobs = load_entry(cluster, agent.process.pid, size, CONNECTIONS)
         return used / MICROSECOND / (jobs * size)
 
 
-def _load(
+def load_entry(
     cluster: _cluster.Cluster, pid: int, size: int, connections: int
 ) -> tuple[datetime.timedelta, int]:
     """Submit jobs as fast as they are answered.
