Leave process support and pickles out of both binaries

Cause: circuits imports multiprocessing, which starts no process here, for the number of the process in the names of components; it and pyzmq import pickle. A stand-in keeps the number.

--- a/packages/cowslipgate-core/src/cowslipgate_startup/_lean_imports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/_lean_imports.py
@@ -6,6 +6,7 @@
 
 import importlib.util
 import linecache
+import os
 import sys
 import types
 
@@ -19,6 +20,8 @@
     "decimal",
     # Tables for unescaping HTML, of which only escaping is used.
     "html.entities",
+    # Python objects as messages, which pyzmq offers.
+    "pickle",
     "ssl",
 )
 # Compiled modules that the importing library can do without.
@@ -54,6 +57,7 @@
         sys.modules[name] = UnusedModule(name)
     for name in _OPTIONAL:
         sys.modules[name] = None
+    sys.modules["multiprocessing"] = _make_multiprocessing()
     sys.modules["pkg_resources"] = _make_pkg_resources()
     _import_as_folder("circuits", "web")
 
@@ -66,6 +70,14 @@
     linecache.clearcache()
 
 
+def _make_multiprocessing() -> types.ModuleType:
+    # circuits prints the number of the process in the names of components.
+    process = types.SimpleNamespace(pid=os.getpid())
+    module = UnusedModule("multiprocessing")
+    module.current_process = lambda: process
+    return module
+
+
 def _make_pkg_resources() -> types.ModuleType:
     # circuits reads the metadata of its distribution when this is missing.
     module = types.ModuleType("pkg_resources")
--- a/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
@@ -20,6 +20,18 @@
 """
 
 
+_COMPONENT = """
+import os
+
+import cowslipgate_startup as startup
+
+startup.exclude_unused()
+import circuits
+
+print(os.getpid(), repr(circuits.BaseComponent()))
+"""
+
+
 def _list_loaded(*names: str) -> set[str]:
     command = [sys.executable, "-c", _PROGRAM, *names]
     done = subprocess.run(command, capture_output=True, check=True)
@@ -36,13 +48,21 @@
         "circuits.web.servers",
         "importlib.metadata",
         "logbook._speedups",
-        "multiprocessing.pool",
+        "multiprocessing.process",
+        "_pickle",
         "tempfile",
     }
     # None in sys.modules keeps a module from being loaded.
     assert loaded & unused == {"_hashlib", "logbook._speedups"}
 
 
+def test_components_tell_the_number_of_their_process() -> None:
+    command = [sys.executable, "-c", _COMPONENT]
+    done = subprocess.run(command, capture_output=True, check=True)
+    pid, _, shown = done.stdout.decode().partition(" ")
+    assert f" {pid}:" in shown
+
+
 @pytest.mark.parametrize("name", ["SSLError", "Decimal"])
 def test_a_stand_in_has_every_name(name: str) -> None:
     module = startup.UnusedModule("unused")
