Compress the configurations that entries push to each other

Ruled out: pushing the merge patch (an entry that misses one needs the document anyway, and two ways to one state need a proof that they agree); passing it on from entry to entry (every entry must confirm to the first). Before: a document of 42 teams with two tokens each, 8 operators and 4 services is 8,860 bytes; after: 3,976 with zlib, most of it random digests (`_message_sizes.py`, which make capacity now measures). 9.3 KB/s at 57. Conclusion: fits, with one state and one way to it. What can't be expanded, or to more than 4 MiB, is not adopted (test_keeper, four cases). The sizes of messages have a module of their own now.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity.py
@@ -13,9 +13,9 @@
 
 import attrs
 import cowslipgate_core as core
-import msgspec
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _message_sizes
 from cowslipgate_bench import _process_cost
 from cowslipgate_bench import _target
 
@@ -116,6 +116,9 @@
     lease_base_bytes: int
     """Size of a lease in the lease row, without shares."""
 
+    push_bytes: int
+    """Size of a configuration as it is pushed, with the letter's teams."""
+
     lease_team_bytes: int
     """Growth of a lease for each team with a quota."""
 
@@ -133,7 +136,7 @@
     jobs = _measure_jobs(AGENT_COUNTS[0], JOB_SIZES, 0.0)
     spread = _measure_jobs(AGENT_COUNTS[2], JOB_SIZES[2:], SPREAD_MS)
     agent_us = _measure_agent()
-    sizes = _measure_messages()
+    sizes = _message_sizes.measure_messages()
     return Slopes(
         datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds"),
         fit_line([(n, idle.processor_share) for n, idle in by_agents]),
@@ -283,43 +286,3 @@
         count += 1
     connection.close()
     done.append(count)
-
-
-def _measure_messages() -> tuple[int, ...]:
-    member = core.Member(
-        core.make_incarnation(core.SystemClock()),
-        "tcp://10.120.130.140:8081",
-        "10.120.130.140:8080",
-        DOMAIN,
-    )
-    report = core.Report(
-        "agent-1999",
-        member.incarnation,
-        "schapkaart",
-        DOMAIN,
-        "serving",
-        core.Resources(128_000, 2),
-        core.Load(8, 4, 4),
-        3600,
-        core.digest_members((member,)),
-    )
-    beat = core.Beat(member.incarnation, 3600, (), heartbeat_ms=10_000)
-    bare = _size(core.Gossip(member, 3600, lease_revision=100_000))
-    listed = _size(
-        core.Gossip(member, 3600, (member,), lease_revision=100_000)
-    )
-    lease = core.Lease(member, 3600)
-    share = {"market-hall-7": core.Share(50, 4100)}
-    shared = core.Lease(member, 3600, share)
-    return (
-        _size(report),
-        _size(beat),
-        bare,
-        listed - bare,
-        len(msgspec.json.encode(lease)),
-        len(msgspec.json.encode(shared)) - len(msgspec.json.encode(lease)),
-    )
-
-
-def _size(message: object) -> int:
-    return sum(len(frame) for frame in core.encode_message(message))
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity_page.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity_page.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from cowslipgate_bench import _capacity
+from cowslipgate_bench import _message_sizes
 
 WORKERS = 2_000
 ACCELERATORS = 3_300
 STARTS_PER_SECOND = 95_000
 TASKS_IN_A_JOB = 40
-TEAMS = 42
 REGIONS = 4
 DOMAINS = 11
 CHANGES_PER_DAY = 3_600
@@ -25,7 +25,6 @@
 SECONDS_PER_DAY = 86_400
 ENTRY_LOAD = 0.6
 ENTRIES_PER_AGENT = 4
-DOCUMENT_BYTES = 12_000
 TABLE_WRITES_LIMIT = 300
 TABLE_READS_LIMIT = 2_000
 LEASE_SECONDS = 10
@@ -146,12 +145,15 @@
     members = slopes.gossip_member_bytes * plan.entries
     # The member list goes to one peer every third second.
     gossip = 2 * (slopes.gossip_base_bytes * told + members / 3)
-    lease = slopes.lease_base_bytes + slopes.lease_team_bytes * TEAMS
+    lease = (
+        slopes.lease_base_bytes
+        + slopes.lease_team_bytes * _message_sizes.TEAMS
+    )
     # Each renewal reads the whole row and writes it.
     leases = 2 * lease * plan.entries / LEASE_SECONDS
     share = slopes.entry_share_by_entries
     changes = CHANGES_PER_DAY / SECONDS_PER_DAY
-    push = changes * DOCUMENT_BYTES * (plan.entries - 1)
+    push = changes * slopes.push_bytes * (plan.entries - 1)
     beats = changes * slopes.beat_bytes * plan.agents_per_entry
     return [
         _make_limit_row(
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_capacity.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_capacity.py
@@ -26,6 +26,7 @@
         100,
         100,
         120,
+        5_000,
         20,
     )
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -11,6 +11,7 @@
 from cowslipgate_core import _bodies
 from cowslipgate_core import _charts
 from cowslipgate_core import _clock
+from cowslipgate_core import _compression
 from cowslipgate_core import _configuration
 from cowslipgate_core import _estimates
 from cowslipgate_core import _exceptions
@@ -86,6 +87,7 @@
 choose_slots = _quotas.choose_slots
 choose_target = _quotas.choose_target
 Clock = _clock.Clock
+compress_document = _compression.compress_document
 Configuration = _configuration.Configuration
 ConfigurationAcknowledge = _messages.ConfigurationAcknowledge
 ConfigurationError = _exceptions.ConfigurationError
@@ -113,6 +115,7 @@
 Executor = _executor.Executor
 ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
+expand_document = _compression.expand_document
 expect_seconds = _least_completion.expect_seconds
 Failure = _jobs.Failure
 FAILURE_MEMORY = _health.FAILURE_MEMORY
@@ -170,6 +173,7 @@
 Matching = _late_binding.Matching
 MAX_BATCH_BYTES = _batches.MAX_BATCH_BYTES
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
+MAX_DOCUMENT_BYTES = _compression.MAX_DOCUMENT_BYTES
 MAX_EVICTED = _sessions.MAX_EVICTED
 MAX_HISTORIES = _sizes.MAX_HISTORIES
 MAX_JOBS_TRIED = _late_binding.MAX_JOBS_TRIED
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -335,7 +335,7 @@
     """Version of the document."""
 
     document: bytes
-    """The document in JSON."""
+    """The document in JSON, compressed."""
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_bounds.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_bounds.py
@@ -13,7 +13,9 @@
 
 
 def _build_roster() -> core.Roster:
-    return _roster.Roster(lambda agent, now: 1.0, 0, datetime.timedelta(seconds=5))
+    return _roster.Roster(
+        lambda agent, now: 1.0, 0, datetime.timedelta(seconds=5)
+    )
 
 
 def _serve(roster: core.Roster, service: str) -> core.AgentRecord:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
@@ -141,8 +141,13 @@
 
     def _adopt_encoded(self, version: int, document: bytes) -> None:
         try:
-            decoded = msgspec.json.decode(document)
-        except (msgspec.MsgspecError, UnicodeError, RecursionError):
+            decoded = msgspec.json.decode(core.expand_document(document))
+        except (
+            core.WireError,
+            msgspec.MsgspecError,
+            UnicodeError,
+            RecursionError,
+        ):
             self.malformed += 1
             return
         self._adopt(version, decoded)
@@ -170,7 +175,7 @@
         return core.ConfigurationPush(
             self._member.incarnation,
             self._version,
-            self._configuration.encode(),
+            core.compress_document(self._configuration.encode()),
         )
 
     def _await_in_force(self, patch: _requests.Patch, version: int) -> None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
@@ -29,7 +29,14 @@
 def _push(
     bench: control_builders.ComponentBench, version: int, document: bytes
 ) -> list[tuple]:
-    push = core.ConfigurationPush(2, version, document)
+    compressed = core.compress_document(document)
+    return _push_compressed(bench, version, compressed)
+
+
+def _push_compressed(
+    bench: control_builders.ComponentBench, version: int, compressed: bytes
+) -> list[tuple]:
+    push = core.ConfigurationPush(2, version, compressed)
     bench.tell(_events.peer_heard(push), "keeper")
     return bench.recorders["dispatcher"].take("configuration_adopted")
 
@@ -44,6 +51,24 @@
     assert len(_push(bench, 1, b"{}")) == 1
 
 
+@pytest.mark.parametrize(
+    "compressed",
+    [
+        b"",
+        b"{}",
+        core.compress_document(b"{}")[:-1],
+        core.compress_document(b" " * core.MAX_DOCUMENT_BYTES + b"{}"),
+    ],
+    ids=["empty", "not compressed", "cut off", "too large"],
+)
+def test_push_that_cannot_be_expanded_is_not_adopted(
+    compressed: bytes,
+) -> None:
+    bench = _build_bench()
+    assert _push_compressed(bench, 1, compressed) == []
+    assert len(_push(bench, 1, b"{}")) == 1
+
+
 @pytest.mark.parametrize(
     "row",
     [
