Keep most links of an agent in its region

Cause: docs/CAPACITY.md named it: agents spread their links over failure domains only, so with 4 regions three links of four left the region, and a region could not be served while its links to others were cut. Ruled out: all links inside, since idle targets could not help another region. Before: `choose_entries` knew no region. Conclusion: a setting `--region` of both binaries, "default" where all share one, and a field of the member record. Not shown with real processes.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -214,7 +214,10 @@
 
     def _learn_members(self, members: tuple[core.Member, ...]) -> None:
         chosen = core.choose_entries(
-            self._settings.name, members, self._settings.entries
+            self._settings.name,
+            members,
+            self._settings.entries,
+            self._settings.region,
         )
         wanted = {member.incarnation: member for member in chosen}
         self._note_choice(members, set(wanted))
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
@@ -25,6 +25,14 @@
     )
     """Failure domain that the agent is in."""
 
+    region: str = core.setting(
+        core.parse_name,
+        "1 to 64 letters, digits, dots, dashes or underscores",
+        "region of the failure domain; most links stay in it",
+        "default",
+    )
+    """Region of the failure domain."""
+
     balancer: core.Bind = core.setting(
         core.parse_bind,
         "an IP number and port such as 10.0.0.1:8080",
--- a/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
@@ -1,5 +1,6 @@
 """The entries that are alive, and the subset that an agent connects to."""
 
+import collections
 import datetime
 import hashlib
 
@@ -118,21 +119,37 @@
 
 
 def choose_entries(
-    agent: str, members: tuple[_messages.Member, ...], count: int
+    agent: str,
+    members: tuple[_messages.Member, ...],
+    count: int,
+    region: str = "",
 ) -> tuple[_messages.Member, ...]:
     """Return the entries that an agent connects to.
 
-    Rendezvous hashing ranks the entries; one entry of each failure domain is
-    taken before a second one of any.
+    All but one are in the agent's region, so that it is served while the
+    links between regions are cut; the one outside lets other regions use its
+    target. Where there are too few of either kind, the other fills up.
+
+    :param region: region of the agent
     """
     ranked = sorted(members, key=lambda member: _rank(agent, member))
-    by_domain: dict[str, int] = {}
+    home = _alternate_domains([m for m in ranked if m.region == region])
+    away = _alternate_domains([m for m in ranked if m.region != region])
+    nearby = max(1, count - 1)
+    ordered = home[:nearby] + away[:1] + home[nearby:] + away[1:]
+    return tuple(ordered[:count])
+
+
+def _alternate_domains(
+    ranked: list[_messages.Member],
+) -> list[_messages.Member]:
+    """Put one entry of each failure domain before a second one of any."""
+    seen: collections.Counter[str] = collections.Counter()
     rounds = []
     for member in ranked:
-        turn = by_domain.get(member.domain, 0)
-        by_domain[member.domain] = turn + 1
-        rounds.append((turn, len(rounds), member))
-    return tuple(member for _, _, member in sorted(rounds)[:count])
+        rounds.append((seen[member.domain], len(rounds), member))
+        seen[member.domain] += 1
+    return [member for _, _, member in sorted(rounds)]
 
 
 def _rank(agent: str, member: _messages.Member) -> bytes:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -243,6 +243,9 @@
     domain: _Text
     """Failure domain."""
 
+    region: _Text = ""
+    """Region of the failure domain."""
+
 
 @attrs.frozen
 class Beat:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -151,6 +151,7 @@
         settings.advertise_internal or internal.endpoint,
         f"{settings.bind_http.host}:{server.port}",
         settings.domain,
+        settings.region,
     )
     timing = core.Timing(
         inquiry_interval=settings.inquiry_interval,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
@@ -23,6 +23,14 @@
     )
     """Failure domain that the entry is in."""
 
+    region: str = core.setting(
+        core.parse_name,
+        _NAME,
+        "region of the failure domain; most links stay in it",
+        "default",
+    )
+    """Region of the failure domain."""
+
     platform: core.Bind = core.setting(
         core.parse_bind, _BIND, "address of the platform's table service"
     )
