Leave psutil out of an entry that traces

Cause: opentelemetry imports it for a description of the process that spans do not carry; it does without.

--- a/packages/cowslipgate-core/src/cowslipgate_startup/_lean_imports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/_lean_imports.py
@@ -24,8 +24,8 @@
     "pickle",
     "ssl",
 )
-# Compiled modules that the importing library can do without.
-_OPTIONAL = ("_hashlib", "logbook._speedups")
+# Modules that the importing library can do without.
+_OPTIONAL = ("_hashlib", "logbook._speedups", "psutil")
 
 
 class _Placeholder(type):
--- a/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/tests/test_lean_imports.py
@@ -39,7 +39,13 @@
 
 
 def test_libraries_load_without_what_is_unused() -> None:
-    names = ("circuits", "cowslipgate_transport", "logbook", "msgspec")
+    names = (
+        "circuits",
+        "cowslipgate_transport",
+        "logbook",
+        "msgspec",
+        "opentelemetry.sdk.trace",
+    )
     loaded = _list_loaded(*names)
     unused = {
         "_decimal",
@@ -50,10 +56,11 @@
         "logbook._speedups",
         "multiprocessing.process",
         "_pickle",
+        "psutil",
         "tempfile",
     }
     # None in sys.modules keeps a module from being loaded.
-    assert loaded & unused == {"_hashlib", "logbook._speedups"}
+    assert loaded & unused == {"_hashlib", "logbook._speedups", "psutil"}
 
 
 def test_components_tell_the_number_of_their_process() -> None:
