Expect that tasks of other entries have ended meanwhile

Cause: an entry hears of a target when a task of its own ends there, or each second. Until then it takes the target for as full as it was.

The number of other entries' tasks now fades towards half of what was last told, within about a second at speed one; open targets are looked up anew every 100 ms, less often where there are more than 400. A wrong guess costs a wait in the agent's queue, which is short at a target with eight slots.

Tests: a twin in closed form; a target that others had filled is tried after a second, which failed before.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -38,6 +38,7 @@
 from cowslipgate_core import _settings
 from cowslipgate_core import _sizes
 from cowslipgate_core import _slots
+from cowslipgate_core import _staleness
 from cowslipgate_core import _target_state
 from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
@@ -110,6 +111,7 @@
 Executor = _executor.Executor
 ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
+expect_others = _staleness.expect_others
 expect_seconds = _least_completion.expect_seconds
 Failure = _jobs.Failure
 FAILURE_MEMORY = _health.FAILURE_MEMORY
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -7,6 +7,7 @@
 
 from cowslipgate_core import _heartbeats
 from cowslipgate_core import _messages
+from cowslipgate_core import _staleness
 from cowslipgate_core import _targets
 
 RANKING_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -54,6 +55,7 @@
         self._suspect_after = suspect_after
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
+        self._aged_at: dict[str, datetime.datetime] = {}
         self.agents: dict[str, AgentRecord] = {}
 
     @property
@@ -152,4 +154,19 @@
             for view in pool.ranked:
                 view.speed = self._get_speed(view.agent, now)
             pool.rank_targets()
+        aged_at = self._aged_at.setdefault(service, now)
+        if now - aged_at >= _staleness.choose_interval(len(pool)):
+            self._aged_at[service] = now
+            self._age_loads(pool, now)
         return pool
+
+    def _age_loads(self, pool: _targets.Pool, now: datetime.datetime) -> None:
+        for view in pool.ranked:
+            record = self.agents[view.agent]
+            if not record.load.others:
+                continue
+            others = _staleness.expect_others(
+                record.load.others, now - record.heard_at, view.speed
+            )
+            view.occupied = round(others) + len(record.outstanding)
+            pool.update(view)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
@@ -120,6 +120,12 @@
     return chosen
 
 
+def expect_others(others: int, age_seconds: float, speed: float) -> float:
+    """Return the tasks of others: half of them stay, half fade."""
+    lasting = others / 2
+    return lasting + (others - lasting) / math.e ** (age_seconds * speed)
+
+
 def _can_spare(
     policy: core.LateBinding,
     target: core.TargetView,
