--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -40,6 +40,7 @@
 from cowslipgate_core import _settings
 from cowslipgate_core import _sizes
 from cowslipgate_core import _slots
+from cowslipgate_core import _staleness
 from cowslipgate_core import _target_state
 from cowslipgate_core import _targets
 from cowslipgate_core import _traceparents
@@ -116,6 +117,7 @@
 ExecutorAction = _executor_actions.ExecutorAction
 ExecutorCounters = _executor.ExecutorCounters
 expand_document = _compression.expand_document
+expect_others = _staleness.expect_others
 expect_seconds = _least_completion.expect_seconds
 Failure = _jobs.Failure
 FAILURE_MEMORY = _health.FAILURE_MEMORY
@@ -149,6 +151,7 @@
 KIND_SHRINKAGE = _estimates.KIND_SHRINKAGE
 LAPSE_AFTER = _gossip.LAPSE_AFTER
 LAPSE_TURNS = _gossip.LAPSE_TURNS
+LASTING_SHARE = _staleness.LASTING_SHARE
 LateBinding = _late_binding.LateBinding
 Lease = _quotas.Lease
 LEASE_LAPSES_AFTER = _quotas.LEASE_LAPSES_AFTER
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/naive_placement.py
@@ -150,6 +150,12 @@
     chosen.append(_assign(task, target))
 
 
+def expect_others(others: int, age_seconds: float, speed: float) -> float:
+    """Return the tasks of others: half of them stay, half fade."""
+    lasting = others / 2
+    return lasting + (others - lasting) / math.e ** (age_seconds * speed)
+
+
 def _can_spare(
     policy: core.LateBinding,
     target: core.TargetView,
