Wait for the handshake of a new link in its test

Ruled out: a fault of the agent, whose number rises with the handshake. Conclusion: the check is the same and waits on its condition.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -68,4 +68,6 @@
     before = rig.executor.get_link(7)
     entry.answering = False
     rig.pass_time(LOST_SECONDS)
-    assert rig.executor.get_link(7) > before
+    rig.run_until(
+        lambda: rig.executor.get_link(7) > before, "another link number"
+    )
