--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -39,6 +39,7 @@
 from cowslipgate_core import _slots
 from cowslipgate_core import _target_state
 from cowslipgate_core import _targets
+from cowslipgate_core import _timing
 from cowslipgate_core import _traceparents
 from cowslipgate_core import _validity
 from cowslipgate_core import _versions
@@ -259,7 +260,7 @@
 TargetView = _targets.TargetView
 TaskRequest = _jobs.TaskRequest
 Team = _configuration.Team
-Timing = _ledger.Timing
+Timing = _timing.Timing
 Traceparent = _traceparents.Traceparent
 TREND_LIMIT = _estimates.TREND_LIMIT
 TREND_STEP = _estimates.TREND_STEP
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -8,12 +8,11 @@
 from collections.abc import Mapping
 import datetime
 
-import attrs
-
 from cowslipgate_core import _assignment
 from cowslipgate_core import _charts
 from cowslipgate_core import _configuration
 from cowslipgate_core import _estimates
+from cowslipgate_core import _inquiries
 from cowslipgate_core import _jobs
 from cowslipgate_core import _ledger_actions
 from cowslipgate_core import _ledger_counters
@@ -21,29 +20,10 @@
 from cowslipgate_core import _placement
 from cowslipgate_core import _roster
 from cowslipgate_core import _targets
+from cowslipgate_core import _timing
 from cowslipgate_core import _traceparents
 
 
-@attrs.frozen
-class Timing:
-    """How long the ledger waits before it acts on silence."""
-
-    settle_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
-    """Longest time that a failed job waits for its attempts' outcomes."""
-
-    inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=2)
-    """Age at which an agent is asked about an attempt, again and again."""
-
-    long_inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=15)
-    """The same, of attempts that the agent seems to hold."""
-
-    agent_suspect_after: datetime.timedelta = datetime.timedelta(seconds=5)
-    """Silence after which an agent gets no new work."""
-
-    agent_lost_after: datetime.timedelta = datetime.timedelta(seconds=20)
-    """Silence after which an agent's attempts count as unknown."""
-
-
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
@@ -51,7 +31,7 @@
         self,
         policy: _placement.Policy,
         incarnation: int = 0,
-        timing: Timing = Timing(),
+        timing: _timing.Timing = _timing.Timing(),
     ) -> None:
         self._incarnation = incarnation
         self._timing = timing
@@ -71,6 +51,9 @@
             policy, self._roster, self.estimates
         )
         self.counters = _ledger_counters.LedgerCounters()
+        self._inquiries = _inquiries.Inquiries(
+            self._attempts, timing, self.counters
+        )
 
     @property
     def jobs(self) -> dict[str, _jobs.Job]:
@@ -148,7 +131,8 @@
         record.heard_at = now
         self._roster.replace_report(record, report)
         if reconnected and record.outstanding:
-            actions.extend(self._inquire(record, now, set(record.outstanding)))
+            asked = self._inquiries.ask(record.outstanding, now)
+            actions.extend(asked)
         return actions
 
     def hear_results(
@@ -233,7 +217,9 @@
         job.waiting.clear()
         self._assigner.drop_job(job)
         job.settle_by = now + self._timing.settle_timeout
-        actions = self._withdraw(list(job.active.values()), now, stop=True)
+        actions = self._inquiries.withdraw(
+            list(job.active.values()), now, stop=True
+        )
         return actions + self._settle(job, now)
 
     def tick(
@@ -424,24 +410,6 @@
         )
         return [_ledger_actions.AnswerJob(job, answer)]
 
-    def _withdraw(
-        self,
-        attempts: list[_jobs.Attempt],
-        now: datetime.datetime,
-        stop: bool,
-    ) -> list[_ledger_actions.LedgerAction]:
-        by_agent: dict[tuple[str, int], list[int]] = {}
-        for attempt in attempts:
-            attempt.asked_at = now
-            key = (attempt.agent, attempt.incarnation)
-            by_agent.setdefault(key, []).append(attempt.sequence)
-        return [
-            _ledger_actions.SendWithdraw(
-                agent, incarnation, tuple(sequences), stop
-            )
-            for (agent, incarnation), sequences in by_agent.items()
-        ]
-
     def _watch_agent(
         self, name: str, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
@@ -449,38 +417,7 @@
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        overdue = self._list_silent(record, now, self._timing.inquiry_interval)
-        if record.load.own >= len(overdue):
-            # The agent holds as many attempts as were sent to it.
-            overdue = self._list_silent(
-                record, now, self._timing.long_inquiry_interval
-            )
-        return self._inquire(record, now, overdue) if overdue else []
-
-    def _list_silent(
-        self,
-        record: _roster.AgentRecord,
-        now: datetime.datetime,
-        silence: datetime.timedelta,
-    ) -> set[int]:
-        return {
-            sequence
-            for sequence in record.outstanding
-            if now - self._attempts[sequence].asked_at > silence
-        }
-
-    def _inquire(
-        self,
-        record: _roster.AgentRecord,
-        now: datetime.datetime,
-        overdue: set[int],
-    ) -> list[_ledger_actions.LedgerAction]:
-        self.counters.inquiries += len(overdue)
-        attempts = [self._attempts[sequence] for sequence in sorted(overdue)]
-        kept = [a for a in attempts if a.job.failure is None]
-        ended = [a for a in attempts if a.job.failure is not None]
-        actions = self._withdraw(kept, now, stop=False)
-        return actions + self._withdraw(ended, now, stop=True)
+        return self._inquiries.ask_overdue(record, now)
 
     def _lose_attempts(
         self, record: _roster.AgentRecord, now: datetime.datetime
