Close no connection between an answer and its first byte

Cause: an answer is made, then circuits.web turns it into writes two rounds of events later. In between the server counted the connection as idle, so a planned stop could close it and cut the request. Ruled out: the write of head and body apart (both are queued before the close). Before: test_answer_under_way_when_the_server_closes_arrives_whole fails when the server closes 0 or 1 rounds after the answer, passes at 2 to 5. After: 6 of 6; 63 tests of the transport. Conclusion: a connection stays busy until the first byte of its answer is handed to its socket; the drain waits for it too.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_connections.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_connections.py
@@ -30,6 +30,9 @@
     exchange: _http_exchanges.Exchange | None = None
     """Request that waits for its answer."""
 
+    answering: bool = False
+    """Whether an answer was made of which nothing is written yet."""
+
     answered: bool = False
     """Whether an answer was written after which nothing has arrived."""
 
@@ -38,5 +41,5 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being parsed or waits for its answer."""
-        return self.parsing or self.exchange is not None
+        """Whether a request is being parsed or its answer is to be written."""
+        return self.parsing or self.answering or self.exchange is not None
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -261,6 +261,7 @@
         if connection is None or connection.exchange is not exchange:
             return
         connection.exchange = None
+        connection.answering = True
         connection.answered = True
         connection.since = self._clock.now()
         response = exchange.response
@@ -273,6 +274,12 @@
             response.close = True
         self._parser.respond(response)
 
+    @circuits.handler("write")
+    def _on_write(self, sock: socket.socket, data: bytes) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            connection.answering = False
+
     @circuits.handler("http_requested_failure")
     def _on_http_requested_failure(
         self, failed: _http_exchanges.http_requested, error: object
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -171,6 +171,26 @@
     assert reply.body["body"] == "\\x"
 
 
+@pytest.mark.parametrize("turns", range(6))
+def test_answer_under_way_when_the_server_closes_arrives_whole(
+    served: builders.Served, turns: int
+) -> None:
+    sock = served.connect()
+    served.send(sock, _post(b"/hold", b""))
+    served.run_until(lambda: served.echo.held, "the request")
+    body = json.dumps("x" * 1_000).encode()
+    answer = transport.Answer(200, body)
+    event = transport.answer_http(served.echo.held[0], answer)
+    served.root.fire(event, builders.CHANNEL)
+    for _ in range(turns):
+        served.root.flush()
+    served.root.fire(transport.close_http(), builders.CHANNEL)
+    assert served.read_reply(sock).body == "x" * 1_000
+    served.run_until(lambda: not served.server.waiting, "no more to write")
+    served.root.fire(transport.close_http(), builders.CHANNEL)
+    served.run_until(lambda: served.is_closed(sock), "the end")
+
+
 def test_request_in_single_bytes_is_answered(served: builders.Served) -> None:
     sock = served.connect()
     for byte in _post(b"/ok", b"hello"):
