--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_agent_post.py
@@ -0,0 +1,74 @@
+"""Messages from the dispatcher to the agents."""
+
+from collections.abc import Callable
+
+import attrs
+
+import cowslipgate_core as core
+
+Send = Callable[[bytes, object], None]
+
+
+@attrs.frozen
+class AgentPost:
+    """Writes messages to agents and counts them."""
+
+    _incarnation: int
+    """Incarnation of this entry."""
+
+    _ledger: core.Ledger
+    """Agents by name, and the counters."""
+
+    _acknowledgements: core.Acknowledgements
+    """Outcomes that are to be acknowledged."""
+
+    _hand_over: Send
+    """Gives the network a message for an identity."""
+
+    def send(self, agent: str, message: object) -> None:
+        """Send a message to an agent, if it is known."""
+        record = self._ledger.agents.get(agent)
+        if record is not None:
+            self.send_to(agent, record.report.incarnation, message)
+
+    def send_to(self, agent: str, incarnation: int, message: object) -> None:
+        """Send a message to one incarnation of an agent."""
+        self._hand_over(core.encode_identity(agent, incarnation), message)
+
+    def dispatch(self, action: core.SendOrders, version: int) -> None:
+        """Send attempts, in as many messages as they need.
+
+        :param version: version of the configuration in force
+        """
+        for orders in core.split_orders(action.orders):
+            message = core.Dispatch(
+                self._incarnation,
+                action.incarnation,
+                version,
+                orders,
+                self._acknowledgements.take(action.agent),
+                self._get_link(action.agent),
+            )
+            self._ledger.counters.dispatches += 1
+            self.send_to(action.agent, action.incarnation, message)
+
+    def withdraw(self, action: core.SendWithdraw) -> None:
+        """Withdraw attempts or ask about them."""
+        message = core.Withdraw(
+            self._incarnation, action.incarnation, action.attempts, action.stop
+        )
+        self._ledger.counters.note_withdraw(action.stop)
+        self.send_to(action.agent, action.incarnation, message)
+
+    def acknowledge(self, agents: list[str]) -> None:
+        """Send acknowledgements that no other message has taken along."""
+        for agent in agents:
+            message = core.Acknowledge(
+                self._incarnation, self._acknowledgements.take(agent)
+            )
+            self.send(agent, message)
+            self._ledger.counters.acknowledgements += 1
+
+    def _get_link(self, agent: str) -> int:
+        record = self._ledger.agents.get(agent)
+        return record.report.link if record is not None else 0
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -1,6 +1,5 @@
 """The component that owns the ledger: jobs, attempts, view of agents."""
 
-import collections
 import datetime
 import functools
 import itertools
@@ -11,14 +10,16 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _admission
+from cowslipgate_entry import _agent_post
+from cowslipgate_entry import _ended_jobs
 from cowslipgate_entry import _events
+from cowslipgate_entry import _quota_limits
 from cowslipgate_entry import _requests
 from cowslipgate_entry import _waves
 import cowslipgate_transport as transport
 
 CHANNEL = "dispatcher"
 AGENTS_CHANNEL = "internal"
-MAX_ENDED = 10_000
 
 
 class Dispatcher(circuits.BaseComponent):
@@ -37,17 +38,17 @@
         self._machine = core.Machine(core.load_chart("entry"))
         self._configuration: core.Configuration | None = None
         self._members: tuple[core.Member, ...] = (member,)
-        self._limits: dict[str, int] = {}
-        self._limits_valid_until = clock.now()
+        self._limits = _quota_limits.QuotaLimits(clock.now())
         self._acknowledgements = core.Acknowledgements()
+        self._post = _agent_post.AgentPost(
+            member.incarnation, ledger, self._acknowledgements, self._hand_over
+        )
         self._assigning = False
         self._versions = core.VersionWatch()
         self._claims: dict[str, _requests.Claim] = {}
         self._waves = _waves.Waves()
         self._admission = _admission.Admission(ledger)
-        self._ended: collections.OrderedDict[str, str] = (
-            collections.OrderedDict()
-        )
+        self._ended = _ended_jobs.EndedJobs()
 
     @property
     def state(self) -> str:
@@ -67,7 +68,7 @@
         self._versions.adopt(configuration.version)
         self._machine.fire("configure")
         for name in self._ledger.agents:
-            self._send(name, self._make_beat(with_members=False))
+            self._post.send(name, self._make_beat(with_members=False))
         self._schedule()
 
     @circuits.handler("members_changed")
@@ -78,8 +79,7 @@
     def _on_limits_changed(
         self, limits: dict[str, int], valid_until: datetime.datetime
     ) -> None:
-        self._limits = limits
-        self._limits_valid_until = valid_until
+        self._limits.replace(limits, valid_until)
         self._schedule()
 
     @circuits.handler("submit_job")
@@ -122,7 +122,8 @@
             self._schedule()
             return
         if outcome is _requests.ClaimOutcome.TAKEN:
-            answer = self._answer_taken(job, known)
+            running = known in self._ledger.jobs or known in self._claims
+            answer = self._ended.answer_repeat(job, known, running)
         else:
             answer = core.JobAnswer(
                 job.id,
@@ -180,15 +181,15 @@
             c.job.id for c in self._claims.values() if c.job.deadline <= now
         ]
         self._drop_claims(late, core.Failure.DEADLINE)
-        self._acknowledge(self._acknowledgements.list_overdue(now))
+        self._post.acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
         if self._machine.state == "draining" and not (
             self._ledger.jobs or self._claims
         ):
             self._machine.fire("empty")
-            self._acknowledge(self._acknowledgements.list_agents())
+            self._post.acknowledge(self._acknowledgements.list_agents())
             for name in self._ledger.agents:
-                self._send(name, self._make_beat(with_members=False))
+                self._post.send(name, self._make_beat(with_members=False))
             self.fire(_events.entry_drained(), "process")
 
     @circuits.handler("drain")
@@ -199,16 +200,16 @@
     @circuits.handler("assign_tasks")
     def _on_assign_tasks(self) -> None:
         self._assigning = False
-        if self._configuration is None:
-            return
-        if self._versions.behind:
+        if self._configuration is None or self._versions.behind:
             return
+        now = self._clock.now()
+        document = self._configuration.document
         self._perform(
             self._ledger.assign(
-                self._clock.now(),
-                self._get_quotas(),
+                now,
+                self._limits.list_slots(document, now),
                 len(self._members),
-                self._configuration.document.services,
+                document.services,
             )
         )
 
@@ -223,7 +224,7 @@
             acknowledged=self._acknowledgements.take(report.agent),
         )
         self._ledger.counters.heartbeats += 2
-        self._send(report.agent, beat)
+        self._post.send(report.agent, beat)
         self._schedule()
 
     def hear_goodbye(
@@ -238,7 +239,7 @@
                 self._acknowledgements.take(goodbye.agent),
             )
         self._ledger.counters.heartbeats += 2
-        self._send_to(goodbye.agent, goodbye.incarnation, message)
+        self._post.send_to(goodbye.agent, goodbye.incarnation, message)
 
     def hear_results(
         self, results: core.Results, now: datetime.datetime
@@ -260,15 +261,6 @@
             event = _events.configuration_wanted(self._versions.newest)
             self.fire(event, "keeper")
 
-    def _acknowledge(self, agents: list[str]) -> None:
-        # Most acknowledgements have travelled on other messages by now.
-        for agent in agents:
-            message = core.Acknowledge(
-                self._member.incarnation, self._acknowledgements.take(agent)
-            )
-            self._send(agent, message)
-            self._ledger.counters.acknowledgements += 1
-
     def _make_job(self, submission: _requests.Submission) -> core.Job:
         now = self._clock.now()
         number = next(self._numbers)
@@ -315,15 +307,6 @@
                 self._ledger.fail(job, refusal.failure, refusal.message, now)
             )
 
-    def _get_quotas(self) -> dict[str, int]:
-        teams = self._configuration.document.teams
-        slots = {name: team.slots for name, team in teams.items()}
-        limited = core.find_quotas(slots)
-        # After a pause another entry may hold the slots of this one.
-        valid = self._clock.now() <= self._limits_valid_until
-        limits = self._limits if valid else {}
-        return slots | {name: limits.get(name, 0) for name in limited}
-
     def _get_version(self) -> int:
         configuration = self._configuration
         return configuration.version if configuration is not None else 0
@@ -348,16 +331,9 @@
         for action in actions:
             match action:
                 case core.SendOrders():
-                    self._dispatch(action)
+                    self._post.dispatch(action, self._get_version())
                 case core.SendWithdraw():
-                    message = core.Withdraw(
-                        self._member.incarnation,
-                        action.incarnation,
-                        action.attempts,
-                        action.stop,
-                    )
-                    self._ledger.counters.note_withdraw(action.stop)
-                    self._send_to(action.agent, action.incarnation, message)
+                    self._post.withdraw(action)
                 case core.AnswerJob():
                     self._end_job(action.job, action.answer)
 
@@ -369,26 +345,10 @@
             answer = core.JobAnswer(job_id, failure=failure, message=message)
             self._end_job(job, answer)
 
-    def _answer_taken(self, job: core.Job, known: str) -> core.JobAnswer:
-        status = self._ended.get(known, "unknown")
-        if known in self._ledger.jobs or known in self._claims:
-            status = "running"
-        return core.JobAnswer(
-            job.id,
-            failure=core.Failure.ALREADY_CLAIMED,
-            message=f"the key was used before, by job {known}",
-            claimed_by=known,
-            claimed_status=status,
-        )
-
     def _end_job(self, job: core.Job, answer: core.JobAnswer) -> None:
         self._admission.forget_job(job)
         self.fire(_events.job_answered(job, answer), "gateway")
-        if not job.request.repeatable:
-            failed = answer.failure is not None
-            self._ended[job.id] = "failed" if failed else "complete"
-            if len(self._ended) > MAX_ENDED:
-                self._ended.popitem(last=False)
+        self._ended.add(job, answer)
         self._waves.note_answer(job.id)
         self._answer_waves()
 
@@ -397,30 +357,7 @@
             event = _events.jobs_cancelled(wave.cancellation, wave.size)
             self.fire(event, "cancellations")
 
-    def _dispatch(self, action: core.SendOrders) -> None:
-        for orders in core.split_orders(action.orders):
-            message = core.Dispatch(
-                self._member.incarnation,
-                action.incarnation,
-                self._get_version(),
-                orders,
-                self._acknowledgements.take(action.agent),
-                self._get_link(action.agent),
-            )
-            self._ledger.counters.dispatches += 1
-            self._send_to(action.agent, action.incarnation, message)
-
-    def _get_link(self, agent: str) -> int:
-        record = self._ledger.agents.get(agent)
-        return record.report.link if record is not None else 0
-
-    def _send(self, agent: str, message: object) -> None:
-        record = self._ledger.agents.get(agent)
-        if record is not None:
-            self._send_to(agent, record.report.incarnation, message)
-
-    def _send_to(self, agent: str, incarnation: int, message: object) -> None:
-        identity = core.encode_identity(agent, incarnation)
+    def _hand_over(self, identity: bytes, message: object) -> None:
         self.fire(transport.send_message(identity, message), AGENTS_CHANNEL)
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_bounds.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_bounds.py
@@ -4,7 +4,7 @@
 import pytest
 
 from cowslipgate_entry import _admission
-from cowslipgate_entry import _dispatcher
+from cowslipgate_entry import _ended_jobs
 from cowslipgate_entry import _events
 from cowslipgate_entry import _requests
 from cowslipgate_entry.tests import builders
@@ -42,7 +42,7 @@
 def test_jobs_with_keys_that_ended_are_remembered_up_to_a_number(
     monkeypatch: pytest.MonkeyPatch, later: int, status: str
 ) -> None:
-    monkeypatch.setattr(_dispatcher, "MAX_ENDED", KEPT)
+    monkeypatch.setattr(_ended_jobs, "MAX_ENDED", KEPT)
     claimer = _Claimer()
     first = claimer.run(STORE_UNKNOWN)
     for _ in range(later):
