Look for jobs that fit nothing in long backlogs only

Cause: the set of the open targets' offers cost each pass at 2,000 targets time, also when every job is tried anyway.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -128,8 +128,10 @@
         job for job in jobs if job.tasks and allowances.get(job.team, 0) > 0
     ]
     ordered.sort(key=lambda job: rank_job(policy, job, now))
-    # Only some jobs are tried, so those that fit nothing make way.
-    fitting = _find_fitting(ordered, targets)
+    fitting = list(ordered)
+    if len(ordered) > MAX_JOBS_TRIED:
+        # Only the first are tried, so those that fit nothing make way.
+        fitting = _find_fitting(ordered, targets)
     assignments: list[_placement.Assignment] = []
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
