--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
@@ -17,6 +17,7 @@
 FIRST_READ_INTERVAL = datetime.timedelta(seconds=1)
 IN_FORCE_TIMEOUT = datetime.timedelta(seconds=5)
 WANTED_INTERVAL = datetime.timedelta(milliseconds=250)
+ASKED_PEERS = 3
 
 
 @attrs.define(eq=False)
@@ -49,6 +50,7 @@
         self._in_force: list[_InForce] = []
         self._next_read = clock.now()
         self._next_wanted = clock.now()
+        self._asked = 0
         self.malformed = 0
 
     @circuits.handler("tick")
@@ -74,8 +76,7 @@
         # Every agent and entry may name the version at once.
         self._next_wanted = now + WANTED_INTERVAL
         self._read_current()
-        request = core.ConfigurationRequest(self._member.incarnation)
-        self.fire(_events.tell_peers(request), "peers")
+        self._ask_peers()
 
     @circuits.handler("peer_heard")
     def _on_peer_heard(self, message: object) -> None:
@@ -139,6 +140,18 @@
         )
         self.fire(_events.call_store(call), "store")
 
+    def _ask_peers(self) -> None:
+        # Each one asked sends the whole document, so a few do, in turn.
+        own = self._member.incarnation
+        request = core.ConfigurationRequest(own)
+        entries = [member.incarnation for member in self._members]
+        others = [entry for entry in entries if entry != own]
+        for entry in others[:ASKED_PEERS]:
+            position = self._asked % len(others)
+            self._asked += 1
+            event = _events.tell_peer(others[position], request)
+            self.fire(event, "peers")
+
     def _adopt_encoded(self, version: int, document: bytes) -> None:
         try:
             decoded = msgspec.json.decode(core.expand_document(document))
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
@@ -125,3 +125,23 @@
         bench.answer(bench.take_call(), _requests.StoreResult.UNREACHABLE)
     ((_, outcome),) = decided
     assert outcome.problem is _requests.PatchProblem.OUTCOME_UNKNOWN
+
+
+@pytest.mark.parametrize(("peers", "asked"), [(0, 0), (2, 2), (56, 3)])
+def test_missing_version_is_asked_of_a_few_peers_in_turn(
+    peers: int, asked: int
+) -> None:
+    bench = _build_bench()
+    members = tuple(
+        control_builders.build_member(number, 1000 + 2 * number)
+        for number in range(1, peers + 2)
+    )
+    bench.tell(_events.members_changed(members), "keeper")
+    told: list[int] = []
+    for _ in range(peers):
+        bench.clock.advance(_keeper.WANTED_INTERVAL)
+        bench.tell(_events.configuration_wanted(5), "keeper")
+        requests = bench.recorders["peers"].take("tell_peer")
+        assert len(requests) == asked
+        told += [entry for entry, _ in requests]
+    assert set(told) == set(range(2, peers + 2))
