--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -27,12 +27,14 @@
 from cowslipgate_core import _ledger
 from cowslipgate_core import _ledger_actions
 from cowslipgate_core import _ledger_counters
+from cowslipgate_core import _matching
 from cowslipgate_core import _membership
 from cowslipgate_core import _messages
 from cowslipgate_core import _outcomes
 from cowslipgate_core import _overdue
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
+from cowslipgate_core import _ready_jobs
 from cowslipgate_core import _roster
 from cowslipgate_core import _round_robin
 from cowslipgate_core import _screening
@@ -84,7 +86,7 @@
 choose_in_turn = _round_robin.choose_in_turn
 choose_late_binding = _late_binding.choose_late_binding
 choose_least_completion = _least_completion.choose_least_completion
-choose_matching = _late_binding.choose_matching
+choose_matching = _matching.choose_matching
 choose_receivers = _gossip.choose_receivers
 choose_slots = _quotas.choose_slots
 choose_target = _quotas.choose_target
@@ -142,7 +144,6 @@
 HEARTBEAT_BYTES_PER_SECOND = _heartbeats.HEARTBEAT_BYTES_PER_SECOND
 Held = _slots.Held
 HIDDEN = _settings.HIDDEN
-Horizon = _late_binding.Horizon
 Job = _jobs.Job
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
@@ -174,13 +175,13 @@
 Machine = _charts.Machine
 make_incarnation = _incarnations.make_incarnation
 ManualClock = _clock.ManualClock
-Matching = _late_binding.Matching
+Matching = _matching.Matching
 MAX_BATCH_BYTES = _batches.MAX_BATCH_BYTES
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
 MAX_DOCUMENT_BYTES = _compression.MAX_DOCUMENT_BYTES
 MAX_EVICTED = _sessions.MAX_EVICTED
 MAX_HISTORIES = _sizes.MAX_HISTORIES
-MAX_JOBS_TRIED = _late_binding.MAX_JOBS_TRIED
+MAX_JOBS_TRIED = _ready_jobs.MAX_JOBS_TRIED
 MAX_KEPT_BYTES = _outcomes.MAX_KEPT_BYTES
 MAX_KIND_SPEEDS = _estimates.MAX_KIND_SPEEDS
 MAX_OFFERS = _admission.MAX_OFFERS
@@ -192,7 +193,7 @@
 MAX_SPEEDS = _estimates.MAX_SPEEDS
 MAX_TASKS = _configuration.MAX_TASKS
 MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
-measure_horizon = _late_binding.measure_horizon
+measure_horizon = _matching.measure_horizon
 Member = _messages.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_matching.py
@@ -0,0 +1,102 @@
+"""Matching: late binding that fits tasks to the speeds of targets."""
+
+import datetime
+import math
+
+import attrs
+
+from cowslipgate_core import _backlog
+from cowslipgate_core import _late_binding
+from cowslipgate_core import _placement
+from cowslipgate_core import _targets
+
+
+@attrs.frozen
+class Matching(_late_binding.LateBinding):
+    """Late binding that keeps long tasks away from slow targets."""
+
+    horizon_factor: float = 1.5
+    """Time allowed to a task over the time that its job needs anyway."""
+
+    slow_speed: float = 0.8
+    """Targets below this share of the mean speed take the shortest tasks."""
+
+    probed_speed: float = 0.3
+    """Targets below this share of the mean speed get one task at a time."""
+
+    probed_capacity: float = 0.05
+    """Share of the capacity that these targets make up at most."""
+
+
+@_placement.choose_assignments.register
+def choose_matching(
+    policy: Matching,
+    jobs: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+    entries: int = 1,
+) -> list[_placement.Assignment]:
+    """Fill free slots with tasks that end within their job's horizon.
+
+    Slow targets take the shortest of them, the others the longest.
+    """
+    horizons: dict[str, float] = {}
+
+    def get_horizon(job: _backlog.WaitingJob) -> float:
+        known = horizons.get(job.job)
+        if known is None:
+            known = measure_horizon(policy, job, pool, now, entries)
+            horizons[job.job] = known
+        return known
+
+    def find_fitting(
+        job: _backlog.WaitingJob, target: _targets.TargetView
+    ) -> int | None:
+        limit = get_horizon(job) * target.speed
+        # A task that is longer than declared costs most on a slow target.
+        if is_slow(policy, target, pool):
+            return job.find_shortest(limit, target.resources)
+        return job.find_longest(limit, target.resources)
+
+    return _late_binding.fill_slots(
+        policy, jobs, pool, allowances, now, entries, find_fitting
+    )
+
+
+def is_slow(
+    policy: Matching, target: _targets.TargetView, pool: _targets.Pool
+) -> bool:
+    """Tell whether a target is far below the mean speed of all slots."""
+    return target.speed * pool.slots < policy.slow_speed * pool.capacity
+
+
+def measure_horizon(
+    policy: Matching,
+    job: _backlog.WaitingJob,
+    pool: _targets.Pool,
+    now: datetime.datetime,
+    entries: int,
+) -> float:
+    """Return the seconds within which tasks of a job should end."""
+    if now - job.submitted_at > policy.ageing:
+        return math.inf
+    fastest = min(pool.get_fastest(needs) for needs in job.needs)
+    if fastest <= 0 or pool.capacity <= 0:
+        return math.inf
+    alone = job.longest_seconds / fastest
+    alone += job.mean_seconds / (fastest * pool.slots)
+    shared = job.remaining_seconds / (pool.capacity / entries)
+    return policy.horizon_factor * max(alone, shared)
+
+
+@_late_binding.is_probed.register
+def _is_probed_in_matching(
+    policy: Matching, target: _targets.TargetView, pool: _targets.Pool
+) -> bool:
+    if target.speed * pool.slots >= policy.probed_speed * pool.capacity:
+        return False
+    lost = pool.capacity - pool.measure_faster(target)
+    if lost > policy.probed_capacity * pool.capacity:
+        return False
+    return pool.is_faster_busy(target)
