Cut two regions from each other with real processes

docs/CAPACITY.md said that nobody had. test_regions: two entries and two agents in two regions; with the links between them cut each entry runs its jobs on its own region's target, ten of ten complete, nothing violated after healing.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -138,12 +138,23 @@
         if self.table_link is not None:
             self.table_port = self.table_link.port
 
-    def start_entries(self, domains: list[str], *flags: str) -> None:
-        """Start a balancer and one entry in each of ``domains``."""
+    def start_entries(
+        self,
+        domains: list[str],
+        *flags: str,
+        regions: tuple[str, ...] = ("default",),
+    ) -> None:
+        """Start a balancer and one entry in each of ``domains``.
+
+        :param regions: regions of the entries, taken in turn
+        """
         ports = choose_ports(len(domains) + 1)
         self.balancer_port = ports.pop()
         for number, domain in enumerate(domains):
-            self.start_entry(f"entry-{number}", domain, ports[number], *flags)
+            region = f"--region={regions[number % len(regions)]}"
+            self.start_entry(
+                f"entry-{number}", domain, ports[number], region, *flags
+            )
         names = [str(port) for port in ports]
         process = self.spawn(
             "balancer", "balancer", str(self.balancer_port), *names
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
@@ -249,11 +249,13 @@
     entry_flags: tuple[str, ...] = (),
     agent_flags: tuple[str, ...] = (),
     targets: tuple[dict[str, Any], ...] = ({},),
+    regions: tuple[str, ...] = ("default",),
     callers: int = 256,
 ) -> Iterator[Deployment]:
     """Start a deployment behind a proxy with short leases.
 
     :param targets: options of the targets, taken in turn
+    :param regions: regions of entries and of agents, taken in turn
     :param callers: most callers that wait for answers at once
     """
     with contextlib.ExitStack() as stack:
@@ -262,12 +264,13 @@
         pool = stack.enter_context(_callers.Callers(TEAM_TOKEN, callers))
         cluster.start_table()
         flags = _merge_flags(ENTRY_FLAGS, entry_flags)
-        cluster.start_entries(DOMAINS[:entries], *flags)
+        cluster.start_entries(DOMAINS[:entries], *flags, regions=regions)
         for number in range(agents):
             options = {"slots": slots} | targets[number % len(targets)]
             cluster.start_agent(
                 DOMAINS[number % len(DOMAINS)],
                 _target.TargetOptions("print", 0, **options),
+                f"--region={regions[number % len(regions)]}",
                 *_merge_flags(AGENT_FLAGS, agent_flags),
             )
         _cluster.wait_until(
