Keep one list of jobs in a pass, and each plan's service with it

Read again: a pass kept two lists of the same jobs and took each finished job out of both; the second is only needed when a policy has patience, and is derived from the first then. A job with no task left was looked for in every service, though its plan can name its own; whether a task waits was asked of each service, though empty ones are not kept.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -19,6 +19,9 @@
 class _Plan:
     """A job as the policy sees it."""
 
+    service: str
+    """Service of the job."""
+
     view: _backlog.WaitingJob
     """The part of it that waits."""
 
@@ -46,7 +49,7 @@
     @property
     def has_waiting(self) -> bool:
         """Whether a task of any service waits."""
-        return any(self._waiting.values())
+        return bool(self._waiting)
 
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
@@ -63,7 +66,7 @@
         view = _backlog.WaitingJob(
             job.id, job.team, job.submitted_at, list(tasks)
         )
-        self._plans[job.id] = _Plan(view, tasks)
+        self._plans[job.id] = _Plan(job.service, view, tasks)
         self._waiting.setdefault(job.service, {})[job.id] = view
         self._waiting_tasks[job.service] += len(tasks)
 
@@ -152,10 +155,9 @@
 
     def _drop_empty(self, chosen: list[_placement.Assignment]) -> None:
         for job_id in {assignment.job for assignment in chosen}:
-            if self._plans[job_id].view.tasks:
-                continue
-            for service in list(self._waiting):
-                self._drop_waiting(service, job_id)
+            plan = self._plans[job_id]
+            if not plan.view.tasks:
+                self._drop_waiting(plan.service, job_id)
 
     def _drop_waiting(self, service: str, job_id: str) -> None:
         waiting = self._waiting.get(service, {})
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -90,17 +90,16 @@
     trials = pool.list_trials(now)
     assignments = _try_targets(trials, fitting, pool, allowances)
     if assignments:
-        ordered = _ready_jobs.list_ready(ordered, allowances)
         fitting = _ready_jobs.list_ready(fitting, allowances)
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
     for target in pool.iterate_open(now):
-        if not ordered:
-            break
-        if policy.patience and can_spare(
-            policy, target, pool, ordered, now, entries
-        ):
+        if not fitting:
             break
+        if policy.patience:
+            waiting = _ready_jobs.list_ready(ordered, allowances)
+            if can_spare(policy, target, pool, waiting, now, entries):
+                break
         while target.free + policy.margin > 0 and fitting:
             if target.resources in exhausted:
                 break
@@ -114,7 +113,6 @@
             assignments.append(
                 _placement.take_task(job, position, target, pool, allowances)
             )
-            _ready_jobs.drop_done(ordered, job, allowances)
             _ready_jobs.drop_done(fitting, job, allowances)
     return assignments
 
