--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -11,6 +11,30 @@
     """The target said that it is leaving."""
 
 
+class target_heard(circuits.Event):
+    """A target that runs tasks under leases sent a TargetBeat."""
+
+
+class target_gone(circuits.Event):
+    """Such a target has ended; the argument is its id."""
+
+
+class target_settled(circuits.Event):
+    """Nothing runs at the target that the agent does not know of."""
+
+
+class target_unclear(circuits.Event):
+    """The target's answer could not be read; the argument is a WireError."""
+
+
+class discover_entries(circuits.Event):
+    """Asks to look for entries."""
+
+
+class members_found(circuits.Event):
+    """Entries were found; the argument is the tuple of their members."""
+
+
 class start_task(circuits.Event):
     """Asks to call the target; arguments are StartTask and Announcement."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -6,7 +6,6 @@
 import attrs
 import circuits
 from circuits.core import pollers
-import msgspec
 import zmq
 
 from cowslipgate_agent import _events
@@ -16,7 +15,10 @@
 
 CHANNEL = "links"
 DISCOVERY_INTERVAL = datetime.timedelta(seconds=1)
-DISCOVERY_TIMEOUT = datetime.timedelta(seconds=3)
+RESET_GRACE = datetime.timedelta(milliseconds=500)
+"""Time in which a broken connection may be made anew before the entry counts
+as lost. A killed entry resets it, and its callers come to another entry
+`resend_ms` (1,300 ms) later, when nothing of theirs may run any more."""
 
 
 @attrs.define(eq=False)
@@ -41,6 +43,9 @@
     opened_at: datetime.datetime
     """When the connection was opened."""
 
+    reset_at: datetime.datetime | None = None
+    """Since when the connection is broken, or None while it stands."""
+
     lost: bool = False
     """Whether the entry has been given up until it is heard again."""
 
@@ -72,9 +77,11 @@
         incarnation: int,
         clock: core.Clock,
         poller: pollers.BasePoller,
+        settled: bool = True,
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._settled = settled
         self._executor = executor
         self._incarnation = incarnation
         self._clock = clock
@@ -100,13 +107,19 @@
         self._check_silence(now)
         self._leave_unchosen(now)
         alone = all(link.lost for link in self._links.values())
-        if alone and now >= self._next_discovery:
+        if alone and self._settled and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
-            self._discover()
+            self.fire(_events.discover_entries(), "discovery")
         for incarnation, link in self._links.items():
             if now - link.reported_at >= self._get_interval(incarnation):
                 self._report(incarnation, link)
 
+    @circuits.handler("target_settled")
+    def _on_target_settled(self) -> None:
+        # An entry that hears of a new incarnation of the agent takes it that
+        # nothing runs any more that it ordered from an earlier one.
+        self._settled = True
+
     @circuits.handler("send_reports")
     def _on_send_reports(self) -> None:
         self._report_all()
@@ -133,9 +146,16 @@
         link = self._links.get(int(peer))
         if link is None:
             return
+        link.reset_at = None
         self._executor.connect(int(peer))
         self._report(int(peer), link)
 
+    @circuits.handler("peer_disconnected", channel="*")
+    def _on_peer_disconnected(self, peer: bytes) -> None:
+        link = self._links.get(int(peer))
+        if link is not None and link.reset_at is None:
+            link.reset_at = self._clock.now()
+
     @circuits.handler("message_received", channel="*")
     def _on_message_received(self, peer: bytes, message: object) -> None:
         link = self._links.get(int(peer))
@@ -156,14 +176,8 @@
         if sender >= int(peer) and isinstance(message, core.Beat):
             self._hear_beat(message)
 
-    @circuits.handler("http_answered", channel="discovery")
-    def _on_http_answered(self, answer: transport.CallAnswer) -> None:
-        try:
-            members = msgspec.json.decode(
-                answer.body, type=tuple[core.Member, ...]
-            )
-        except msgspec.MsgspecError:
-            return
+    @circuits.handler("members_found")
+    def _on_members_found(self, members: tuple[core.Member, ...]) -> None:
         self._learn_members(members)
 
     def _hear_beat(self, beat: core.Beat) -> None:
@@ -189,7 +203,8 @@
             limit = self._settings.entry_lost_after
             if not self._executor.measure_load(incarnation).own:
                 limit = core.stretch_loss(limit, link.interval)
-            if now - max(link.heard_at, link.opened_at) <= limit:
+            heard_at = max(link.heard_at, link.opened_at)
+            if now - heard_at <= limit and not self._is_reset(link, now):
                 continue
             if incarnation not in members:
                 self._drop(incarnation)
@@ -199,18 +214,9 @@
                 self.fire(_events.entry_dropped(incarnation), "runner")
             self._connect_anew(link)
 
-    def _discover(self) -> None:
-        address = transport.Address(
-            self._settings.balancer.host, self._settings.balancer.port
-        )
-        call = transport.Call(
-            next(self._numbers),
-            address,
-            "GET",
-            "/v1/members",
-            timeout=DISCOVERY_TIMEOUT,
-        )
-        self.fire(transport.call_http(call), "discovery")
+    def _is_reset(self, link: Link, now: datetime.datetime) -> bool:
+        reset_at = link.reset_at
+        return reset_at is not None and now - reset_at > RESET_GRACE
 
     def _learn_members(self, members: tuple[core.Member, ...]) -> None:
         chosen = core.choose_entries(
@@ -285,6 +291,7 @@
         link.socket.close()
         link.socket = self._open_socket(link.member)
         link.opened_at = self._clock.now()
+        link.reset_at = None
 
     def _open_socket(self, member: core.Member) -> transport.MessageSocket:
         identity = core.encode_identity(self._settings.name, self._incarnation)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
@@ -5,6 +5,7 @@
 import zmq
 
 from cowslipgate_agent import _announcements
+from cowslipgate_agent import _discovery
 from cowslipgate_agent import _events
 from cowslipgate_agent import _links
 from cowslipgate_agent import _runner
@@ -59,6 +60,10 @@
     )
     token = {"Authorization": f"Bearer {settings.cluster_token}"}
     transport.HttpClient("discovery", poller, clock, token).register(process)
+    balancer = transport.Address(
+        settings.balancer.host, settings.balancer.port
+    )
+    _discovery.BalancerDiscovery(balancer).register(process)
     _announcements.Announcements().register(process)
     _target_calls.TargetCalls(clock, settings.task_timeout).register(process)
     _runner.Runner(executor, clock, settings.target_lapse).register(process)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
@@ -13,6 +13,7 @@
 import msgspec
 import zmq
 
+from cowslipgate_agent import _discovery
 from cowslipgate_agent import _events
 from cowslipgate_agent import _links
 from cowslipgate_agent import _runner
@@ -84,6 +85,8 @@
         self.links = _links.Links(
             settings, self.executor, 1, self.clock, poller
         ).register(self.root)
+        balancer = transport.Address("127.0.0.1", 1)
+        _discovery.BalancerDiscovery(balancer).register(self.root)
         _runner.Runner(self.executor, self.clock, TARGET_LAPSE).register(
             self.root
         )
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_links.py
@@ -13,6 +13,7 @@
 import pytest
 import zmq
 
+from cowslipgate_agent import _discovery
 from cowslipgate_agent import _events
 from cowslipgate_agent import _links
 from cowslipgate_agent import _settings
@@ -44,6 +45,8 @@
         self.links = _links.Links(
             settings, core.Executor(1, 2), 1, self.clock, poller
         ).register(self.root)
+        balancer = transport.Address("127.0.0.1", 1)
+        _discovery.BalancerDiscovery(balancer).register(self.root)
         self._introduce()
         self.run_until(lambda: self.links.get_link(ENTRY), "a link")
         self.run_until(self._hear_report, "the first report")
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -23,6 +23,7 @@
 from cowslipgate_core import _incarnations
 from cowslipgate_core import _jobs
 from cowslipgate_core import _late_binding
+from cowslipgate_core import _lease_rows
 from cowslipgate_core import _least_completion
 from cowslipgate_core import _ledger
 from cowslipgate_core import _ledger_actions
@@ -35,14 +36,18 @@
 from cowslipgate_core import _placement
 from cowslipgate_core import _quotas
 from cowslipgate_core import _ready_jobs
+from cowslipgate_core import _room
 from cowslipgate_core import _roster
 from cowslipgate_core import _round_robin
+from cowslipgate_core import _routes
+from cowslipgate_core import _runs
 from cowslipgate_core import _screening
 from cowslipgate_core import _sessions
 from cowslipgate_core import _settings
 from cowslipgate_core import _sizes
 from cowslipgate_core import _slots
 from cowslipgate_core import _staleness
+from cowslipgate_core import _tables
 from cowslipgate_core import _target_state
 from cowslipgate_core import _targets
 from cowslipgate_core import _timing
@@ -54,6 +59,7 @@
 Acknowledge = _messages.Acknowledge
 ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
 Acknowledgements = _acknowledgements.Acknowledgements
+add_resources = _room.add_resources
 AGEING = _late_binding.AGEING
 AgentRecord = _roster.AgentRecord
 Announcement = _executor_actions.Announcement
@@ -70,6 +76,9 @@
 BINS_PER_OCTAVE = _sizes.BINS_PER_OCTAVE
 BodyError = _exceptions.BodyError
 BUCKETS_PER_OCTAVE = _sizes.BUCKETS_PER_OCTAVE
+CallStart = _runs.CallStart
+CallStop = _runs.CallStop
+CallWatch = _runs.CallWatch
 can_run = _placement.can_run
 can_spare = _late_binding.can_spare
 CancelReply = _messages.CancelReply
@@ -99,7 +108,9 @@
 ConfigurationRequest = _messages.ConfigurationRequest
 count_turns = _gossip.count_turns
 CowslipgateError = _exceptions.CowslipgateError
+decode_leases = _lease_rows.decode_leases
 decode_message = _messages.decode_message
+DEFAULT_TERMS = _jobs.DEFAULT_TERMS
 derive_span = _traceparents.derive_span
 derive_traceparent = _traceparents.derive_traceparent
 describe_settings = _settings.describe_settings
@@ -111,7 +122,9 @@
 DROPPED_LIFETIME = _executor.DROPPED_LIFETIME
 encode_entry_identity = _screening.encode_entry_identity
 encode_identity = _messages.encode_identity
+encode_lease = _lease_rows.encode_lease
 encode_message = _messages.encode_message
+EndRun = _runs.EndRun
 ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
 Estimates = _estimates.Estimates
@@ -132,8 +145,9 @@
 find_quotas = _quotas.find_quotas
 Finder = _late_binding.Finder
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
-fits_resources = _targets.fits_resources
+fits_resources = _room.fits_resources
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
+FoundRoute = _routes.FoundRoute
 FULL_HISTORY = _sizes.FULL_HISTORY
 Goodbye = _messages.Goodbye
 Gossip = _messages.Gossip
@@ -148,6 +162,7 @@
 JobAnswer = _jobs.JobAnswer
 JobRequest = _jobs.JobRequest
 JOBS_TO_QUARANTINE = _health.JOBS_TO_QUARANTINE
+JobTerms = _jobs.JobTerms
 Kept = _outcomes.Kept
 KIND_PRIOR_RUNS = _estimates.KIND_PRIOR_RUNS
 KIND_SHRINKAGE = _estimates.KIND_SHRINKAGE
@@ -164,6 +179,8 @@
 LedgerCounters = _ledger_counters.LedgerCounters
 LIMITS_VALID_FOR = _validity.LIMITS_VALID_FOR
 LimitValidity = _validity.LimitValidity
+ListedEnd = _runs.ListedEnd
+Listing = _runs.Listing
 Load = _messages.Load
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
@@ -201,6 +218,7 @@
 MIN_BELIEF = _estimates.MIN_BELIEF
 MIN_STEP = _estimates.MIN_STEP
 name_flag = _settings.name_flag
+name_lease = _lease_rows.name_lease
 name_variable = _settings.name_variable
 OfferBook = _admission.OfferBook
 OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
@@ -210,6 +228,7 @@
 Outcome = _messages.Outcome
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
+Outranked = _runs.Outranked
 OverdueTasks = _overdue.OverdueTasks
 parse_advertised = _settings.parse_advertised
 parse_bind = _settings.parse_bind
@@ -238,14 +257,22 @@
 Reason = _messages.Reason
 Refusal = _admission.Refusal
 Release = _messages.Release
+Replaced = _runs.Replaced
 Report = _messages.Report
 REQUIRED = _settings.REQUIRED
 RESEND_AFTER = _outcomes.RESEND_AFTER
 RESEND_BATCH = _outcomes.RESEND_BATCH
 Resources = _messages.Resources
 Results = _messages.Results
+Room = _messages.Room
 Roster = _roster.Roster
 RoundRobin = _round_robin.RoundRobin
+Route = _routes.Route
+RouteTable = _routes.RouteTable
+RunAction = _runs.RunAction
+RunBook = _runs.RunBook
+RunEnd = _runs.RunEnd
+RunName = _runs.RunName
 SendOrders = _ledger_actions.SendOrders
 SendReports = _executor_actions.SendReports
 SendWithdraw = _ledger_actions.SendWithdraw
@@ -267,14 +294,23 @@
 split_orders = _batches.split_orders
 split_reports = _batches.split_reports
 Started = _jobs.Started
+StartReply = _runs.StartReply
 StartTask = _executor_actions.StartTask
 State = _charts.State
 StopTask = _executor_actions.StopTask
 stretch_lapse = _gossip.stretch_lapse
 stretch_loss = _heartbeats.stretch_loss
 stretch_suspicion = _heartbeats.stretch_suspicion
+subtract_resources = _room.subtract_resources
 SUSPECT_HEARTBEATS = _heartbeats.SUSPECT_HEARTBEATS
 SystemClock = _clock.SystemClock
+TableAnswer = _tables.TableAnswer
+TableCall = _tables.TableCall
+TableFollow = _tables.TableFollow
+TableRead = _tables.TableRead
+TableResult = _tables.TableResult
+TableRow = _tables.TableRow
+TableWrite = _tables.TableWrite
 take_task = _placement.take_task
 TargetState = _target_state.TargetState
 TargetView = _targets.TargetView
@@ -285,11 +321,13 @@
 TREND_LIMIT = _estimates.TREND_LIMIT
 TREND_STEP = _estimates.TREND_STEP
 tune_policy = _weights.tune_policy
+UNBOUNDED_SLOTS = _room.UNBOUNDED_SLOTS
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 UPPER_SHARE = _sizes.UPPER_SHARE
 VersionWatch = _versions.VersionWatch
 VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
 WaitingJob = _backlog.WaitingJob
 WaitingTask = _backlog.WaitingTask
+WatchReply = _runs.WatchReply
 WireError = _exceptions.WireError
 Withdraw = _messages.Withdraw
--- a/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
@@ -7,7 +7,7 @@
 from cowslipgate_core import _configuration
 from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
-from cowslipgate_core import _targets
+from cowslipgate_core import _room
 
 VIEW_SETTLES_AFTER = datetime.timedelta(seconds=15)
 OFFERS_KEPT_FOR = datetime.timedelta(minutes=10)
@@ -70,7 +70,7 @@
             return None
         for index, task in enumerate(request.tasks):
             if not any(
-                _targets.fits_resources(offer, task.needs) for offer in offers
+                _room.fits_resources(offer, task.needs) for offer in offers
             ):
                 return index
         return None
--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -67,6 +67,8 @@
             job.id, job.team, job.submitted_at, list(tasks)
         )
         self._plans[job.id] = _Plan(job.service, view, tasks)
+        for task in tasks:
+            self._roster.note_needs(job.service, task.needs)
         self._waiting.setdefault(job.service, {})[job.id] = view
         self._waiting_tasks[job.service] += len(tasks)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cowslipgate_core import _messages
-from cowslipgate_core import _targets
+from cowslipgate_core import _room
 
 
 @attrs.frozen
@@ -85,7 +85,7 @@
             self.tasks, limit_seconds, key=lambda task: task.upper_seconds
         )
         for position in range(end - 1, -1, -1):
-            if _targets.fits_resources(offer, self.tasks[position].needs):
+            if _room.fits_resources(offer, self.tasks[position].needs):
                 return position
         return None
 
@@ -100,7 +100,7 @@
         for position, task in enumerate(self.tasks):
             if task.upper_seconds > limit_seconds:
                 return None
-            if _targets.fits_resources(offer, task.needs):
+            if _room.fits_resources(offer, task.needs):
                 return position
         return None
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_configuration.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_configuration.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cowslipgate_core import _exceptions
+from cowslipgate_core import _routes
 
 MAX_TASKS = 410
 _Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
@@ -76,6 +77,9 @@
     operators: dict[str, Operator] = attrs.Factory(dict)
     """Operators by name."""
 
+    routes: dict[str, _routes.Route] = attrs.Factory(dict)
+    """Routes by name."""
+
 
 @attrs.frozen
 class Configuration:
@@ -109,7 +113,12 @@
 def _find_faults(raw: Any) -> "list[_exceptions.Fault]":
     if not isinstance(raw, dict):
         return [_exceptions.Fault("$", "must be an object")]
-    sections = {"services": Service, "teams": Team, "operators": Operator}
+    sections = {
+        "services": Service,
+        "teams": Team,
+        "operators": Operator,
+        "routes": _routes.Route,
+    }
     faults = []
     for name, value in raw.items():
         if name not in sections:
@@ -132,6 +141,11 @@
             faults.append(_exceptions.Fault(path, "must be an object"))
             continue
         fields = {field.name: field.type for field in attrs.fields(cls)}
+        faults.extend(
+            _exceptions.Fault(f"{path}.{field.name}", "is required")
+            for field in attrs.fields(cls)
+            if field.default is attrs.NOTHING and field.name not in value
+        )
         for key, item in value.items():
             if key not in fields:
                 allowed = ", ".join(fields)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
@@ -18,6 +18,7 @@
 DROPPED_LIFETIME = datetime.timedelta(seconds=2)
 ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
 PAUSE_FRACTION = 0.25
+_NO_USE = _messages.Resources()
 
 
 @attrs.define
@@ -99,7 +100,9 @@
     def measure_load(self, entry: int) -> _messages.Load:
         """Return the load as one entry is told of it."""
         own = self._slots.count(entry)
-        return _messages.Load(self.slots, own, len(self._slots) - own)
+        others = len(self._slots) - own
+        use = self._slots.measure_use(entry) if others else _NO_USE
+        return _messages.Load(self.slots, own, others, use)
 
     def get_link(self, entry: int) -> int:
         """Return the number of the link to an entry, or zero."""
@@ -380,7 +383,8 @@
             return self._refuse_queued(_messages.Reason.NOT_SERVING, now)
         actions: list[_executor_actions.ExecutorAction] = []
         address = self._target.address
-        while held := self._slots.start_next(self.slots, address, now):
+        room = self._target.room
+        while held := self._slots.start_next(self.slots, room, address, now):
             self.counters.started += 1
             actions.append(_executor_actions.StartTask(held.key, held.order))
         return actions
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_executor_actions.py
@@ -1,6 +1,7 @@
 """Records that the executor takes in and the actions that it returns."""
 
 import attrs
+import msgspec
 
 from cowslipgate_core import _messages
 
@@ -35,6 +36,12 @@
     resources: _messages.Resources = _messages.Resources()
     """What one task may use."""
 
+    room: _messages.Room = msgspec.UNSET
+    """What all tasks share."""
+
+    life: str = ""
+    """Tells one life of the target from another at the same address."""
+
 
 @attrs.frozen
 class StartTask:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -1,5 +1,6 @@
 """Jobs as callers submit them and the answers that they get."""
 
+import collections
 import datetime
 import enum
 from typing import Annotated
@@ -14,6 +15,8 @@
 _Size = Annotated[float, msgspec.Meta(gt=0.0, le=3_600_000.0)]
 _Name = Annotated[str, msgspec.Meta(max_length=128)]
 _Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+MILLISECONDS_PER_SECOND = 1_000
+
 _Tasks = Annotated[
     "tuple[TaskRequest, ...]",
     msgspec.Meta(min_length=1, max_length=_configuration.MAX_TASKS),
@@ -47,6 +50,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     CANCELLED = "cancelled"
     DEADLINE = "deadline"
+    UNSUPPORTED = "unsupported"
 
 
 @attrs.frozen
@@ -112,6 +116,37 @@
     """What is known here of that job."""
 
 
+@attrs.frozen
+class JobTerms:
+    """How a job is run; those who take jobs in set it, not callers."""
+
+    name: str = ""
+    """Name that the caller gave the job, or empty."""
+
+    attempts: int = 1
+    """Runs of a task that may fail before its job fails."""
+
+    rerun_lost: bool = False
+    """Whether a task runs again when it is certain that its run ended
+    without a result."""
+
+    priority: int = 0
+    """Urgency; zero goes first."""
+
+    objective: datetime.timedelta = datetime.timedelta()
+    """Response time that callers are promised; zero when nothing is."""
+
+    slowdown: float = 0.0
+    """Multiple of the longest task added to the objective."""
+
+    def name_task(self, index: int) -> str:
+        """Return the name of a task, the same over all its attempts."""
+        return f"{self.name}.{index}" if self.name else ""
+
+
+DEFAULT_TERMS = JobTerms()
+
+
 @attrs.define(eq=False)
 class Attempt:
     """One try to run a task on one agent."""
@@ -145,6 +180,11 @@
         """Id that the target echoes."""
         return f"{self.job.id}.{self.index}.{self.sequence}"
 
+    @property
+    def run(self) -> int:
+        """Number that rises over the attempts of a task, at every entry."""
+        return int(self.sent_at.timestamp() * MILLISECONDS_PER_SECOND)
+
 
 @attrs.define(eq=False)
 class Job:
@@ -201,6 +241,12 @@
     traceparent: str = ""
     """W3C trace context of the caller, or empty."""
 
+    terms: JobTerms = DEFAULT_TERMS
+    """How it is run."""
+
+    failed_runs: collections.Counter[int] = attrs.Factory(collections.Counter)
+    """Runs that failed, by index."""
+
     def derive_started(self) -> Started:
         """Tell from the attempts' charts what may be said of the tasks."""
         states = {
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -100,14 +100,14 @@
             waiting = _ready_jobs.list_ready(ordered, allowances)
             if can_spare(policy, target, pool, waiting, now, entries):
                 break
-        while target.free + policy.margin > 0 and fitting:
-            if target.resources in exhausted:
+        while pool.has_place(target) and fitting:
+            if target.offer in exhausted:
                 break
             if target.occupied and is_probed(policy, target, pool):
                 break
             found = _find_task(fitting, target, pool, find)
             if found is None:
-                exhausted.add(target.resources)
+                exhausted.add(target.offer)
                 break
             job, position = found
             assignments.append(
@@ -133,7 +133,7 @@
         for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]:
             if allowances[job.team] <= 0:
                 continue
-            position = job.find_shortest(math.inf, target.resources)
+            position = job.find_shortest(math.inf, target.offer)
             if position is None:
                 continue
             assignments.append(
@@ -200,4 +200,4 @@
 def _find_longest(
     job: _backlog.WaitingJob, target: _targets.TargetView
 ) -> int | None:
-    return job.find_longest(math.inf, target.resources)
+    return job.find_longest(math.inf, target.offer)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -18,6 +18,7 @@
 from cowslipgate_core import _ledger_counters
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
+from cowslipgate_core import _room
 from cowslipgate_core import _roster
 from cowslipgate_core import _targets
 from cowslipgate_core import _timing
@@ -319,12 +320,16 @@
         self._assigner.start_attempt(attempt)
         self.counters.dispatched += 1
         request = job.request.tasks[assignment.index]
+        record.own_use = _room.add_resources(record.own_use, request.needs)
         return _messages.Order(
             attempt.sequence,
             attempt.task_id,
             request.kind,
             bytes(request.payload),
             _traceparents.derive_traceparent(job.traceparent, attempt.task_id),
+            job.terms.name_task(assignment.index),
+            attempt.run,
+            request.needs,
         )
 
     def _apply(
@@ -351,6 +356,8 @@
         record = self._agents.get(attempt.agent)
         if record is not None:
             record.outstanding.discard(attempt.sequence)
+            needs = job.request.tasks[attempt.index].needs
+            record.own_use = _room.subtract_resources(record.own_use, needs)
         started = attempt.machine.get_attribute("started")
         job.known_started |= started == "yes"
         job.maybe_started |= started == "unknown"
@@ -368,17 +375,29 @@
             case _messages.Outcome.NOT_STARTED:
                 self.counters.refused += 1
                 self._hold_agent(attempt, report)
-                if job.failure is None:
-                    job.waiting.add(attempt.index)
-                    self._assigner.put_back(attempt)
+                self._put_back(attempt)
                 return []
             case _messages.Outcome.FAILED:
+                job.failed_runs[attempt.index] += 1
+                if job.failed_runs[attempt.index] < job.terms.attempts:
+                    self.counters.repeated += 1
+                    self._put_back(attempt)
+                    return []
                 detail = report.result.decode(errors="replace")[:200]
                 message = f"task {attempt.index} failed: {detail}"
                 return self.fail(job, _jobs.Failure.TASK_FAILED, message, now)
+        if job.terms.rerun_lost:
+            self.counters.rerun += 1
+            self._put_back(attempt)
+            return []
         message = f"what became of task {attempt.index} is not known"
         return self.fail(job, _jobs.Failure.OUTCOME_UNKNOWN, message, now)
 
+    def _put_back(self, attempt: _jobs.Attempt) -> None:
+        if attempt.job.failure is None:
+            attempt.job.waiting.add(attempt.index)
+            self._assigner.put_back(attempt)
+
     def _hold_agent(
         self, attempt: _jobs.Attempt, report: _messages.AttemptReport
     ) -> None:
@@ -447,6 +466,11 @@
             attempt = self._attempts[sequence]
             attempt.machine.fire("lose")
             self._close_attempt(attempt)
+            if attempt.job.terms.rerun_lost:
+                self.counters.rerun += 1
+                self._put_back(attempt)
+                actions.extend(self._settle(attempt.job, now))
+                continue
             message = f"the agent that held task {attempt.index} was lost"
             actions.extend(
                 self.fail(attempt.job, _jobs.Failure.AGENT_LOST, message, now)
@@ -465,6 +489,7 @@
     _messages.Outcome.NOT_STARTED: "refuse",
     _messages.Outcome.STOPPED: "stop",
     _messages.Outcome.RUNNING: "run",
+    _messages.Outcome.LOST: "end",
     _messages.Outcome.UNKNOWN: "lose",
 }
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger_counters.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger_counters.py
@@ -18,6 +18,12 @@
     unmatched: int = 0
     """Reports that belong to no attempt."""
 
+    repeated: int = 0
+    """Tasks sent again because a run of theirs failed."""
+
+    rerun: int = 0
+    """Tasks sent again because a run of theirs ended without a result."""
+
     inquiries: int = 0
     """Attempts that an agent was asked about."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_matching.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_matching.py
@@ -56,8 +56,8 @@
         limit = get_horizon(job) * target.speed
         # A task that is longer than declared costs most on a slow target.
         if is_slow(policy, target, pool):
-            return job.find_shortest(limit, target.resources)
-        return job.find_longest(limit, target.resources)
+            return job.find_shortest(limit, target.offer)
+        return job.find_longest(limit, target.offer)
 
     return _late_binding.fill_slots(
         policy, jobs, pool, allowances, now, entries, find_fitting
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -25,6 +25,7 @@
     NOT_STARTED = "not_started"
     STOPPED = "stopped"
     RUNNING = "running"
+    LOST = "lost"
     UNKNOWN = "unknown"
 
 
@@ -44,6 +45,9 @@
     TARGET_LOST = "target_lost"
     WRONG_TASK = "wrong_task"
     MALFORMED_RESULT = "malformed_result"
+    LEASE_LAPSED = "lease_lapsed"
+    TARGET_REPLACED = "target_replaced"
+    GROUP_BROKEN = "group_broken"
 
 
 @attrs.frozen
@@ -56,6 +60,13 @@
     accelerators: _Count = 0
     """Number of accelerators."""
 
+    millicores: _Count = 0
+    """Processor time in thousandths of a core."""
+
+
+Room = Resources | msgspec.UnsetType
+"""What all tasks of a target share; unset when slots alone bound them."""
+
 
 @attrs.frozen
 class Load:
@@ -70,6 +81,9 @@
     others: _Count
     """Tasks running or queued for all other entries."""
 
+    others_use: Resources = Resources()
+    """What the tasks of all other entries take of the room."""
+
 
 @attrs.frozen
 class Report:
@@ -105,6 +119,9 @@
     link: _Count = 0
     """Number of times that the agent has connected to the entry."""
 
+    room: Room = msgspec.UNSET
+    """What all tasks of the target share."""
+
 
 @attrs.frozen
 class AttemptReport:
@@ -171,6 +188,15 @@
     traceparent: str = ""
     """W3C trace context for the target, empty when not traced."""
 
+    name: str = ""
+    """Name of the task, the same over all attempts, or empty."""
+
+    run: _Count = 0
+    """Number that rises over the attempts of the task, at every entry."""
+
+    needs: Resources = Resources()
+    """What the task takes of the target's room."""
+
 
 @attrs.frozen
 class Dispatch:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_placement.py
@@ -10,6 +10,7 @@
 import attrs
 
 from cowslipgate_core import _backlog
+from cowslipgate_core import _room
 from cowslipgate_core import _targets
 
 
@@ -60,7 +61,7 @@
 
 def can_run(target: _targets.TargetView, task: _backlog.WaitingTask) -> bool:
     """Tell whether ``target`` has what ``task`` needs."""
-    return _targets.fits_resources(target.resources, task.needs)
+    return _room.fits_resources(target.offer, task.needs)
 
 
 def take_task(
@@ -72,6 +73,6 @@
 ) -> Assignment:
     """Take a task out of its job for a target."""
     task = job.take(position)
-    pool.occupy(target)
+    pool.occupy(target, task.needs)
     allowances[job.team] -= 1
     return Assignment(job.job, task.index, target.agent)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ready_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ready_jobs.py
@@ -4,6 +4,7 @@
 
 from cowslipgate_core import _backlog
 from cowslipgate_core import _messages
+from cowslipgate_core import _room
 from cowslipgate_core import _targets
 
 MAX_JOBS_TRIED = 256
@@ -41,14 +42,14 @@
     """
     if len(jobs) <= MAX_JOBS_TRIED:
         return list(jobs)
-    offers = {target.resources for target in pool.iterate_open(now)}
+    offers = {target.offer for target in pool.iterate_open(now)}
     needs = frozenset[_messages.Resources]().union(
         *(job.needs for job in jobs)
     )
     covered = {
         need
         for need in needs
-        if any(_targets.fits_resources(offer, need) for offer in offers)
+        if any(_room.fits_resources(offer, need) for offer in offers)
     }
     if len(covered) == len(needs):
         return list(jobs)
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_room.py
@@ -0,0 +1,79 @@
+"""Arithmetic of resources that several tasks share."""
+
+from collections.abc import Iterable
+import sys
+
+from cowslipgate_core import _messages
+
+UNBOUNDED_SLOTS = 10_000
+"""Slots that a target announces whose room alone bounds its tasks."""
+
+
+def add_resources(
+    first: _messages.Resources, second: _messages.Resources
+) -> _messages.Resources:
+    """Return what both take together."""
+    return _messages.Resources(
+        first.memory_mb + second.memory_mb,
+        first.accelerators + second.accelerators,
+        first.millicores + second.millicores,
+    )
+
+
+def subtract_resources(
+    whole: _messages.Resources, part: _messages.Resources
+) -> _messages.Resources:
+    """Return what is left of ``whole``, nothing below zero."""
+    return _messages.Resources(
+        max(0, whole.memory_mb - part.memory_mb),
+        max(0, whole.accelerators - part.accelerators),
+        max(0, whole.millicores - part.millicores),
+    )
+
+
+def scale_resources(
+    resources: _messages.Resources, factor: float
+) -> _messages.Resources:
+    """Return ``factor`` times the resources, rounded."""
+    return _messages.Resources(
+        round(resources.memory_mb * factor),
+        round(resources.accelerators * factor),
+        round(resources.millicores * factor),
+    )
+
+
+def sum_resources(
+    parts: Iterable[_messages.Resources],
+) -> _messages.Resources:
+    """Return what all parts take together."""
+    total = _messages.Resources()
+    for part in parts:
+        total = add_resources(total, part)
+    return total
+
+
+def fits_resources(
+    offer: _messages.Resources, needs: _messages.Resources
+) -> bool:
+    """Tell whether ``offer`` covers ``needs``."""
+    return (
+        needs.memory_mb <= offer.memory_mb
+        and needs.accelerators <= offer.accelerators
+        and needs.millicores <= offer.millicores
+    )
+
+
+def count_fitting(
+    offer: _messages.Resources, needs: _messages.Resources
+) -> int:
+    """Return how many tasks with these needs the offer covers at once."""
+    counts = [
+        have // need
+        for have, need in (
+            (offer.memory_mb, needs.memory_mb),
+            (offer.accelerators, needs.accelerators),
+            (offer.millicores, needs.millicores),
+        )
+        if need
+    ]
+    return min(counts, default=sys.maxsize)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
@@ -7,9 +7,13 @@
 
 from cowslipgate_core import _heartbeats
 from cowslipgate_core import _messages
+from cowslipgate_core import _room
 from cowslipgate_core import _staleness
 from cowslipgate_core import _targets
 
+NEEDS_WEIGHT = 0.02
+"""Weight of one task in the mean needs; about the last fifty tasks count."""
+
 RANKING_INTERVAL = datetime.timedelta(milliseconds=500)
 
 
@@ -29,6 +33,9 @@
     outstanding: set[int] = attrs.Factory(set)
     """Sequence numbers of attempts sent and not final."""
 
+    own_use: _messages.Resources = _messages.Resources()
+    """What these attempts take of the target's room."""
+
     busy_since: datetime.datetime | None = None
     """When an attempt was last sent to it while it had none."""
 
@@ -59,6 +66,7 @@
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
         self._aged_at: dict[str, datetime.datetime] = {}
+        self._typical: dict[str, _messages.Resources] = {}
         self.agents: dict[str, AgentRecord] = {}
 
     @property
@@ -114,6 +122,14 @@
         record.departing = False
         self.update(record)
 
+    def note_needs(self, service: str, needs: _messages.Resources) -> None:
+        """Take in what a task of a service takes of a target's room."""
+        known = self._typical.get(service, needs)
+        self._typical[service] = _room.add_resources(
+            _room.scale_resources(known, 1.0 - NEEDS_WEIGHT),
+            _room.scale_resources(needs, NEEDS_WEIGHT),
+        )
+
     def _remove_target(self, agent: str, service: str) -> None:
         pool = self._pools.get(service)
         if pool is None:
@@ -134,6 +150,7 @@
         view = pool.get(report.agent)
         slots = 0 if record.departing else record.load.slots
         occupied = record.load.others + len(record.outstanding)
+        used = _room.add_resources(record.load.others_use, record.own_use)
         if view is None:
             view = _targets.TargetView(
                 report.agent,
@@ -143,9 +160,13 @@
                 self._get_speed(report.agent, record.heard_at),
                 self._find_limit(record),
                 on_probation=report.state == _targets.PROBATION,
+                room=report.room,
+                used=used,
             )
             pool.add(view)
             return
+        view.room = report.room
+        view.used = used
         view.resources = report.resources
         view.slots = slots
         view.occupied = occupied
@@ -173,6 +194,7 @@
         ranked_at = self._ranked_at.get(service)
         if ranked_at is None or now - ranked_at >= RANKING_INTERVAL:
             self._ranked_at[service] = now
+            pool.typical_needs = self._typical.get(service, pool.typical_needs)
             for view in pool.ranked:
                 view.speed = self._get_speed(view.agent, now)
             pool.rank_targets()
@@ -191,4 +213,10 @@
                 record.load.others, now - record.heard_at, view.speed
             )
             view.occupied = round(others) + len(record.outstanding)
+            view.used = _room.add_resources(
+                _room.scale_resources(
+                    record.load.others_use, others / record.load.others
+                ),
+                record.own_use,
+            )
             pool.update(view)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_slots.py
@@ -5,9 +5,11 @@
 import datetime
 
 import attrs
+import msgspec
 
 from cowslipgate_core import _executor_actions
 from cowslipgate_core import _messages
+from cowslipgate_core import _room
 
 
 @attrs.define(eq=False)
@@ -79,17 +81,40 @@
             del self._queue[key]
         return keys
 
+    def measure_use(self, entry: int) -> _messages.Resources:
+        """Return what the attempts of all other entries take."""
+        return _room.sum_resources(
+            held.order.needs
+            for held in (*self._queue.values(), *self.running.values())
+            if held.key.entry != entry
+        )
+
     def start_next(
-        self, limit: int, address: str, now: datetime.datetime
+        self,
+        limit: int,
+        room: _messages.Room,
+        address: str,
+        now: datetime.datetime,
     ) -> Held | None:
         """Move the head of the queue to a slot, if one is free.
 
         :param limit: attempts that may run at once
+        :param room: what running attempts may take together
         """
         if not self._queue or len(self.running) >= limit:
             return None
+        if room is not msgspec.UNSET:
+            needs = next(iter(self._queue.values())).order.needs
+            if not _room.fits_resources(self._measure_left(room), needs):
+                return None
         key, held = self._queue.popitem(last=False)
         held.started_at = now
         held.address = address
         self.running[key] = held
         return held
+
+    def _measure_left(self, room: _messages.Resources) -> _messages.Resources:
+        used = _room.sum_resources(
+            held.order.needs for held in self.running.values()
+        )
+        return _room.subtract_resources(room, used)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_target_state.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import msgspec
+
 from cowslipgate_core import _charts
 from cowslipgate_core import _executor_actions
 from cowslipgate_core import _health
@@ -9,6 +11,8 @@
 from cowslipgate_core import _slots
 from cowslipgate_core import _targets
 
+_LOST = _messages.Outcome.LOST
+
 
 class TargetState:
     """Announcement and health of one target, after ``charts/target.toml``."""
@@ -30,6 +34,12 @@
         announcement = self.announcement
         return announcement.address if announcement is not None else ""
 
+    @property
+    def room(self) -> _messages.Room:
+        """What all tasks of the target share."""
+        announcement = self.announcement
+        return announcement.room if announcement else msgspec.UNSET
+
     @property
     def slots(self) -> int:
         """Slots open to work now."""
@@ -51,9 +61,13 @@
     ) -> None:
         """Take in an announcement.
 
-        Another address means that another target has taken the place.
+        Another address or life means that another target has taken the place.
         """
-        replaced = self.address not in ("", announcement.address)
+        known = self.announcement
+        replaced = known is not None and (known.address, known.life) != (
+            announcement.address,
+            announcement.life,
+        )
         self.announcement = announcement
         self._announced_at = now
         if replaced:
@@ -96,7 +110,7 @@
             self._fire_allowed("disconnect")
             if self.state == _targets.PROBATION:
                 self._quarantine(now)
-        elif not held.stopping:
+        elif not held.stopping and report.outcome is not _LOST:
             job = held.order.task.partition(".")[0]
             self._health.note_failure(job, held.started_at, now)
             if self.state == _targets.PROBATION or self._health.failing:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
@@ -5,8 +5,10 @@
 import datetime
 
 import attrs
+import msgspec
 
 from cowslipgate_core import _messages
+from cowslipgate_core import _room
 
 PROBATION = "probation"
 
@@ -45,11 +47,24 @@
     listed: bool = False
     """Whether the pool lists it as open."""
 
+    room: _messages.Room = msgspec.UNSET
+    """What all its tasks share."""
+
+    used: _messages.Resources = _messages.Resources()
+    """What tasks under way take of the room, those of other entries too."""
+
     @property
     def free(self) -> int:
         """Number of slots that are likely free."""
         return self.slots - self.occupied
 
+    @property
+    def offer(self) -> _messages.Resources:
+        """What the next task may use."""
+        if self.room is msgspec.UNSET:
+            return self.resources
+        return _room.subtract_resources(self.room, self.used)
+
     @property
     def awaits_trial(self) -> bool:
         """Whether it is on probation and nobody tries it yet."""
@@ -78,6 +93,7 @@
         self._faster: list[float] = []
         self._fastest: dict[_messages.Resources, float] = {}
         self._margin = margin
+        self.typical_needs = _messages.Resources()
         self.capacity = 0.0
         self.slots = 0
         self.turn = 0
@@ -132,10 +148,11 @@
             view.rank = rank
             view.listed = False
             self.update(view)
-        self.slots = sum(view.slots for view in self._ranked)
+        self.slots = sum(self.count_parallel(view) for view in self._ranked)
         self._faster = [0.0]
         for view in self._ranked:
-            self._faster.append(self._faster[-1] + view.slots * view.speed)
+            power = self.count_parallel(view) * view.speed
+            self._faster.append(self._faster[-1] + power)
         self.capacity = self._faster[-1]
 
     def update(self, target: TargetView) -> None:
@@ -144,7 +161,7 @@
             self._probation[target.agent] = target
         else:
             self._probation.pop(target.agent, None)
-        is_open = target.free + self._margin > 0 and target.slots > 0
+        is_open = self.has_place(target) and target.slots > 0
         if is_open == target.listed:
             return
         target.listed = is_open
@@ -154,9 +171,23 @@
         else:
             del self._open[position]
 
-    def occupy(self, target: TargetView) -> None:
+    def has_place(self, target: TargetView) -> bool:
+        """Tell whether some task may go to a target."""
+        if target.free + self._margin <= 0:
+            return False
+        return target.room is msgspec.UNSET or target.offer.millicores > 0
+
+    def count_parallel(self, target: TargetView) -> int:
+        """Return how many typical tasks a target runs at once."""
+        if target.room is msgspec.UNSET:
+            return target.slots
+        fitting = _room.count_fitting(target.room, self.typical_needs)
+        return min(target.slots, fitting)
+
+    def occupy(self, target: TargetView, needs: _messages.Resources) -> None:
         """Take in that a task goes to a target."""
         target.occupied += 1
+        target.used = _room.add_resources(target.used, needs)
         self.update(target)
 
     def has_open(self, now: datetime.datetime) -> bool:
@@ -193,7 +224,7 @@
 
     def _find_fastest(self, needs: _messages.Resources) -> float:
         for view in self._ranked:
-            if view.slots and fits_resources(view.resources, needs):
+            if view.slots and _room.fits_resources(view.resources, needs):
                 return view.speed
         return 0.0
 
@@ -209,13 +240,3 @@
             if view.occupied and view.slots:
                 return True
         return False
-
-
-def fits_resources(
-    offer: _messages.Resources, needs: _messages.Resources
-) -> bool:
-    """Tell whether ``offer`` covers ``needs``."""
-    return (
-        needs.memory_mb <= offer.memory_mb
-        and needs.accelerators <= offer.accelerators
-    )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
@@ -24,6 +24,7 @@
     core.Failure.NO_CONFIGURATION: 503,
     core.Failure.STORE_UNAVAILABLE: 503,
     core.Failure.STOPPING: 503,
+    core.Failure.UNSUPPORTED: 501,
     core.Failure.DEADLINE: 504,
 }
 
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_desk.py
@@ -0,0 +1,65 @@
+"""The component that knows which caller waits for which job."""
+
+import abc
+
+import circuits
+
+import cowslipgate_core as core
+from cowslipgate_entry import _answers
+from cowslipgate_entry import _events
+from cowslipgate_entry import _requests
+import cowslipgate_transport as transport
+
+
+class AnswerCodec(abc.ABC):
+    """Turns the answer to a job into an HTTP answer."""
+
+    @abc.abstractmethod
+    def encode_answer(self, answer: core.JobAnswer) -> transport.Answer:
+        """Return the HTTP answer to a submission."""
+
+
+class ApiAnswers(AnswerCodec):
+    """Answers of the product's own interface."""
+
+    def encode_answer(self, answer: core.JobAnswer) -> transport.Answer:
+        """Return the HTTP answer to a submission."""
+        return _answers.answer_job(answer)
+
+
+class Desk(circuits.BaseComponent):
+    """Answers callers once their jobs are decided."""
+
+    channel = _events.GATEWAY
+
+    def __init__(self, codec: AnswerCodec) -> None:
+        super().__init__()
+        self._codec = codec
+        self._jobs: dict[str, transport.Exchange] = {}
+
+    @circuits.handler("http_abandoned")
+    def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
+        for job_id, waiting in list(self._jobs.items()):
+            if waiting is exchange:
+                del self._jobs[job_id]
+                self.fire(_events.abandon_job(job_id), "dispatcher")
+
+    @circuits.handler("job_refused")
+    def _on_job_refused(
+        self, submission: _requests.Submission, answer: core.JobAnswer
+    ) -> None:
+        reply = self._codec.encode_answer(answer)
+        self.fire(transport.answer_http(submission.exchange, reply))
+
+    @circuits.handler("job_accepted")
+    def _on_job_accepted(
+        self, submission: _requests.Submission, job: core.Job
+    ) -> None:
+        self._jobs[job.id] = submission.exchange
+
+    @circuits.handler("job_answered")
+    def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
+        exchange = self._jobs.pop(job.id, None)
+        if exchange is not None:
+            reply = self._codec.encode_answer(answer)
+            self.fire(transport.answer_http(exchange, reply))
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -280,6 +280,7 @@
             deadline,
             self._ledger.make_machine(),
             traceparent=submission.traceparent,
+            terms=submission.terms,
         )
 
     def _find_refusal(self, job: core.Job) -> core.Refusal | None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -74,6 +74,14 @@
     """The table service answered; the argument is a StoreAnswer."""
 
 
+class call_table(circuits.Event):
+    """Asks the store that keeps rows; the argument is a TableCall."""
+
+
+class table_answered(circuits.Event):
+    """That store answered; the argument is a TableAnswer."""
+
+
 class patch_configuration(circuits.Event):
     """An operator sent a patch; the argument is a Patch."""
 
@@ -98,6 +106,10 @@
     """A configuration is in force; the argument is the Configuration."""
 
 
+class configuration_rejected(circuits.Event):
+    """A stored configuration is not valid; a ConfigurationError."""
+
+
 class configuration_wanted(circuits.Event):
     """Somebody knows a newer version; the argument is that version."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -71,7 +71,6 @@
         self._configuration: core.Configuration | None = None
         self._members: tuple[core.Member, ...] = (member,)
         self._numbers = itertools.count(1)
-        self._jobs: dict[str, transport.Exchange] = {}
         self._cancellations: dict[int, transport.Exchange] = {}
 
     @circuits.handler("configuration_adopted")
@@ -90,33 +89,6 @@
         if answer is not None:
             self.fire(transport.answer_http(exchange, answer))
 
-    @circuits.handler("http_abandoned")
-    def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
-        for job_id, waiting in list(self._jobs.items()):
-            if waiting is exchange:
-                del self._jobs[job_id]
-                self.fire(_events.abandon_job(job_id), "dispatcher")
-
-    @circuits.handler("job_refused")
-    def _on_job_refused(
-        self, submission: _requests.Submission, answer: core.JobAnswer
-    ) -> None:
-        reply = _answers.answer_job(answer)
-        self.fire(transport.answer_http(submission.exchange, reply))
-
-    @circuits.handler("job_accepted")
-    def _on_job_accepted(
-        self, submission: _requests.Submission, job: core.Job
-    ) -> None:
-        self._jobs[job.id] = submission.exchange
-
-    @circuits.handler("job_answered")
-    def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
-        exchange = self._jobs.pop(job.id, None)
-        if exchange is not None:
-            reply = _answers.answer_job(answer)
-            self.fire(transport.answer_http(exchange, reply))
-
     @circuits.handler("cancellation_answered")
     def _on_cancellation_answered(
         self,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -12,6 +12,7 @@
 from cowslipgate_entry import _cancellations
 from cowslipgate_entry import _changes
 from cowslipgate_entry import _claims
+from cowslipgate_entry import _desk
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
 from cowslipgate_entry import _gateway
@@ -206,6 +207,7 @@
         _add_traces(process, output, dispatcher, member, clock)
     sampler = _sampler.Sampler(settings.trace_ratio, bool(output))
     access = _gateway.Access(settings.operator_digest, settings.cluster_token)
+    _desk.Desk(_desk.ApiAnswers()).register(process)
     _gateway.Gateway(dispatcher, member, metrics, sampler, access).register(
         process
     )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_requests.py
@@ -32,6 +32,9 @@
     traceparent: str
     """W3C trace context, or empty."""
 
+    terms: core.JobTerms = core.DEFAULT_TERMS
+    """How the job is run."""
+
 
 @attrs.frozen(eq=False)
 class Cancellation:
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_stored_members.py
@@ -0,0 +1,97 @@
+"""Membership by rows that every entry writes and reads now and then.
+
+It takes the place of gossip and leases where the store keeps the rows of
+entries; agents read the same rows.
+"""
+
+import datetime
+
+import circuits
+
+import cowslipgate_core as core
+from cowslipgate_entry import _events
+
+CHANNEL = "members"
+
+RENEW_INTERVAL = datetime.timedelta(seconds=5)
+"""Time between two renewals of an entry's row; one write and one read."""
+
+RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
+"""Time between a call that failed and the next."""
+
+
+class StoredMembers(circuits.BaseComponent):
+    """Writes this entry's row and reads those of the others.
+
+    :param table: table of the rows
+    """
+
+    channel = CHANNEL
+
+    def __init__(
+        self, table: str, member: core.Member, clock: core.Clock
+    ) -> None:
+        super().__init__()
+        self._table = table
+        self._member = member
+        self._clock = clock
+        self._watch = core.LeaseWatch()
+        self._members: tuple[core.Member, ...] = (member,)
+        self._renewal = 0
+        self._busy = False
+        self._leaving = False
+        self._next_renewal = clock.now()
+
+    @circuits.handler("started", channel="*")
+    def _on_started(self, *arguments: object) -> None:
+        self._renew()
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        if not self._busy and self._clock.now() >= self._next_renewal:
+            self._renew()
+
+    @circuits.handler("drain")
+    def _on_drain(self) -> None:
+        self._leaving = True
+        self._write(b"")
+
+    @circuits.handler("table_answered")
+    def _on_table_answered(self, answer: core.TableAnswer) -> None:
+        if answer.result is not core.TableResult.DONE:
+            self._busy = False
+            self._next_renewal = self._clock.now() + RETRY_INTERVAL
+        elif isinstance(answer.call, core.TableRead):
+            self._busy = False
+            self._learn(answer.rows)
+        elif not self._leaving:
+            call = core.TableRead(CHANNEL, self._table)
+            self.fire(_events.call_table(call), "store")
+
+    def _renew(self) -> None:
+        if self._leaving:
+            return
+        self._busy = True
+        self._next_renewal = self._clock.now() + RENEW_INTERVAL
+        self._renewal += 1
+        lease = core.Lease(self._member, self._renewal)
+        self._write(core.encode_lease(lease))
+
+    def _write(self, value: bytes) -> None:
+        key = core.name_lease(self._member)
+        call = core.TableWrite(CHANNEL, self._table, key, value)
+        self.fire(_events.call_table(call), "store")
+
+    def _learn(self, rows: tuple[core.TableRow, ...]) -> None:
+        leases = core.decode_leases(rows)
+        others = tuple(
+            lease
+            for lease in leases
+            if lease.member.address != self._member.address
+        )
+        live = self._watch.keep_live(others, self._clock.now())
+        members = (self._member, *(lease.member for lease in live))
+        if set(members) != set(self._members):
+            self._members = members
+            event = _events.members_changed(members)
+            self.fire(event, "dispatcher", "gateway")
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -42,6 +42,7 @@
 open_router = _message_socket.open_router
 parse_address = _http_calls.parse_address
 peer_connected = _message_socket.peer_connected
+peer_disconnected = _message_socket.peer_disconnected
 send_message = _message_socket.send_message
 ServerLimits = _http_exchanges.ServerLimits
 Traffic = _message_socket.Traffic
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -1,5 +1,6 @@
 """ZeroMQ sockets as circuits components that exchange typed messages."""
 
+import sys
 from typing import Any
 
 import attrs
@@ -23,6 +24,7 @@
 _EVENTS = int(zmq.EVENTS)
 _POLLIN = int(zmq.POLLIN)
 _NOBLOCK = int(zmq.NOBLOCK)
+_DISCONNECTED = int(zmq.EVENT_DISCONNECTED)
 
 
 class send_message(circuits.Event):
@@ -48,6 +50,10 @@
     """A connection to the one peer was made; the argument is its identity."""
 
 
+class peer_disconnected(circuits.Event):
+    """The connection to the one peer ended; the argument is its identity."""
+
+
 class MessageSocket(circuits.BaseComponent):
     """Owns one ZeroMQ socket.
 
@@ -138,8 +144,13 @@
         if monitor is None or monitor.closed:
             return
         while monitor.getsockopt(_EVENTS) & _POLLIN:
-            monitor.recv_multipart(_NOBLOCK)
-            self.fire(peer_connected(self._peer))
+            frames = monitor.recv_multipart(_NOBLOCK)
+            # The frame begins with the number of the event.
+            number = int.from_bytes(frames[0][:2], sys.byteorder)
+            if number == _DISCONNECTED:
+                self.fire(peer_disconnected(self._peer))
+            else:
+                self.fire(peer_connected(self._peer))
 
     def _receive(self, frames: list[bytes]) -> None:
         self.received_bytes += sum(len(frame) for frame in frames)
@@ -220,7 +231,9 @@
 
 def _open_monitor(sock: zmq.Socket) -> zmq.Socket:
     # Each socket has one monitor, which is returned when asked for again.
-    return sock.get_monitor_socket(zmq.EVENT_HANDSHAKE_SUCCEEDED)
+    return sock.get_monitor_socket(
+        zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
+    )
 
 
 def _open_socket(context: zmq.Context, kind: int) -> zmq.Socket:
