--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -1,12 +1,27 @@
-"""The process that runs beside each target.
+"""The agent, a process beside each target.
 
-Names are imported when they are used, so that the binary can choose what to
+Names are imported when they are used, so that a binary can choose what to
 keep out of memory before anything else is imported.
 """
 
 import importlib
 
-_MODULES = {"AgentSettings": "_settings", "build_agent": "_process"}
+_MODULES = {
+    "AgentProcess": "_process",
+    "AgentSettings": "_settings",
+    "build_agent": "_process",
+    "LeasedCalls": "_leased_calls",
+    "Links": "_links",
+    "Runner": "_runner",
+    "RuntimeCodec": "_runtimes",
+    "RuntimeRequest": "_runtimes",
+    "StartAnswer": "_runtimes",
+    "TableDiscovery": "_table_discovery",
+    "TargetBeat": "_leased_calls",
+    "target_gone": "_events",
+    "target_heard": "_events",
+    "tick": "_events",
+}
 
 
 def __getattr__(name: str) -> object:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -132,8 +132,8 @@
         order = self._orders.pop(answer.call.id, None)
         if isinstance(order, core.CallStart):
             self._hear_start(order, answer)
-        elif order is not None and self._codec.decode_stop(answer):
-            self._book.hear_stop(order.name, self._clock.now())
+        elif order is not None:
+            self._hear_stop(order, answer)
         self._watch()
 
     @circuits.handler("http_failed")
@@ -148,6 +148,8 @@
         if isinstance(order, core.CallStart):
             actions = self._book.miss_start(order.name, failure.sent, now)
             self._perform(actions)
+        elif order is not None:
+            self._perform(self._book.miss_stop(order.name, now))
         self._watch()
 
     def _hear_watch(self, answer: transport.CallAnswer) -> None:
@@ -189,6 +191,15 @@
         )
         self._perform(actions)
 
+    def _hear_stop(
+        self, order: core.CallStop, answer: transport.CallAnswer
+    ) -> None:
+        now = self._clock.now()
+        if self._codec.decode_stop(answer):
+            self._book.hear_stop(order.name, now)
+        else:
+            self._perform(self._book.miss_stop(order.name, now))
+
     def _settle(self) -> None:
         if not self._settled:
             self._settled = True
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
@@ -0,0 +1,73 @@
+"""Looks for entries in the store, and by asking entries that are known."""
+
+import datetime
+import itertools
+
+import circuits
+import msgspec
+
+from cowslipgate_agent import _events
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+
+CHANNEL = "discovery"
+MEMBERS_PATH = "/v1/members"
+
+SEED_TIMEOUT = datetime.timedelta(seconds=1)
+"""Time for an answer of a seed, which may be down or stale."""
+
+
+class TableDiscovery(circuits.BaseComponent):
+    """Reads the rows of entries; the seeds tell of them in an outage.
+
+    :param seeds: addresses of entries that may be stale or down
+    """
+
+    channel = CHANNEL
+
+    def __init__(self, seeds: tuple[transport.Address, ...]) -> None:
+        super().__init__()
+        self._seeds = seeds
+        self._turns = itertools.count()
+        self._numbers = itertools.count(1)
+        self._reading = False
+
+    @circuits.handler("discover_entries")
+    def _on_discover_entries(self) -> None:
+        if not self._reading:
+            self._reading = True
+            call = core.TableRead(CHANNEL, core.ENTRIES_TABLE)
+            self.fire(transport.call_table(call), "store")
+        self._ask_seed()
+
+    @circuits.handler("table_answered")
+    def _on_table_answered(self, answer: core.TableAnswer) -> None:
+        self._reading = False
+        leases = core.decode_leases(answer.rows)
+        members = tuple(lease.member for lease in leases)
+        if members:
+            self.fire(_events.members_found(members), "links")
+
+    @circuits.handler("http_answered")
+    def _on_http_answered(self, answer: transport.CallAnswer) -> None:
+        try:
+            members = msgspec.json.decode(
+                answer.body, type=tuple[core.Member, ...]
+            )
+        except msgspec.MsgspecError:
+            return
+        if members:
+            self.fire(_events.members_found(members), "links")
+
+    def _ask_seed(self) -> None:
+        if not self._seeds:
+            return
+        seed = self._seeds[next(self._turns) % len(self._seeds)]
+        call = transport.Call(
+            next(self._numbers),
+            seed,
+            "GET",
+            MEMBERS_PATH,
+            timeout=SEED_TIMEOUT,
+        )
+        self.fire(transport.call_http(call))
--- a/packages/cowslipgate-core/src/cowslipgate_core/_lease_rows.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_lease_rows.py
@@ -6,6 +6,9 @@
 from cowslipgate_core import _quotas
 from cowslipgate_core import _tables
 
+ENTRIES_TABLE = "entries"
+"""Table in which each entry has a row."""
+
 _DECODER = msgspec.json.Decoder(_quotas.Lease)
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
@@ -95,6 +95,15 @@
             active[job.team] += len(job.active)
         return dict(active)
 
+    def count_unstarted(self, label: str) -> int:
+        """Return the number of jobs with a label none of whose tasks ran."""
+        return sum(
+            1
+            for job in self._jobs.values()
+            if job.request.label == label
+            and not (job.active or job.results or job.known_started)
+        )
+
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
         return self._assigner.count_waiting(service)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_routes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_routes.py
@@ -43,6 +43,9 @@
     max_attempts: _Positive = 1
     """Runs of a task that may fail before its job fails."""
 
+    unsupported: _Text = ""
+    """What it asks for and cannot be done; its jobs are refused."""
+
     @property
     def timeout(self) -> datetime.timedelta:
         """Time after which a request is given up."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_runs.py
@@ -364,6 +364,13 @@
         if run is not None and run.machine.state == "stopping":
             run.certain_from = now
 
+    def miss_stop(
+        self, name: RunName, now: datetime.datetime
+    ) -> list[RunAction]:
+        """Take in that the target has not taken an order to stop."""
+        run = self._runs.get(name)
+        return [self._stop(run)] if run is not None else []
+
     def hear_listing(
         self,
         listing: Listing,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -1,12 +1,28 @@
 """The entry process and the commands of callers and operators.
 
-Names are imported when they are used, so that the binary can choose what to
+Names are imported when they are used, so that a binary can choose what to
 keep out of memory before anything else is imported.
 """
 
 import importlib
 
-_MODULES = {"EntrySettings": "_settings"}
+_MODULES = {
+    "AnswerCodec": "_desk",
+    "Desk": "_desk",
+    "Dispatcher": "_dispatcher",
+    "EntryProcess": "_life",
+    "EntrySettings": "_settings",
+    "FollowedConfiguration": "_followed",
+    "GATEWAY": "_events",
+    "Logs": "_logs",
+    "StoredMembers": "_stored_members",
+    "submit_job": "_events",
+    "Submission": "_requests",
+    "tick": "_events",
+    "Watch": "_watch",
+    "Screen": "_screen",
+    "abandon_job": "_events",
+}
 
 
 def __getattr__(name: str) -> object:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -74,14 +74,6 @@
     """The table service answered; the argument is a StoreAnswer."""
 
 
-class call_table(circuits.Event):
-    """Asks the store that keeps rows; the argument is a TableCall."""
-
-
-class table_answered(circuits.Event):
-    """That store answered; the argument is a TableAnswer."""
-
-
 class patch_configuration(circuits.Event):
     """An operator sent a patch; the argument is a Patch."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_followed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_followed.py
@@ -4,13 +4,14 @@
 the store themselves.
 """
 
-import datetime
 from collections.abc import Callable
+import datetime
 
 import circuits
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
+import cowslipgate_transport as transport
 
 CHANNEL = "keeper"
 
@@ -81,7 +82,7 @@
             call = core.TableFollow(
                 CHANNEL, self._table, self._position, FOLLOW_WAIT
             )
-        self.fire(_events.call_table(call), "store")
+        self.fire(transport.call_table(call), "store")
 
     def _take(self, row: core.TableRow) -> None:
         if row.key != self._key or row.removed:
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
@@ -0,0 +1,67 @@
+"""The life of an entry as a process: its orderly stop."""
+
+import datetime
+
+import circuits
+
+import cowslipgate_core as core
+from cowslipgate_entry import _changes
+from cowslipgate_entry import _events
+from cowslipgate_entry import _logs
+from cowslipgate_entry import _settings
+import cowslipgate_transport as transport
+
+
+class EntryProcess(circuits.BaseComponent):
+    """Root component of the entry."""
+
+    channel = "process"
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        settings: _settings.EntrySettings,
+        logs: _logs.Logs,
+    ) -> None:
+        super().__init__()
+        self._logs = logs
+        self._clock = clock
+        self._settings = settings
+        self._drain_since: datetime.datetime | None = None
+        self._server: transport.HttpServer | None = None
+        self._drained = False
+
+    def attach_server(self, server: transport.HttpServer) -> None:
+        """Take the server whose answers are awaited before the exit."""
+        self._server = server
+
+    @circuits.handler("signal", channel="*")
+    def _on_signal(self, event: circuits.Event, *arguments: object) -> None:
+        event.stop()
+        if self._drain_since is None:
+            self._drain_since = self._clock.now()
+            self.fire(_events.drain(), "dispatcher", "peers", "leases")
+            self.fire(transport.drain_http(), _events.GATEWAY)
+
+    @circuits.handler("entry_drained")
+    def _on_entry_drained(self) -> None:
+        self._drained = True
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        if self._drain_since is None:
+            return
+        elapsed = self._clock.now() - self._drain_since
+        done = self._drained and not self._server.waiting
+        if elapsed >= self._settings.drain_timeout:
+            self._exit(done)
+        if not done or elapsed < self._settings.drain_delay:
+            return
+        if self._server.closed:
+            self._exit(done)
+        self.fire(transport.close_http(), _events.GATEWAY)
+
+    def _exit(self, done: bool) -> None:
+        waiting = self._server.waiting
+        self._logs.write(_changes.DrainEnded(waiting))
+        raise SystemExit(0 if done else 1)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -1,6 +1,5 @@
 """Assembly of the entry's components and its life as a process."""
 
-import datetime
 import ipaddress
 import sys
 
@@ -18,6 +17,7 @@
 from cowslipgate_entry import _gateway
 from cowslipgate_entry import _keeper
 from cowslipgate_entry import _leases
+from cowslipgate_entry import _life
 from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _patches
@@ -39,61 +39,6 @@
 }
 
 
-class EntryProcess(circuits.BaseComponent):
-    """Root component of the entry."""
-
-    channel = "process"
-
-    def __init__(
-        self,
-        clock: core.Clock,
-        settings: _settings.EntrySettings,
-        logs: _logs.Logs,
-    ) -> None:
-        super().__init__()
-        self._logs = logs
-        self._clock = clock
-        self._settings = settings
-        self._drain_since: datetime.datetime | None = None
-        self._server: transport.HttpServer | None = None
-        self._drained = False
-
-    def attach_server(self, server: transport.HttpServer) -> None:
-        """Take the server whose answers are awaited before the exit."""
-        self._server = server
-
-    @circuits.handler("signal", channel="*")
-    def _on_signal(self, event: circuits.Event, *arguments: object) -> None:
-        event.stop()
-        if self._drain_since is None:
-            self._drain_since = self._clock.now()
-            self.fire(_events.drain(), "dispatcher", "peers", "leases")
-            self.fire(transport.drain_http(), _gateway.CHANNEL)
-
-    @circuits.handler("entry_drained")
-    def _on_entry_drained(self) -> None:
-        self._drained = True
-
-    @circuits.handler("tick")
-    def _on_tick(self) -> None:
-        if self._drain_since is None:
-            return
-        elapsed = self._clock.now() - self._drain_since
-        done = self._drained and not self._server.waiting
-        if elapsed >= self._settings.drain_timeout:
-            self._exit(done)
-        if not done or elapsed < self._settings.drain_delay:
-            return
-        if self._server.closed:
-            self._exit(done)
-        self.fire(transport.close_http(), _gateway.CHANNEL)
-
-    def _exit(self, done: bool) -> None:
-        waiting = self._server.waiting
-        self._logs.write(_changes.DrainEnded(waiting))
-        raise SystemExit(0 if done else 1)
-
-
 def run_entry(settings: _settings.EntrySettings) -> None:
     """Run an entry until it is told to stop.
 
@@ -136,13 +81,13 @@
     clock: core.Clock,
     incarnation: int,
     logs: _logs.Logs,
-) -> EntryProcess:
+) -> _life.EntryProcess:
     """Return the entry, ready to run.
 
     :raises zmq.ZMQError: when the internal address cannot be bound
     :raises OSError: when the HTTP address cannot be bound
     """
-    process = EntryProcess(clock, settings, logs)
+    process = _life.EntryProcess(clock, settings, logs)
     logs.register(process)
     poller = pollers.EPoll().register(process)
     server = _add_server(process, settings, clock)
@@ -192,7 +137,7 @@
 
 
 def _add_observers(
-    process: EntryProcess,
+    process: _life.EntryProcess,
     settings: _settings.EntrySettings,
     dispatcher: _dispatcher.Dispatcher,
     member: core.Member,
@@ -214,7 +159,7 @@
 
 
 def _add_traces(
-    process: EntryProcess,
+    process: _life.EntryProcess,
     output: str,
     dispatcher: _dispatcher.Dispatcher,
     member: core.Member,
@@ -230,7 +175,7 @@
 
 
 def _add_server(
-    process: EntryProcess,
+    process: _life.EntryProcess,
     settings: _settings.EntrySettings,
     clock: core.Clock,
 ) -> transport.HttpServer:
@@ -251,7 +196,7 @@
 
 
 def _add_internal_socket(
-    process: EntryProcess,
+    process: _life.EntryProcess,
     settings: _settings.EntrySettings,
     poller: pollers.BasePoller,
 ) -> transport.MessageSocket:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_stored_members.py
@@ -10,6 +10,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
+import cowslipgate_transport as transport
 
 CHANNEL = "members"
 
@@ -21,18 +22,12 @@
 
 
 class StoredMembers(circuits.BaseComponent):
-    """Writes this entry's row and reads those of the others.
-
-    :param table: table of the rows
-    """
+    """Writes this entry's row and reads those of the others."""
 
     channel = CHANNEL
 
-    def __init__(
-        self, table: str, member: core.Member, clock: core.Clock
-    ) -> None:
+    def __init__(self, member: core.Member, clock: core.Clock) -> None:
         super().__init__()
-        self._table = table
         self._member = member
         self._clock = clock
         self._watch = core.LeaseWatch()
@@ -65,8 +60,8 @@
             self._busy = False
             self._learn(answer.rows)
         elif not self._leaving:
-            call = core.TableRead(CHANNEL, self._table)
-            self.fire(_events.call_table(call), "store")
+            call = core.TableRead(CHANNEL, core.ENTRIES_TABLE)
+            self.fire(transport.call_table(call), "store")
 
     def _renew(self) -> None:
         if self._leaving:
@@ -79,8 +74,8 @@
 
     def _write(self, value: bytes) -> None:
         key = core.name_lease(self._member)
-        call = core.TableWrite(CHANNEL, self._table, key, value)
-        self.fire(_events.call_table(call), "store")
+        call = core.TableWrite(CHANNEL, core.ENTRIES_TABLE, key, value)
+        self.fire(transport.call_table(call), "store")
 
     def _learn(self, rows: tuple[core.TableRow, ...]) -> None:
         leases = core.decode_leases(rows)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -6,6 +6,7 @@
 from cowslipgate_transport import _http_exchanges
 from cowslipgate_transport import _http_server
 from cowslipgate_transport import _message_socket
+from cowslipgate_transport import _table_events
 
 Address = _http_calls.Address
 Answer = _http_exchanges.Answer
@@ -13,6 +14,7 @@
 apply_curve = _curve.apply_curve
 Call = _http_calls.Call
 call_http = _http_client.call_http
+call_table = _table_events.call_table
 CallAnswer = _http_calls.CallAnswer
 CallFailure = _http_calls.CallFailure
 CallProblem = _http_calls.CallProblem
@@ -46,3 +48,4 @@
 send_message = _message_socket.send_message
 ServerLimits = _http_exchanges.ServerLimits
 Traffic = _message_socket.Traffic
+table_answered = _table_events.table_answered
