--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -6,6 +6,7 @@
 import attrs
 import circuits
 from circuits.core import pollers
+import msgspec
 import zmq
 
 from cowslipgate_agent import _events
@@ -340,4 +341,5 @@
             executor.configuration_version,
             core.digest_members(self._members),
             executor.get_link(incarnation),
+            announcement.room if announcement else msgspec.UNSET,
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -120,8 +120,11 @@
 class JobTerms:
     """How a job is run; those who take jobs in set it, not callers."""
 
-    name: str = ""
-    """Name that the caller gave the job, or empty."""
+    request: str = ""
+    """Id by which the caller knows the request, or empty."""
+
+    step: str = ""
+    """What follows that id in the names of the tasks."""
 
     attempts: int = 1
     """Runs of a task that may fail before its job fails."""
@@ -141,7 +144,7 @@
 
     def name_task(self, index: int) -> str:
         """Return the name of a task, the same over all its attempts."""
-        return f"{self.name}.{index}" if self.name else ""
+        return f"{self.request}.{self.step}.{index}" if self.request else ""
 
 
 DEFAULT_TERMS = JobTerms()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -14,6 +14,7 @@
     "EntrySettings": "_settings",
     "FollowedConfiguration": "_followed",
     "GATEWAY": "_events",
+    "JobLog": "_job_log",
     "Logs": "_logs",
     "StoredMembers": "_stored_members",
     "submit_job": "_events",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_changes.py
@@ -168,3 +168,82 @@
 
     traceback: str
     """Where it was raised."""
+
+
+@attrs.frozen
+class JobRefused(Change):
+    """A job was not taken; nothing of it ran."""
+
+    request: str
+    """Id by which the caller knows the request, or empty."""
+
+    job: str
+    """Id of the job."""
+
+    label: str
+    """Label of the job."""
+
+    tasks: int
+    """Number of its tasks."""
+
+    failure: str
+    """Kind of refusal."""
+
+    message: str
+    """Why, with the figures that decided it."""
+
+    waiting: int
+    """Tasks of the service that waited here."""
+
+    agents: int
+    """Agents known here."""
+
+
+@attrs.frozen
+class JobEnded(Change):
+    """A job was answered; times are in milliseconds since it was taken."""
+
+    request: str
+    """Id by which the caller knows the request, or empty."""
+
+    job: str
+    """Id of the job."""
+
+    label: str
+    """Label of the job."""
+
+    tasks: int
+    """Number of its tasks."""
+
+    outcome: str
+    """``complete``, or the kind of failure."""
+
+    message: str
+    """Why it failed."""
+
+    started: str
+    """What is known of the tasks of a failed job."""
+
+    took_ms: int
+    """Time until the answer."""
+
+    first_sent_ms: int | None
+    """Time until the first task was sent, or None when none was."""
+
+    last_sent_ms: int | None
+    """Time until the last task was sent, or None when none was."""
+
+    longest_wait_ms: int
+    """Longest time of a task in an agent's queue."""
+
+    longest_run_ms: int
+    """Longest run of a task."""
+
+    slowest_agent: str
+    """Agent of that run."""
+
+    sent: int
+    """Attempts sent."""
+
+    repeats: tuple[str, ...]
+    """Outcome, reason and agent of each attempt that gave no result."""
