Write log lines and metrics of both programs, and take up changed settings

Lines are gathered, written a few times a second to whoever reads, and dropped and counted beyond 256 KB. Agents tell of targets, entries and each task; entries of each refused and ended job with what decided it. Settings files are read anew after a signal or a change. A stopping entry takes jobs until the balancer has noticed.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -7,6 +7,7 @@
 import importlib
 
 _MODULES = {
+    "AgentLog": "_agent_log",
     "AgentProcess": "_process",
     "AgentSettings": "_settings",
     "build_agent": "_process",
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -59,6 +59,10 @@
     """A message of an entry came; the argument is the message."""
 
 
+class entry_linked(circuits.Event):
+    """The agent connects to an entry; the argument is its Member."""
+
+
 class entry_dropped(circuits.Event):
     """An entry is gone; the argument is its incarnation."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -285,6 +285,7 @@
         self._links[member.incarnation] = link
         # The handshake may be over before the socket is watched.
         self._executor.connect(member.incarnation)
+        self.fire(_events.entry_linked(member))
 
     def _connect_anew(self, link: Link) -> None:
         # A connection may stand and lead nowhere: the entry reads the latest
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -324,7 +324,6 @@
 tune_policy = _weights.tune_policy
 UNBOUNDED_SLOTS = _room.UNBOUNDED_SLOTS
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
-UnsupportedJobError = _exceptions.UnsupportedJobError
 UPPER_SHARE = _sizes.UPPER_SHARE
 VersionWatch = _versions.VersionWatch
 VIEW_SETTLES_AFTER = _admission.VIEW_SETTLES_AFTER
--- a/packages/cowslipgate-core/src/cowslipgate_core/_exceptions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_exceptions.py
@@ -58,17 +58,6 @@
         return f"{self.path}: {self.problem}"
 
 
-@attrs.frozen
-class UnsupportedJobError(CowslipgateError):
-    """A job asks for what this deployment cannot do; nothing of it ran."""
-
-    asked: str
-    """What it asks for."""
-
-    def __str__(self) -> str:
-        return f"{self.asked} is not supported; submit the job without it"
-
-
 @attrs.frozen
 class Fault:
     """One fault in a document, named by its path."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -142,6 +142,9 @@
     slowdown: float = 0.0
     """Multiple of the longest task added to the objective."""
 
+    unsupported: str = ""
+    """What the job asks for and cannot be done, or empty."""
+
     def name_task(self, index: int) -> str:
         """Return the name of a task, the same over all its attempts."""
         return f"{self.request}.{self.step}.{index}" if self.request else ""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_changes.py
@@ -1,11 +1,11 @@
-"""Changes of state that are worth a log line."""
+"""Decisions and changes of state of an entry that are worth a log line."""
 
 import attrs
+import logbook
 
+import cowslipgate_transport as transport
 
-@attrs.frozen
-class Change:
-    """Base of the records."""
+Change = transport.Change
 
 
 @attrs.frozen
@@ -114,6 +114,9 @@
 class StoreUnreachable(Change):
     """The table service does not answer."""
 
+    problem: str = ""
+    """How the last call ended."""
+
 
 @attrs.frozen
 class DrainBegan(Change):
@@ -170,6 +173,31 @@
     """Where it was raised."""
 
 
+@attrs.frozen
+class RequestRefused(Change):
+    """A request was refused before a job was made of it."""
+
+    request: str
+    """Id by which the caller knows the request."""
+
+    route: str
+    """Route of the request."""
+
+    failure: str
+    """Kind of refusal."""
+
+    problem: str
+    """What is wrong with it."""
+
+
+@attrs.frozen
+class ConfigurationRejected(Change):
+    """A stored configuration cannot be used; the one before stays."""
+
+    problem: str
+    """Every fault found."""
+
+
 @attrs.frozen
 class JobRefused(Change):
     """A job was not taken; nothing of it ran."""
@@ -247,3 +275,17 @@
 
     repeats: tuple[str, ...]
     """Outcome, reason and agent of each attempt that gave no result."""
+
+
+@transport.get_level.register(AgentLost)
+@transport.get_level.register(StoreUnreachable)
+@transport.get_level.register(ConfigurationRejected)
+@transport.get_level.register(AddressUnprotected)
+def _warn(change: Change) -> int:
+    return logbook.WARNING
+
+
+@transport.get_level.register(StartFailed)
+@transport.get_level.register(HandlerFailed)
+def _report_error(change: Change) -> int:
+    return logbook.ERROR
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
@@ -183,7 +183,7 @@
         self._drop_claims(late, core.Failure.DEADLINE)
         self._post.acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
-        if self._machine.state == "draining" and not (
+        if self._machine.state == "closing" and not (
             self._ledger.jobs or self._claims
         ):
             self._machine.fire("empty")
@@ -197,6 +197,11 @@
         if self._machine.allows("drain"):
             self._machine.fire("drain")
 
+    @circuits.handler("close_entry")
+    def _on_close_entry(self) -> None:
+        if self._machine.allows("close"):
+            self._machine.fire("close")
+
     @circuits.handler("assign_tasks")
     def _on_assign_tasks(self) -> None:
         self._assigning = False
@@ -286,6 +291,12 @@
     def _find_refusal(self, job: core.Job) -> core.Refusal | None:
         if self._machine.get_attribute("accepts") != "yes":
             return self._refuse_closed()
+        if job.terms.unsupported:
+            asked = job.terms.unsupported
+            return core.Refusal(
+                core.Failure.UNSUPPORTED,
+                f"{asked} is not supported; submit the job without it",
+            )
         services = self._configuration.document.services
         return self._admission.find_refusal(job, services)
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -143,6 +143,10 @@
 
 
 class drain(circuits.Event):
+    """Tells that the entry is about to stop; callers should go elsewhere."""
+
+
+class close_entry(circuits.Event):
     """Asks to refuse new jobs and finish those in flight."""
 
 
@@ -150,9 +154,5 @@
     """Nothing is in flight any more."""
 
 
-class changed(circuits.Event):
-    """Something is in another state; the argument is a Change."""
-
-
 class message_refused(circuits.Event):
     """A message is not its sender's; identity and WireError."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_families.py
@@ -3,80 +3,80 @@
 import attrs
 
 import cowslipgate_core as core
-from cowslipgate_entry import _exposition
 from cowslipgate_entry import _readings
+import cowslipgate_transport as transport
 
 
 @attrs.frozen
 class Families:
     """Every metric family, in the order of the exposition."""
 
-    jobs: _exposition.Counter
+    jobs: transport.Counter
     """Jobs answered by outcome."""
 
-    refusals: _exposition.Counter
+    refusals: transport.Counter
     """Jobs refused by type."""
 
-    response: _exposition.Summary
+    response: transport.Summary
     """Response time of complete jobs."""
 
-    ratio: _exposition.Summary
+    ratio: transport.Summary
     """Response time against the ideal."""
 
-    queue_wait: _exposition.Summary
+    queue_wait: transport.Summary
     """Wait of tasks at the entry."""
 
-    sends: _exposition.Counter
+    sends: transport.Counter
     """Sends by purpose."""
 
-    attempts: _exposition.Counter
+    attempts: transport.Counter
     """Attempts by outcome."""
 
-    starts: _exposition.Counter
+    starts: transport.Counter
     """Tasks started."""
 
-    slot_seconds: _exposition.Counter
+    slot_seconds: transport.Counter
     """Slot time used and needed."""
 
-    last_minute: _exposition.Gauge
+    last_minute: transport.Gauge
     """Slot time of the last minute."""
 
-    busiest_minute: _exposition.Gauge
+    busiest_minute: transport.Gauge
     """Slot time of the busiest minute."""
 
-    agents: _exposition.Gauge
+    agents: transport.Gauge
     """Agents by state."""
 
-    jobs_in_flight: _exposition.Gauge
+    jobs_in_flight: transport.Gauge
     """Jobs in flight."""
 
-    tasks: _exposition.Gauge
+    tasks: transport.Gauge
     """Tasks by state."""
 
-    version: _exposition.Gauge
+    version: transport.Gauge
     """Configuration version."""
 
-    connections: _exposition.Gauge
+    connections: transport.Gauge
     """Caller connections."""
 
-    http_refused: _exposition.Counter
+    http_refused: transport.Counter
     """Requests refused before they were read."""
 
-    malformed: _exposition.Counter
+    malformed: transport.Counter
     """Malformed internal messages."""
 
-    denials: _exposition.Counter
+    denials: transport.Counter
     """Connections with an unknown key."""
 
-    errors: _exposition.Counter
+    errors: transport.Counter
     """Unhandled exceptions."""
 
 
 def make_families(readings: _readings.Readings, clock: core.Clock) -> Families:
     """Return the families, gauges reading from ``readings``."""
-    counter = _exposition.Counter
-    gauge = _exposition.Gauge
-    summary = _exposition.Summary
+    counter = transport.Counter
+    gauge = transport.Gauge
+    summary = transport.Summary
     return Families(
         jobs=counter(
             "cowslipgate_jobs_total",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
@@ -12,7 +12,6 @@
 from cowslipgate_entry import _answers
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _exposition
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _requests
 from cowslipgate_entry import _sampler
@@ -119,7 +118,7 @@
                 return transport.Answer(
                     200,
                     self._metrics.render(),
-                    content_type=_exposition.CONTENT_TYPE,
+                    content_type=transport.METRICS_CONTENT_TYPE,
                 )
             case "GET", "/v1/configuration":
                 return self._answer_configuration(exchange)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_job_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_job_log.py
@@ -10,6 +10,7 @@
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
 from cowslipgate_entry import _requests
+import cowslipgate_transport as transport
 
 CHANNEL = "job-log"
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -130,7 +131,7 @@
         return self._courses.get(attempt.job.id) if attempt else None
 
     def _tell(self, change: _changes.Change) -> None:
-        self.fire(_events.changed(change), "logs")
+        self.fire(transport.changed(change), "logs")
 
 
 def _note_report(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
@@ -7,7 +7,6 @@
 import cowslipgate_core as core
 from cowslipgate_entry import _changes
 from cowslipgate_entry import _events
-from cowslipgate_entry import _logs
 from cowslipgate_entry import _settings
 import cowslipgate_transport as transport
 
@@ -21,7 +20,7 @@
         self,
         clock: core.Clock,
         settings: _settings.EntrySettings,
-        logs: _logs.Logs,
+        logs: transport.Logs,
     ) -> None:
         super().__init__()
         self._logs = logs
@@ -30,15 +29,20 @@
         self._drain_since: datetime.datetime | None = None
         self._server: transport.HttpServer | None = None
         self._drained = False
+        self._closing = False
 
     def attach_server(self, server: transport.HttpServer) -> None:
         """Take the server whose answers are awaited before the exit."""
         self._server = server
 
     @circuits.handler("signal", channel="*")
-    def _on_signal(self, event: circuits.Event, *arguments: object) -> None:
+    def _on_signal(
+        self, event: circuits.Event, number: int, *arguments: object
+    ) -> None:
         event.stop()
         if self._drain_since is None:
+            change = transport.ProcessStopping(int(number))
+            self.fire(transport.changed(change), "logs")
             self._drain_since = self._clock.now()
             self.fire(_events.drain(), "dispatcher", "peers", "leases")
             self.fire(transport.drain_http(), _events.GATEWAY)
@@ -52,6 +56,9 @@
         if self._drain_since is None:
             return
         elapsed = self._clock.now() - self._drain_since
+        if elapsed >= self._settings.drain_delay and not self._closing:
+            self._closing = True
+            self.fire(_events.close_entry(), "dispatcher")
         done = self._drained and not self._server.waiting
         if elapsed >= self._settings.drain_timeout:
             self._exit(done)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
@@ -6,7 +6,6 @@
 import cowslipgate_core as core
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _exposition
 from cowslipgate_entry import _families
 from cowslipgate_entry import _minutes
 from cowslipgate_entry import _purposes
@@ -67,7 +66,7 @@
         """Return the text exposition of all metrics."""
         self._minutes.turn(self._clock.now())
         values = attrs.astuple(self._families, recurse=False)
-        return _exposition.render_families(values)
+        return transport.render_families(values)
 
     @circuits.handler("configuration_adopted", channel=_events.GATEWAY)
     def _on_configuration_adopted(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -18,7 +18,6 @@
 from cowslipgate_entry import _keeper
 from cowslipgate_entry import _leases
 from cowslipgate_entry import _life
-from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _patches
 from cowslipgate_entry import _peers
@@ -46,7 +45,9 @@
     """
     clock = core.SystemClock()
     incarnation = core.make_incarnation(clock)
-    logs = _logs.Logs(settings.log_format, settings.log_level, incarnation)
+    logs = transport.Logs(
+        settings.log_format, settings.log_level, {"entry": incarnation}
+    )
     try:
         process = build_entry(settings, clock, incarnation, logs)
     except (OSError, zmq.ZMQError, core.CowslipgateError) as error:
@@ -80,7 +81,7 @@
     settings: _settings.EntrySettings,
     clock: core.Clock,
     incarnation: int,
-    logs: _logs.Logs,
+    logs: transport.Logs,
 ) -> _life.EntryProcess:
     """Return the entry, ready to run.
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
@@ -9,6 +9,7 @@
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
 from cowslipgate_entry import _requests
+import cowslipgate_transport as transport
 
 CHANNEL = "watch"
 CHECK_TICKS = 10
@@ -18,6 +19,8 @@
     _requests.StoreResult.LOST,
 )
 
+_FAILED = (core.TableResult.REFUSED, core.TableResult.UNREACHABLE)
+
 
 class Watch(circuits.BaseComponent):
     """Fires ``changed`` when something is in another state than before."""
@@ -87,14 +90,29 @@
 
     @circuits.handler("store_answered", channel="*")
     def _on_store_answered(self, answer: _requests.StoreAnswer) -> None:
-        reachable = answer.result not in _UNANSWERED
+        detail = "" if answer.result not in _UNANSWERED else answer.result
+        self._note_store(detail)
+
+    @circuits.handler("table_answered", channel="*")
+    def _on_table_answered(self, answer: core.TableAnswer) -> None:
+        failed = answer.result in _FAILED
+        self._note_store(answer.detail if failed else "")
+
+    @circuits.handler("configuration_rejected")
+    def _on_configuration_rejected(
+        self, error: core.ConfigurationError
+    ) -> None:
+        self._tell(_changes.ConfigurationRejected(str(error)))
+
+    def _note_store(self, problem: str) -> None:
+        reachable = not problem
         if reachable == self._store_reachable:
             return
         self._store_reachable = reachable
         if reachable:
             self._tell(_changes.StoreReachable())
         else:
-            self._tell(_changes.StoreUnreachable())
+            self._tell(_changes.StoreUnreachable(problem))
 
     @circuits.handler("drain", channel=_dispatcher.CHANNEL)
     def _on_drain(self) -> None:
@@ -139,4 +157,4 @@
             self._tell(change)
 
     def _tell(self, change: _changes.Change) -> None:
-        self.fire(_events.changed(change), "logs")
+        self.fire(transport.changed(change), "logs")
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -12,7 +12,6 @@
 from cowslipgate_entry import _changes
 from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _logs
 from cowslipgate_entry import _metrics
 from cowslipgate_entry import _requests
 from cowslipgate_entry import _sampler
@@ -343,7 +342,7 @@
     form: str, level: str, lines: int
 ) -> None:
     stream = io.StringIO()
-    logs = _logs.Logs(form, level, 7, stream)
+    logs = transport.Logs(form, level, {"entry": 7}, stream)
     logs.write(_changes.AgentLost("agent-1", 3))
     logs.write(_changes.ConfigurationAdopted(12))
     written = stream.getvalue().splitlines()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -1,11 +1,16 @@
 """Circuits components that own HTTP and ZeroMQ sockets."""
 
+from cowslipgate_transport import _changes
 from cowslipgate_transport import _curve
+from cowslipgate_transport import _exposition
+from cowslipgate_transport import _file_watch
 from cowslipgate_transport import _http_calls
 from cowslipgate_transport import _http_client
 from cowslipgate_transport import _http_exchanges
 from cowslipgate_transport import _http_server
+from cowslipgate_transport import _logs
 from cowslipgate_transport import _message_socket
+from cowslipgate_transport import _metrics_page
 from cowslipgate_transport import _table_events
 
 Address = _http_calls.Address
@@ -19,13 +24,21 @@
 CallFailure = _http_calls.CallFailure
 CallProblem = _http_calls.CallProblem
 cancel_http = _http_client.cancel_http
+Change = _changes.Change
+changed = _changes.changed
 check_calls = _http_client.check_calls
 check_connections = _http_exchanges.check_connections
 close_http = _http_exchanges.close_http
+Counter = _exposition.Counter
 CurveKeys = _curve.CurveKeys
 derive_public_key = _curve.derive_public_key
 drain_http = _http_exchanges.drain_http
 Exchange = _http_exchanges.Exchange
+Family = _exposition.Family
+file_changed = _file_watch.file_changed
+FileWatch = _file_watch.FileWatch
+Gauge = _exposition.Gauge
+get_level = _changes.get_level
 http_abandoned = _http_exchanges.http_abandoned
 http_answered = _http_client.http_answered
 http_failed = _http_client.http_failed
@@ -35,17 +48,27 @@
 HttpServer = _http_server.HttpServer
 key_denied = _curve.key_denied
 KeyCheck = _curve.KeyCheck
+LinesDropped = _changes.LinesDropped
+Logs = _logs.Logs
 measure_traffic = _message_socket.measure_traffic
 message_malformed = _message_socket.message_malformed
 message_received = _message_socket.message_received
 message_unsent = _message_socket.message_unsent
 MessageSocket = _message_socket.MessageSocket
+METRICS_CONTENT_TYPE = _exposition.CONTENT_TYPE
+MetricsPage = _metrics_page.MetricsPage
 open_dealer = _message_socket.open_dealer
 open_router = _message_socket.open_router
 parse_address = _http_calls.parse_address
 peer_connected = _message_socket.peer_connected
 peer_disconnected = _message_socket.peer_disconnected
+ProcessStarted = _changes.ProcessStarted
+ProcessStopping = _changes.ProcessStopping
+render_families = _exposition.render_families
 send_message = _message_socket.send_message
 ServerLimits = _http_exchanges.ServerLimits
-Traffic = _message_socket.Traffic
+SettingsChanged = _changes.SettingsChanged
+SettingsRejected = _changes.SettingsRejected
+Summary = _exposition.Summary
 table_answered = _table_events.table_answered
+Traffic = _message_socket.Traffic
--- /dev/null
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_logs.py
@@ -0,0 +1,187 @@
+"""Log lines for changes, as JSON lines or for a console.
+
+Lines are gathered and written a few times a second. What a reader does not
+take in time is dropped and counted; the process never waits for it.
+"""
+
+import collections
+import select
+import sys
+from typing import TextIO
+
+import attrs
+import circuits
+import logbook
+import msgspec
+
+from cowslipgate_transport import _changes
+
+CHANNEL = "logs"
+
+FLUSH_SECONDS = 0.2
+"""Interval between writes; each costs a system call."""
+
+MAX_WAITING_BYTES = 262_144
+"""Text that waits for a reader at the most; about 600 lines."""
+
+CHUNK_BYTES = 4_096
+"""Bytes that a pipe takes whole once it tells that it is writable."""
+
+_CONSOLE_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name:7} "
+    "{record.message}{record.extra[fields]}"
+)
+_JSON_FORMAT = "{record.extra[line]}"
+_ISO_FORMAT = "%Y-%m-%dT%H:%M:%S.%fZ"
+
+
+class write_lines(circuits.Event):
+    """Asks to write the lines that have gathered."""
+
+
+class Buffer:
+    """Text that waits to be written to a stream, bounded.
+
+    :param stream: where it goes; one with a descriptor is asked first
+        whether it takes more
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+        self._lines: collections.deque[str] = collections.deque()
+        self._size = 0
+        self._dropped = 0
+        self._poll = _make_poll(stream)
+
+    def __len__(self) -> int:
+        return len(self._lines)
+
+    def add(self, line: str) -> None:
+        """Keep a line, or count it when too much waits."""
+        if self._size + len(line) > MAX_WAITING_BYTES:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._size += len(line)
+
+    def take_dropped(self) -> int:
+        """Return the number of lines dropped since the last call."""
+        dropped, self._dropped = self._dropped, 0
+        return dropped
+
+    def flush(self, patient: bool = False) -> None:
+        """Write what the stream takes now.
+
+        :param patient: whether to wait for the reader
+        """
+        while self._lines and (patient or self._is_writable()):
+            self._stream.write(self._take_chunk())
+            self._stream.flush()
+
+    def _is_writable(self) -> bool:
+        return self._poll is None or bool(self._poll.poll(0))
+
+    def _take_chunk(self) -> str:
+        chunk = [self._lines.popleft()]
+        size = len(chunk[0])
+        while self._lines and size + len(self._lines[0]) <= CHUNK_BYTES:
+            chunk.append(self._lines.popleft())
+            size += len(chunk[-1])
+        self._size -= size
+        return "".join(chunk)
+
+
+class _BufferHandler(logbook.Handler, logbook.StringFormatterHandlerMixin):
+    def __init__(self, buffer: Buffer, level: str, template: str) -> None:
+        logbook.Handler.__init__(self, level, bubble=False)
+        logbook.StringFormatterHandlerMixin.__init__(self, template)
+        self._buffer = buffer
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        self._buffer.add(self.format(record) + "\n")
+
+
+class Logs(circuits.BaseComponent):
+    """Writes a line for each change.
+
+    :param form: ``json`` or ``console``
+    :param level: least severe lines that are written
+    :param source: fields of every line, which tell the process
+    """
+
+    channel = CHANNEL
+
+    def __init__(
+        self,
+        form: str,
+        level: str,
+        source: dict[str, object],
+        stream: TextIO | None = None,
+    ) -> None:
+        super().__init__()
+        self._source = source
+        self._logger = logbook.Logger("cowslipgate")
+        self._buffer = Buffer(stream or sys.stderr)
+        template = _JSON_FORMAT if form == "json" else _CONSOLE_FORMAT
+        self._handler = _BufferHandler(self._buffer, level.upper(), template)
+        self._writing = False
+
+    @circuits.handler("changed", channel="*")
+    def _on_changed(self, change: _changes.Change) -> None:
+        self._log(change)
+        if not self._writing:
+            self._writing = True
+            circuits.Timer(FLUSH_SECONDS, write_lines(), CHANNEL).register(
+                self
+            )
+
+    @circuits.handler("write_lines")
+    def _on_write_lines(self) -> None:
+        self._writing = False
+        dropped = self._buffer.take_dropped()
+        self._buffer.flush()
+        if dropped:
+            self._on_changed(_changes.LinesDropped(dropped))
+        elif len(self._buffer):
+            self._writing = True
+            circuits.Timer(FLUSH_SECONDS, write_lines(), CHANNEL).register(
+                self
+            )
+
+    def write(self, change: _changes.Change) -> None:
+        """Write the line for a change at once, at the start or the end."""
+        self._log(change)
+        self._buffer.flush(patient=True)
+
+    def _log(self, change: _changes.Change) -> None:
+        kind = type(change).__name__
+        fields = attrs.asdict(change)
+        record_fields = self._source | {"event": kind} | fields
+
+        def inject(record: logbook.LogRecord) -> None:
+            stamp = {
+                "time": record.time.strftime(_ISO_FORMAT),
+                "level": record.level_name.lower(),
+            }
+            line = msgspec.json.encode(stamp | record_fields)
+            record.extra["line"] = line.decode()
+            record.extra["fields"] = "".join(
+                f" {key}={value!r}" for key, value in fields.items()
+            )
+
+        with (
+            self._handler.applicationbound(),
+            logbook.Processor(inject).applicationbound(),
+        ):
+            self._logger.log(_changes.get_level(change), kind)
+
+
+def _make_poll(stream: TextIO) -> "select.poll | None":
+    try:
+        descriptor = stream.fileno()
+    except (OSError, ValueError, AttributeError):
+        # A stream in memory takes everything.
+        return None
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return poll
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_exposition.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_exposition.py
@@ -5,7 +5,7 @@
 import pytest
 
 import cowslipgate_core as core
-from cowslipgate_entry import _exposition
+from cowslipgate_transport import _exposition
 
 
 def test_counters_and_gauges_are_rendered_with_labels() -> None:
