Place by labels, racks and a limit of tasks on one target

Required labels are part of what a target offers. A job that prefers a label goes elsewhere only when no target near its data has place; a limit counts the tasks under way.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
@@ -64,7 +64,7 @@
         """Take in a job all of whose tasks wait."""
         tasks = self._view_tasks(job)
         view = _backlog.WaitingJob(
-            job.id, job.team, job.submitted_at, list(tasks)
+            job.id, job.team, job.submitted_at, list(tasks), terms=job.terms
         )
         self._plans[job.id] = _Plan(job.service, view, tasks)
         for task in tasks:
@@ -89,6 +89,9 @@
 
     def close_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt is final."""
+        plan = self._plans.get(attempt.job.id)
+        if plan is not None and plan.view.terms.limit_per_target:
+            plan.view.placed[attempt.agent] -= 1
         self._estimates.overdue.end(attempt.agent, attempt.sequence)
         team = attempt.job.team
         self._active[team] -= 1
--- a/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
@@ -1,12 +1,15 @@
 """Tasks that wait at an entry, in the order that decisions need."""
 
 import bisect
+import collections
 import datetime
 
 import attrs
 
+from cowslipgate_core import _jobs
 from cowslipgate_core import _messages
 from cowslipgate_core import _room
+from cowslipgate_core import _targets
 
 
 @attrs.frozen
@@ -48,6 +51,12 @@
     remaining_seconds: float = 0.0
     """Expected run time at speed one of its unfinished tasks."""
 
+    terms: _jobs.JobTerms = _jobs.DEFAULT_TERMS
+    """How the job is run."""
+
+    placed: collections.Counter[str] = attrs.Factory(collections.Counter)
+    """Tasks under way by agent, where the terms limit them."""
+
     needs: frozenset[_messages.Resources] = attrs.field(init=False)
     """The different needs of its tasks."""
 
@@ -71,6 +80,21 @@
         """Mean run time at speed one of its waiting tasks."""
         return self.waiting_seconds / len(self.tasks)
 
+    @property
+    def is_selective(self) -> bool:
+        """Whether equal targets are not alike for the job."""
+        return bool(self.terms.limit_per_target or self.terms.prefers)
+
+    def may_use(self, target: _targets.TargetView) -> bool:
+        """Tell whether one more task may run on a target."""
+        limit = self.terms.limit_per_target
+        return not limit or self.placed[target.agent] < limit
+
+    def is_near(self, target: _targets.TargetView) -> bool:
+        """Tell whether a target is near the job's data."""
+        prefers = self.terms.prefers
+        return not prefers or prefers in target.resources.labels
+
     def find_longest(
         self, limit_seconds: float, offer: _messages.Resources
     ) -> int | None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
@@ -142,6 +142,15 @@
     slowdown: float = 0.0
     """Multiple of the longest task added to the objective."""
 
+    limit_per_target: int = 0
+    """Tasks that may run on one target at once; zero for no limit."""
+
+    prefers: str = ""
+    """Label of the targets near the job's data, or empty."""
+
+    away_factor: float = 1.0
+    """Multiple of the run time on targets without that label."""
+
     unsupported: str = ""
     """What the job asks for and cannot be done, or empty."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
@@ -11,6 +11,7 @@
 from cowslipgate_core import _messages
 from cowslipgate_core import _placement
 from cowslipgate_core import _ready_jobs
+from cowslipgate_core import _room
 from cowslipgate_core import _targets
 
 AGEING = datetime.timedelta(seconds=10)
@@ -91,6 +92,28 @@
     assignments = _try_targets(trials, fitting, pool, allowances)
     if assignments:
         fitting = _ready_jobs.list_ready(fitting, allowances)
+    fill = functools.partial(
+        _fill_targets, policy, fitting, ordered, pool, allowances, now, entries
+    )
+    assignments += fill(find)
+    if any(job.terms.prefers for job in fitting):
+        # They left other targets alone until those near their data were full.
+        assignments += fill(find)
+    return assignments
+
+
+def _fill_targets(
+    policy: LateBinding,
+    fitting: list[_backlog.WaitingJob],
+    ordered: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+    entries: int,
+    find: Finder,
+) -> list[_placement.Assignment]:
+    """Go through the open targets once, the fastest first."""
+    assignments = []
     # What no task fits on one target fits on no slower one like it.
     exhausted: set[_messages.Resources] = set()
     for target in pool.iterate_open(now):
@@ -105,9 +128,10 @@
                 break
             if target.occupied and is_probed(policy, target, pool):
                 break
-            found = _find_task(fitting, target, pool, find)
+            found = _find_task(fitting, target, pool, find, now)
             if found is None:
-                exhausted.add(target.offer)
+                if not any(job.is_selective for job in fitting):
+                    exhausted.add(target.offer)
                 break
             job, position = found
             assignments.append(
@@ -131,7 +155,7 @@
     assignments = []
     for target in targets:
         for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]:
-            if allowances[job.team] <= 0:
+            if allowances[job.team] <= 0 or not job.may_use(target):
                 continue
             position = job.find_shortest(math.inf, target.offer)
             if position is None:
@@ -183,20 +207,43 @@
     target: _targets.TargetView,
     pool: _targets.Pool,
     find: Finder,
+    now: datetime.datetime,
 ) -> tuple[_backlog.WaitingJob, int] | None:
-    for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]:
+    jobs = [
+        job
+        for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]
+        if job.may_use(target) and not _waits_for_near(job, target, pool, now)
+    ]
+    for job in jobs:
         position = find(job, target)
         if position is not None:
             return job, position
     if pool.is_faster_busy(target):
         return None
-    for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]:
+    for job in jobs:
         position = _find_longest(job, target)
         if position is not None:
             return job, position
     return None
 
 
+def _waits_for_near(
+    job: _backlog.WaitingJob,
+    target: _targets.TargetView,
+    pool: _targets.Pool,
+    now: datetime.datetime,
+) -> bool:
+    """Tell whether a target near the job's data has place for it."""
+    if job.is_near(target):
+        return False
+    return any(
+        job.is_near(near)
+        and job.may_use(near)
+        and any(_room.fits_resources(near.offer, need) for need in job.needs)
+        for near in pool.iterate_open(now)
+    )
+
+
 def _find_longest(
     job: _backlog.WaitingJob, target: _targets.TargetView
 ) -> int | None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_least_completion.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_least_completion.py
@@ -31,7 +31,11 @@
             if allowances.get(job.team, 0) <= 0:
                 break
             task = job.tasks[position]
-            fitting = [t for t in usable if _placement.can_run(t, task)]
+            fitting = [
+                target
+                for target in usable
+                if job.may_use(target) and _placement.can_run(target, task)
+            ]
             if not fitting:
                 continue
             target = min(fitting, key=lambda t: expect_seconds(t, task))
--- a/packages/cowslipgate-core/src/cowslipgate_core/_matching.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_matching.py
@@ -54,6 +54,8 @@
         job: _backlog.WaitingJob, target: _targets.TargetView
     ) -> int | None:
         limit = get_horizon(job) * target.speed
+        if not job.is_near(target):
+            limit /= job.terms.away_factor
         # A task that is longer than declared costs most on a slow target.
         if is_slow(policy, target, pool):
             return job.find_shortest(limit, target.offer)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_messages.py
@@ -63,6 +63,9 @@
     millicores: _Count = 0
     """Processor time in thousandths of a core."""
 
+    labels: tuple[_Text, ...] = ()
+    """Labels that a target has or a task requires, its rack among them."""
+
 
 Room = Resources | msgspec.UnsetType
 """What all tasks of a target share; unset when slots alone bound them."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_placement.py
@@ -72,6 +72,8 @@
     allowances: dict[str, int],
 ) -> Assignment:
     """Take a task out of its job for a target."""
+    if job.terms.limit_per_target:
+        job.placed[target.agent] += 1
     task = job.take(position)
     pool.occupy(target, task.needs)
     allowances[job.team] -= 1
--- a/packages/cowslipgate-core/src/cowslipgate_core/_room.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_room.py
@@ -12,7 +12,7 @@
 def add_resources(
     first: _messages.Resources, second: _messages.Resources
 ) -> _messages.Resources:
-    """Return what both take together."""
+    """Return what both take together; labels are not taken."""
     return _messages.Resources(
         first.memory_mb + second.memory_mb,
         first.accelerators + second.accelerators,
@@ -28,6 +28,7 @@
         max(0, whole.memory_mb - part.memory_mb),
         max(0, whole.accelerators - part.accelerators),
         max(0, whole.millicores - part.millicores),
+        whole.labels,
     )
 
 
@@ -60,6 +61,7 @@
         needs.memory_mb <= offer.memory_mb
         and needs.accelerators <= offer.accelerators
         and needs.millicores <= offer.millicores
+        and (not needs.labels or set(needs.labels) <= set(offer.labels))
     )
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_round_robin.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_round_robin.py
@@ -32,7 +32,7 @@
         for task in ordered:
             if allowances.get(job.team, 0) <= 0:
                 break
-            target = _find_next(ring, pool, task)
+            target = _find_next(ring, pool, job, task)
             if target is None:
                 continue
             position = job.tasks.index(task)
@@ -45,11 +45,12 @@
 def _find_next(
     ring: list[_targets.TargetView],
     pool: _targets.Pool,
+    job: _backlog.WaitingJob,
     task: _backlog.WaitingTask,
 ) -> _targets.TargetView | None:
     for _ in ring:
         target = ring[pool.turn % len(ring)]
         pool.turn += 1
-        if _placement.can_run(target, task):
+        if job.may_use(target) and _placement.can_run(target, task):
             return target
     return None
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_room.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_room.py
@@ -149,3 +149,110 @@
     )
     executor.announce(announcement, builders.NOW)
     assert not _dispatch(executor, 8, (core.Resources(0, 0, 1_000),))
+
+
+_NEAR = core.Resources(1_000, 0, 8_000, ("near",))
+_FAR = core.Resources(1_000, 0, 8_000, ("far",))
+_TASK = core.Resources(0, 0, 2_000)
+
+
+def _place(
+    policy: core.Policy,
+    tasks: int,
+    needs: core.Resources,
+    terms: core.JobTerms,
+) -> dict[str, int]:
+    """Return the tasks sent to a near and a far target, by agent."""
+    ledger = core.Ledger(policy)
+    for agent, room in (("near", _NEAR), ("far", _FAR)):
+        load = core.Load(core.UNBOUNDED_SLOTS, 0, 0)
+        report = core.Report(
+            agent, 1, "print", "d", "serving", room, load, 0, "", room=room
+        )
+        ledger.hear_report(report, builders.NOW)
+    job = _build_job(ledger, tasks, needs)
+    job.terms = terms
+    ledger.submit(job)
+    return {
+        action.agent: len(action.orders)
+        for action in ledger.assign(builders.NOW, QUOTAS)
+    }
+
+
+POLICIES = [
+    core.LateBinding(),
+    core.Matching(),
+    core.LeastCompletion(),
+    core.RoundRobin(),
+]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_label_that_is_required_is_kept(policy: core.Policy) -> None:
+    needs = core.Resources(0, 0, 2_000, ("far",))
+    assert _place(policy, 3, needs, core.DEFAULT_TERMS) == {"far": 3}
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_limit_of_tasks_on_a_target_is_kept(policy: core.Policy) -> None:
+    terms = core.JobTerms(limit_per_target=1)
+    placed = _place(policy, 4, _TASK, terms)
+    assert placed == {"near": 1, "far": 1}
+
+
+@pytest.mark.parametrize("policy", [core.LateBinding(), core.Matching()])
+@pytest.mark.parametrize(
+    ("tasks", "placed"),
+    [(3, {"near": 3}), (4, {"near": 4}), (6, {"near": 4, "far": 2})],
+)
+def test_near_targets_are_filled_first(
+    policy: core.Policy, tasks: int, placed: dict[str, int]
+) -> None:
+    terms = core.JobTerms(prefers="near", away_factor=1.2)
+    assert _place(policy, tasks, _TASK, terms) == placed
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_limit_on_one_of_equal_targets_leaves_the_others_open(
+    policy: core.Policy,
+) -> None:
+    ledger = core.Ledger(policy)
+    for number in range(4):
+        ledger.hear_report(_build_report(f"agent-{number}"), builders.NOW)
+    job = _build_job(ledger, 6, _TASK)
+    job.terms = core.JobTerms(limit_per_target=1)
+    ledger.submit(job)
+    actions = ledger.assign(builders.NOW, QUOTAS)
+    assert sorted(len(action.orders) for action in actions) == [1, 1, 1, 1]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_limit_on_a_target_leaves_one_that_is_as_full_open(
+    policy: core.Policy,
+) -> None:
+    ledger = core.Ledger(policy)
+    ledger.hear_report(_build_report("agent-0"), builders.NOW)
+    job = _build_job(ledger, 2, _TASK)
+    job.terms = core.JobTerms(limit_per_target=1)
+    ledger.submit(job)
+    ledger.assign(builders.NOW, QUOTAS)
+    ledger.hear_report(_build_report("agent-1", _TASK), builders.NOW)
+    (action,) = ledger.assign(builders.NOW, QUOTAS)
+    assert action.agent == "agent-1"
+
+
+def test_limit_counts_tasks_under_way_alone() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    ledger.hear_report(_build_report(), builders.NOW)
+    job = _build_job(ledger, 2, _TASK)
+    job.terms = core.JobTerms(limit_per_target=1)
+    ledger.submit(job)
+    ledger.assign(builders.NOW, QUOTAS)
+    assert not ledger.assign(builders.NOW, QUOTAS)
+    (attempt,) = ledger.attempts
+    report = core.AttemptReport(attempt, core.Outcome.FINISHED)
+    load = core.Load(core.UNBOUNDED_SLOTS, 0, 0)
+    results = core.Results("agent-1", 1, load, (report,))
+    ledger.hear_results(results, builders.NOW)
+    (action,) = ledger.assign(builders.NOW, QUOTAS)
+    assert len(action.orders) == 1
