Group the modules of core and entry by what they decide or own

core: jobs, placement, execution, membership, configuration, messages; entry: callers, agents, peers, store, observation, commands.

Seen in two whole runs of the suite at four files at once: an agent that is not seen by an entry for 30 s after the entry was paused (test_starts, test_pauses). Not seen in the files alone, nor beside six busy processes. The wait now tells what each entry saw.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -310,9 +310,12 @@
 
     def wait_ready(self, agents: int) -> None:
         """Wait until each entry serves and sees ``agents`` serving."""
-        wait_until(
-            lambda: self.is_ready(agents), f"{agents} agents at each entry"
-        )
+        condition = f"{agents} agents at each entry"
+        try:
+            wait_until(lambda: self.is_ready(agents), condition)
+        except WaitTimeout as error:
+            seen = [self._describe_view(entry.port) for entry in self.entries]
+            raise WaitTimeout(f"{condition}, seen: {seen},") from error
 
     def is_ready(self, agents: int) -> bool:
         """Tell whether each entry serves and sees ``agents`` serving."""
@@ -351,6 +354,16 @@
         reply = self.call("GET", "/v1/status", port=entry.port)
         return [member["incarnation"] for member in reply.body["members"]]
 
+    def _describe_view(self, port: int) -> str:
+        """Return what an entry sees, for the report of a failure."""
+        try:
+            body = self.call("GET", "/v1/status", port=port).body
+        except OSError as error:
+            return str(error)
+        agents = [(agent["agent"], agent["state"]) for agent in body["agents"]]
+        members = [member["http"] for member in body["members"]]
+        return f"{body['state']} members={members} agents={agents}"
+
     def _count_serving(self, port: int) -> int:
         try:
             reply = self.call("GET", "/v1/status", port=port)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
@@ -4,11 +4,13 @@
 import re
 
 import cowslipgate_core as core
+import cowslipgate_transport as transport
 import pytest
 
+from cowslipgate_agent import _changes as _agent_changes
 from cowslipgate_bench import _settings_page
-from cowslipgate_entry import _changes
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _changes
 
 ROOT = pathlib.Path(__file__).parents[5]
 PACKAGES = ROOT / "packages"
@@ -31,7 +33,7 @@
 
 def test_every_metric_is_in_the_page_for_operators() -> None:
     folder = PACKAGES / "cowslipgate-entry" / "src" / "cowslipgate_entry"
-    source = (folder / "_families.py").read_text()
+    source = (folder / "observation" / "_families.py").read_text()
     names = set(re.findall(r'"(cowslipgate_\w+)"', source))
     page = _read("OPERATORS.md")
     assert names
@@ -40,6 +42,8 @@
 
 def test_every_event_of_the_log_is_in_the_page_for_operators() -> None:
     page = _read("OPERATORS.md")
-    names = [change.__name__ for change in _changes.Change.__subclasses__()]
-    assert names
+    changes = transport.Change.__subclasses__()
+    names = [change.__name__ for change in changes]
+    assert _changes.JobEnded in changes
+    assert _agent_changes.TaskEnded in changes
     assert [name for name in names if f"`{name}`" not in page] == []
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: checks, routes and versions."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_configuration.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from cowslipgate_core import _exceptions
-from cowslipgate_core import _routes
+from cowslipgate_core.configuration import _routes
 
 MAX_TASKS = 410
 _Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/__init__.py
@@ -0,0 +1,1 @@
+"""What an agent holds: attempts, outcomes, its target and the runs there."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -8,12 +8,12 @@
 
 import attrs
 
-from cowslipgate_core import _executor_actions
-from cowslipgate_core import _messages
-from cowslipgate_core import _outcomes
-from cowslipgate_core import _sessions
-from cowslipgate_core import _slots
-from cowslipgate_core import _target_state
+from cowslipgate_core.execution import _executor_actions
+from cowslipgate_core.execution import _outcomes
+from cowslipgate_core.execution import _sessions
+from cowslipgate_core.execution import _slots
+from cowslipgate_core.execution import _target_state
+from cowslipgate_core.messages import _messages
 
 DROPPED_LIFETIME = datetime.timedelta(seconds=2)
 ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_executor_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor_actions.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from cowslipgate_core import _messages
+from cowslipgate_core.messages import _messages
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/_outcomes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_outcomes.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from cowslipgate_core import _executor_actions
-from cowslipgate_core import _messages
+from cowslipgate_core.execution import _executor_actions
+from cowslipgate_core.messages import _messages
 
 LONGEST_RESEND = datetime.timedelta(seconds=8)
 MAX_KEPT_BYTES = 8_388_608
--- a/packages/cowslipgate-core/src/cowslipgate_core/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -12,8 +12,8 @@
 import attrs
 
 from cowslipgate_core import _charts
-from cowslipgate_core import _executor_actions
-from cowslipgate_core import _messages
+from cowslipgate_core.execution import _executor_actions
+from cowslipgate_core.messages import _messages
 
 CLOCK_SLACK = datetime.timedelta(milliseconds=100)
 """Added to a lease until it counts as lapsed: a target's clock may be 2%
--- a/packages/cowslipgate-core/src/cowslipgate_core/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
@@ -7,9 +7,9 @@
 import attrs
 import msgspec
 
-from cowslipgate_core import _executor_actions
-from cowslipgate_core import _messages
-from cowslipgate_core import _room
+from cowslipgate_core.execution import _executor_actions
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _room
 
 
 @attrs.define(eq=False)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -5,11 +5,11 @@
 import msgspec
 
 from cowslipgate_core import _charts
-from cowslipgate_core import _executor_actions
-from cowslipgate_core import _health
-from cowslipgate_core import _messages
-from cowslipgate_core import _slots
-from cowslipgate_core import _targets
+from cowslipgate_core.execution import _executor_actions
+from cowslipgate_core.execution import _health
+from cowslipgate_core.execution import _slots
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _targets
 
 _LOST = _messages.Outcome.LOST
 
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs from submission to answer: their records, bodies and the ledger."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_bodies.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_bodies.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from cowslipgate_core import _exceptions
-from cowslipgate_core import _jobs
-from cowslipgate_core import _messages
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.messages import _messages
 
 _PATH = re.compile(r" - at `(?:key in )?(\$.*)`$")
 _DECODER = msgspec.json.Decoder(_jobs.JobRequest)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_inquiries.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 import datetime
 
-from cowslipgate_core import _jobs
-from cowslipgate_core import _ledger_actions
-from cowslipgate_core import _ledger_counters
-from cowslipgate_core import _roster
-from cowslipgate_core import _timing
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.jobs import _ledger_actions
+from cowslipgate_core.jobs import _ledger_counters
+from cowslipgate_core.jobs import _timing
+from cowslipgate_core.placement import _roster
 
 
 class Inquiries:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from cowslipgate_core import _charts
-from cowslipgate_core import _configuration
-from cowslipgate_core import _messages
+from cowslipgate_core.configuration import _configuration
+from cowslipgate_core.messages import _messages
 
 _Size = Annotated[float, msgspec.Meta(gt=0.0, le=3_600_000.0)]
 _Name = Annotated[str, msgspec.Meta(max_length=128)]
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -8,21 +8,21 @@
 from collections.abc import Mapping
 import datetime
 
-from cowslipgate_core import _assignment
 from cowslipgate_core import _charts
-from cowslipgate_core import _configuration
-from cowslipgate_core import _estimates
-from cowslipgate_core import _inquiries
-from cowslipgate_core import _jobs
-from cowslipgate_core import _ledger_actions
-from cowslipgate_core import _ledger_counters
-from cowslipgate_core import _messages
-from cowslipgate_core import _placement
-from cowslipgate_core import _room
-from cowslipgate_core import _roster
-from cowslipgate_core import _targets
-from cowslipgate_core import _timing
-from cowslipgate_core import _traceparents
+from cowslipgate_core.configuration import _configuration
+from cowslipgate_core.jobs import _inquiries
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.jobs import _ledger_actions
+from cowslipgate_core.jobs import _ledger_counters
+from cowslipgate_core.jobs import _timing
+from cowslipgate_core.jobs import _traceparents
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _assignment
+from cowslipgate_core.placement import _estimates
+from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _roster
+from cowslipgate_core.placement import _targets
 
 
 class Ledger:
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from cowslipgate_core import _jobs
-from cowslipgate_core import _messages
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.messages import _messages
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ledger_counters.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cowslipgate_core import _messages
+from cowslipgate_core.messages import _messages
 
 
 @attrs.define
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries live, and how their shares are divided."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_lease_rows.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from cowslipgate_core import _messages
-from cowslipgate_core import _quotas
-from cowslipgate_core import _tables
+from cowslipgate_core.membership import _quotas
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _tables
 
 ENTRIES_TABLE = "entries"
 """Table in which each entry has a row."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from cowslipgate_core import _gossip
-from cowslipgate_core import _messages
+from cowslipgate_core.membership import _gossip
+from cowslipgate_core.messages import _messages
 
 MAX_CANDIDATES = 64
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
@@ -11,7 +11,7 @@
 import attrs
 import msgspec
 
-from cowslipgate_core import _messages
+from cowslipgate_core.messages import _messages
 
 UNLIMITED_SLOTS = 1_000_000
 LEASE_LAPSES_AFTER = datetime.timedelta(seconds=30)
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/__init__.py
@@ -0,0 +1,1 @@
+"""What processes tell each other and the store, and its encoding."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_batches.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_batches.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from cowslipgate_core import _messages
+from cowslipgate_core.messages import _messages
 
 MAX_BATCH_BYTES = 4_194_304
 MAX_RESULT_BYTES = 8_388_608
--- a/packages/cowslipgate-core/src/cowslipgate_core/_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_screening.py
@@ -3,7 +3,7 @@
 import functools
 import re
 
-from cowslipgate_core import _messages
+from cowslipgate_core.messages import _messages
 
 _AGENT = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which task goes where, and which job may enter."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_admission.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_admission.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from cowslipgate_core import _configuration
-from cowslipgate_core import _jobs
-from cowslipgate_core import _messages
-from cowslipgate_core import _room
+from cowslipgate_core.configuration import _configuration
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _room
 
 VIEW_SETTLES_AFTER = datetime.timedelta(seconds=15)
 OFFERS_KEPT_FOR = datetime.timedelta(minutes=10)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -6,13 +6,13 @@
 
 import attrs
 
-from cowslipgate_core import _backlog
-from cowslipgate_core import _configuration
-from cowslipgate_core import _estimates
-from cowslipgate_core import _jobs
-from cowslipgate_core import _placement
-from cowslipgate_core import _roster
-from cowslipgate_core import _weights
+from cowslipgate_core.configuration import _configuration
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _estimates
+from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _roster
+from cowslipgate_core.placement import _weights
 
 
 @attrs.define(eq=False)
--- a/packages/cowslipgate-core/src/cowslipgate_core/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from cowslipgate_core import _jobs
-from cowslipgate_core import _messages
-from cowslipgate_core import _room
-from cowslipgate_core import _targets
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _targets
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
@@ -13,9 +13,9 @@
 
 import attrs
 
-from cowslipgate_core import _jobs
-from cowslipgate_core import _overdue
-from cowslipgate_core import _sizes
+from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.placement import _overdue
+from cowslipgate_core.placement import _sizes
 
 MAX_SPEEDS = 10_000
 MAX_KIND_SPEEDS = 40_000
--- a/packages/cowslipgate-core/src/cowslipgate_core/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from cowslipgate_core import _backlog
-from cowslipgate_core import _messages
-from cowslipgate_core import _placement
-from cowslipgate_core import _ready_jobs
-from cowslipgate_core import _room
-from cowslipgate_core import _targets
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _ready_jobs
+from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _targets
 
 AGEING = datetime.timedelta(seconds=10)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_matching.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_matching.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from cowslipgate_core import _backlog
-from cowslipgate_core import _late_binding
-from cowslipgate_core import _placement
-from cowslipgate_core import _targets
+from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _late_binding
+from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _targets
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_placement.py
@@ -9,9 +9,9 @@
 
 import attrs
 
-from cowslipgate_core import _backlog
-from cowslipgate_core import _room
-from cowslipgate_core import _targets
+from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _targets
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/_ready_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_ready_jobs.py
@@ -2,10 +2,10 @@
 
 import datetime
 
-from cowslipgate_core import _backlog
-from cowslipgate_core import _messages
-from cowslipgate_core import _room
-from cowslipgate_core import _targets
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _targets
 
 MAX_JOBS_TRIED = 256
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_room.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_room.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 import sys
 
-from cowslipgate_core import _messages
+from cowslipgate_core.messages import _messages
 
 UNBOUNDED_SLOTS = 10_000
 """Slots that a target announces whose room alone bounds its tasks."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from cowslipgate_core import _heartbeats
-from cowslipgate_core import _messages
-from cowslipgate_core import _room
-from cowslipgate_core import _staleness
-from cowslipgate_core import _targets
+from cowslipgate_core.membership import _heartbeats
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _staleness
+from cowslipgate_core.placement import _targets
 
 NEEDS_WEIGHT = 0.02
 """Weight of one task in the mean needs; about the last fifty tasks count."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/_round_robin.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_round_robin.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from cowslipgate_core import _backlog
-from cowslipgate_core import _placement
-from cowslipgate_core import _targets
+from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _targets
 
 
 @attrs.frozen
--- a/packages/cowslipgate-core/src/cowslipgate_core/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
@@ -7,8 +7,8 @@
 import attrs
 import msgspec
 
-from cowslipgate_core import _messages
-from cowslipgate_core import _room
+from cowslipgate_core.messages import _messages
+from cowslipgate_core.placement import _room
 
 PROBATION = "probation"
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/_weights.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_weights.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from cowslipgate_core import _late_binding
-from cowslipgate_core import _placement
+from cowslipgate_core.placement import _late_binding
+from cowslipgate_core.placement import _placement
 
 LONGEST_PATIENCE = datetime.timedelta(milliseconds=500)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_bounds.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_bounds.py
@@ -3,8 +3,8 @@
 import datetime
 
 import cowslipgate_core as core
-from cowslipgate_core import _assignment
-from cowslipgate_core import _roster
+from cowslipgate_core.placement import _assignment
+from cowslipgate_core.placement import _roster
 from cowslipgate_core.tests import builders
 import pytest
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor_twin.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor_twin.py
@@ -7,8 +7,8 @@
 import pytest
 
 import cowslipgate_core as core
-from cowslipgate_core import _outcomes
-from cowslipgate_core import _sessions
+from cowslipgate_core.execution import _outcomes
+from cowslipgate_core.execution import _sessions
 from cowslipgate_core.tests import builders
 from cowslipgate_core.tests import executor_twin
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_sessions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_sessions.py
@@ -3,7 +3,7 @@
 import datetime
 
 import cowslipgate_core as core
-from cowslipgate_core import _sessions
+from cowslipgate_core.execution import _sessions
 from cowslipgate_core.tests import builders
 import pytest
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -7,22 +7,22 @@
 import importlib
 
 _MODULES = {
-    "AnswerCodec": "_desk",
-    "Desk": "_desk",
-    "Dispatcher": "_dispatcher",
+    "AnswerCodec": "callers._desk",
+    "Desk": "callers._desk",
+    "Dispatcher": "agents._dispatcher",
     "EntryProcess": "_life",
     "EntrySettings": "_settings",
-    "FollowedConfiguration": "_followed",
+    "FollowedConfiguration": "store._followed",
     "GATEWAY": "_events",
-    "JobLog": "_job_log",
-    "StoredMembers": "_stored_members",
+    "JobLog": "observation._job_log",
+    "StoredMembers": "peers._stored_members",
     "submit_job": "_events",
-    "Submission": "_requests",
+    "Submission": "callers._requests",
     "tick": "_events",
-    "Watch": "_watch",
-    "RequestRefused": "_changes",
-    "Metrics": "_metrics",
-    "Screen": "_screen",
+    "Watch": "observation._watch",
+    "RequestRefused": "observation._changes",
+    "Metrics": "observation._metrics",
+    "Screen": "agents._screen",
     "abandon_job": "_events",
 }
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
@@ -5,9 +5,9 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _changes
 from cowslipgate_entry import _events
 from cowslipgate_entry import _settings
+from cowslipgate_entry.observation import _changes
 import cowslipgate_transport as transport
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_main.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_main.py
@@ -14,4 +14,6 @@
     # The pages of help are rendered with modules that an entry never uses.
     if words[:1] == ["serve"] and _HELP_FLAGS.isdisjoint(words):
         startup.exclude_unused()
-    importlib.import_module("cowslipgate_entry._command_line").run_command()
+    importlib.import_module(
+        "cowslipgate_entry.commands._command_line"
+    ).run_command()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -8,24 +8,24 @@
 import zmq
 
 import cowslipgate_core as core
-from cowslipgate_entry import _cancellations
-from cowslipgate_entry import _changes
-from cowslipgate_entry import _claims
-from cowslipgate_entry import _desk
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _gateway
-from cowslipgate_entry import _keeper
-from cowslipgate_entry import _leases
 from cowslipgate_entry import _life
-from cowslipgate_entry import _metrics
-from cowslipgate_entry import _patches
-from cowslipgate_entry import _peers
-from cowslipgate_entry import _sampler
-from cowslipgate_entry import _screen
 from cowslipgate_entry import _settings
-from cowslipgate_entry import _store
-from cowslipgate_entry import _watch
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.agents import _screen
+from cowslipgate_entry.callers import _cancellations
+from cowslipgate_entry.callers import _desk
+from cowslipgate_entry.callers import _gateway
+from cowslipgate_entry.observation import _changes
+from cowslipgate_entry.observation import _metrics
+from cowslipgate_entry.observation import _sampler
+from cowslipgate_entry.observation import _watch
+from cowslipgate_entry.peers import _leases
+from cowslipgate_entry.peers import _peers
+from cowslipgate_entry.store import _claims
+from cowslipgate_entry.store import _keeper
+from cowslipgate_entry.store import _patches
+from cowslipgate_entry.store import _store
 import cowslipgate_transport as transport
 
 TICK_SECONDS = 0.1
@@ -167,7 +167,7 @@
     clock: core.Clock,
 ) -> None:
     # The tracing library weighs several megabytes.
-    from cowslipgate_entry import _traces
+    from cowslipgate_entry.observation import _traces
 
     exporter = _traces.open_exporter(output)
     _traces.Traces(dispatcher, exporter, member.incarnation, clock).register(
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/__init__.py
@@ -0,0 +1,1 @@
+"""Work for agents and what they tell of it."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -9,13 +9,13 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _admission
-from cowslipgate_entry import _agent_post
-from cowslipgate_entry import _ended_jobs
 from cowslipgate_entry import _events
-from cowslipgate_entry import _quota_limits
-from cowslipgate_entry import _requests
-from cowslipgate_entry import _waves
+from cowslipgate_entry.agents import _agent_post
+from cowslipgate_entry.callers import _admission
+from cowslipgate_entry.callers import _ended_jobs
+from cowslipgate_entry.callers import _quota_limits
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.callers import _waves
 import cowslipgate_transport as transport
 
 CHANNEL = "dispatcher"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_screen.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_screen.py
@@ -3,8 +3,8 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
+from cowslipgate_entry.agents import _dispatcher
 
 CHANNEL = "screen"
 
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers and operators, and the answers to them."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_answers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 import cowslipgate_core as core
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 import cowslipgate_transport as transport
 
 RETRY_AFTER_SECONDS = "1"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_cancellations.py
@@ -7,7 +7,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 
 CHANNEL = "cancellations"
 REPLY_TIMEOUT = datetime.timedelta(seconds=2)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_desk.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_desk.py
@@ -5,9 +5,9 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _answers
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _answers
+from cowslipgate_entry.callers import _requests
 import cowslipgate_transport as transport
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_gateway.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_gateway.py
@@ -9,12 +9,12 @@
 import msgspec
 
 import cowslipgate_core as core
-from cowslipgate_entry import _answers
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _metrics
-from cowslipgate_entry import _requests
-from cowslipgate_entry import _sampler
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _answers
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _metrics
+from cowslipgate_entry.observation import _sampler
 import cowslipgate_transport as transport
 
 CHANNEL = "gateway"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_waves.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_waves.py
@@ -3,7 +3,7 @@
 import attrs
 
 import cowslipgate_core as core
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 
 
 @attrs.define(eq=False)
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of callers and operators."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_command_line.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/commands/_command_line.py
@@ -7,9 +7,9 @@
 import cyclopts
 
 import cowslipgate_core as core
-from cowslipgate_entry import _exit_statuses
-from cowslipgate_entry import _flags
 from cowslipgate_entry import _settings
+from cowslipgate_entry.commands import _exit_statuses
+from cowslipgate_entry.commands import _flags
 import cowslipgate_startup as startup
 
 EXIT_STATUSES = """Exit status:
@@ -76,4 +76,6 @@
 # An entry needs none of the libraries of these, so cyclopts imports them by
 # name when one is used.
 for _name, _help in _CALLER_COMMANDS.items():
-    app.command(f"cowslipgate_entry._commands:{_name}", name=_name, help=_help)
+    app.command(
+        f"cowslipgate_entry.commands._commands:{_name}", name=_name, help=_help
+    )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_commands.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/commands/_commands.py
@@ -10,9 +10,9 @@
 
 import cyclopts
 
-from cowslipgate_entry import _calls
-from cowslipgate_entry import _exit_statuses
-from cowslipgate_entry import _output
+from cowslipgate_entry.commands import _calls
+from cowslipgate_entry.commands import _exit_statuses
+from cowslipgate_entry.commands import _output
 
 TRACE_ID_BYTES = 16
 SPAN_ID_BYTES = 8
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_output.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/commands/_output.py
@@ -11,8 +11,8 @@
 from rich import console
 from rich import progress
 
-from cowslipgate_entry import _calls
-from cowslipgate_entry import _exit_statuses
+from cowslipgate_entry.commands import _calls
+from cowslipgate_entry.commands import _exit_statuses
 
 _INDENT = 2
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -3,7 +3,7 @@
 import attrs
 
 import cowslipgate_core as core
-from cowslipgate_entry import _readings
+from cowslipgate_entry.observation import _readings
 import cowslipgate_transport as transport
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_job_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
@@ -6,10 +6,10 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _changes
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _changes
 import cowslipgate_transport as transport
 
 CHANNEL = "job-log"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -4,13 +4,13 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _families
-from cowslipgate_entry import _minutes
-from cowslipgate_entry import _purposes
-from cowslipgate_entry import _readings
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _families
+from cowslipgate_entry.observation import _minutes
+from cowslipgate_entry.observation import _purposes
+from cowslipgate_entry.observation import _readings
 import cowslipgate_transport as transport
 
 CHANNEL = "metrics"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_readings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
@@ -3,8 +3,8 @@
 import collections
 
 import cowslipgate_core as core
-from cowslipgate_entry import _dispatcher
-from cowslipgate_entry import _minutes
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.observation import _minutes
 import cowslipgate_transport as transport
 
 OTHER = "other"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_traces.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_traces.py
@@ -12,10 +12,10 @@
 from opentelemetry import trace as trace_api
 
 import cowslipgate_core as core
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
-from cowslipgate_entry import _sampler
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _sampler
 import cowslipgate_transport as transport
 
 CHANNEL = "traces"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_watch.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_watch.py
@@ -5,10 +5,10 @@
 import circuits
 
 import cowslipgate_core as core
-from cowslipgate_entry import _changes
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _changes
 import cowslipgate_transport as transport
 
 CHANNEL = "watch"
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other entries: gossip, leases and rows of members."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_leases.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_leases.py
@@ -7,9 +7,9 @@
 import msgspec
 
 import cowslipgate_core as core
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
 
 CHANNEL = "leases"
 MEMBERS_ROW = ("entries", "live")
--- /dev/null
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/__init__.py
@@ -0,0 +1,1 @@
+"""What lasts: configuration, patches and claims in the store."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_keeper.py
@@ -9,7 +9,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 
 CHANNEL = "keeper"
 CONFIGURATION_ROW = ("configuration", "current")
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_patches.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_patches.py
@@ -8,8 +8,8 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
-from cowslipgate_entry import _keeper
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.store import _keeper
 
 CHANNEL = "patches"
 PATCH_TABLE = "patches"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_store.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 import cowslipgate_transport as transport
 
 CHANNEL = "store"
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/builders.py
@@ -4,9 +4,9 @@
 import cowslipgate_core as core
 import cowslipgate_transport as transport
 
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
 
 MEMBER = core.Member(7, "tcp://127.0.0.1:1", "127.0.0.1:2", "kaai-zuid")
 DOCUMENT = {"services": {"print": {}}, "teams": {"hall": {}}}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/control_builders.py
@@ -5,7 +5,7 @@
 import cowslipgate_core as core
 
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.tests import builders
 
 SECTIONS = {"services": {"print": {}}, "teams": {"hall": {"slots": 6}}}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/observed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/observed.py
@@ -5,8 +5,8 @@
 import attrs
 
 import cowslipgate_core as core
-from cowslipgate_entry import _dispatcher
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
 import cowslipgate_transport as transport
 
 MEMBER = core.Member(7, "tcp://127.0.0.1:1", "127.0.0.1:2", "kaai-zuid")
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_admission.py
@@ -6,7 +6,7 @@
 import pytest
 
 import cowslipgate_core as core
-from cowslipgate_entry import _admission
+from cowslipgate_entry.callers import _admission
 from cowslipgate_entry.tests import builders
 
 SERVICES = {"print": core.Service()}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_bounds.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_bounds.py
@@ -3,10 +3,10 @@
 import cowslipgate_core as core
 import pytest
 
-from cowslipgate_entry import _admission
-from cowslipgate_entry import _ended_jobs
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _admission
+from cowslipgate_entry.callers import _ended_jobs
+from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.tests import builders
 from cowslipgate_entry.tests import control_builders
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_cancellations.py
@@ -5,9 +5,9 @@
 import circuits
 import cowslipgate_core as core
 
-from cowslipgate_entry import _cancellations
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _cancellations
+from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.tests import builders
 from cowslipgate_entry.tests import control_builders
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_claims.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_claims.py
@@ -3,9 +3,9 @@
 import cowslipgate_core as core
 import pytest
 
-from cowslipgate_entry import _claims
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.store import _claims
 from cowslipgate_entry.tests import builders
 from cowslipgate_entry.tests import control_builders
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_commands.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_commands.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from cowslipgate_entry import _command_line
-from cowslipgate_entry import _commands
+from cowslipgate_entry.commands import _command_line
+from cowslipgate_entry.commands import _commands
 from cowslipgate_entry.tests import observed
 from cowslipgate_entry.tests import stubs
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_declared_sizes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_declared_sizes.py
@@ -3,7 +3,7 @@
 import cowslipgate_core as core
 
 from cowslipgate_entry import _events
-from cowslipgate_entry import _requests
+from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.tests import builders
 
 DEADLINE_MS = 20_000
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_departures.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_departures.py
@@ -3,9 +3,9 @@
 import circuits
 import cowslipgate_core as core
 
-from cowslipgate_entry import _changes
 from cowslipgate_entry import _events
-from cowslipgate_entry import _watch
+from cowslipgate_entry.observation import _changes
+from cowslipgate_entry.observation import _watch
 from cowslipgate_entry.tests import builders
 
 GOODBYE = core.Goodbye("agent-1", 1, 3)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_keeper.py
@@ -6,10 +6,10 @@
 import pytest
 
 from cowslipgate_entry import _events
-from cowslipgate_entry import _keeper
-from cowslipgate_entry import _patches
-from cowslipgate_entry import _requests
-from cowslipgate_entry import _store
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.store import _keeper
+from cowslipgate_entry.store import _patches
+from cowslipgate_entry.store import _store
 from cowslipgate_entry.tests import control_builders
 
 IN_FORCE_WITHIN = datetime.timedelta(seconds=12)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_leases.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_leases.py
@@ -6,10 +6,10 @@
 import msgspec
 import pytest
 
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _leases
-from cowslipgate_entry import _requests
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.peers import _leases
 from cowslipgate_entry.tests import builders
 from cowslipgate_entry.tests import control_builders
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_main.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_main.py
@@ -55,8 +55,8 @@
     _, names = _list_loaded()
     unused = {
         "_ssl",
-        "cowslipgate_entry._commands",
-        "cowslipgate_entry._traces",
+        "cowslipgate_entry.commands._commands",
+        "cowslipgate_entry.observation._traces",
         "http.client",
         "opentelemetry",
         "rich",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -9,15 +9,15 @@
 import pytest
 
 import cowslipgate_core as core
-from cowslipgate_entry import _changes
-from cowslipgate_entry import _dispatcher
 from cowslipgate_entry import _events
-from cowslipgate_entry import _metrics
-from cowslipgate_entry import _requests
-from cowslipgate_entry import _sampler
-from cowslipgate_entry import _screen
-from cowslipgate_entry import _traces
-from cowslipgate_entry import _watch
+from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.agents import _screen
+from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _changes
+from cowslipgate_entry.observation import _metrics
+from cowslipgate_entry.observation import _sampler
+from cowslipgate_entry.observation import _traces
+from cowslipgate_entry.observation import _watch
 from cowslipgate_entry.tests import observed
 import cowslipgate_transport as transport
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_output.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_output.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cowslipgate_entry import _output
+from cowslipgate_entry.commands import _output
 
 
 class _Screen(io.StringIO):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_peer_links.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_peer_links.py
@@ -13,7 +13,7 @@
 import zmq
 
 from cowslipgate_entry import _events
-from cowslipgate_entry import _peers
+from cowslipgate_entry.peers import _peers
 from cowslipgate_entry.tests import control_builders
 
 OWN = control_builders.build_member(1, 9)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_peers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_peers.py
@@ -12,8 +12,8 @@
 import zmq
 
 from cowslipgate_entry import _events
-from cowslipgate_entry import _leases
-from cowslipgate_entry import _peers
+from cowslipgate_entry.peers import _leases
+from cowslipgate_entry.peers import _peers
 from cowslipgate_entry.tests import control_builders
 
 SECOND = datetime.timedelta(seconds=1)
