Refuse at the agent what would wait there

Now it refuses what does not fit (no_room); the entry, told the new load by the same message, sends it elsewhere.

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -7,6 +7,7 @@
 import datetime
 
 import attrs
+import msgspec
 
 from cowslipgate_core.execution import _executor_actions
 from cowslipgate_core.execution import _outcomes
@@ -299,6 +300,8 @@
             return self._answer_duplicate(session, key)
         session.remember(attempt)
         reason = self._find_refusal(session, dispatch)
+        if reason is _messages.Reason.NONE and not self._has_room(order):
+            reason = _messages.Reason.NO_ROOM
         if reason is not _messages.Reason.NONE:
             return self._refuse(attempt, reason)
         self._slots.push(_slots.Held(key, order, now))
@@ -334,6 +337,13 @@
             return _messages.Reason.BUSY
         return _messages.Reason.NONE
 
+    def _has_room(self, order: _messages.Order) -> bool:
+        # Elsewhere the task may start at once; here it would wait.
+        room = self._target.room
+        if room is msgspec.UNSET or self._slots.queued < self._queue_limit:
+            return True
+        return self._slots.covers(room, order.needs)
+
     def _refuse(
         self, attempt: int, reason: _messages.Reason
     ) -> _messages.AttemptReport:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
@@ -81,6 +81,22 @@
             del self._queue[key]
         return keys
 
+    @property
+    def queued(self) -> int:
+        """Number of attempts that wait."""
+        return len(self._queue)
+
+    def covers(
+        self, room: _messages.Resources, needs: _messages.Resources
+    ) -> bool:
+        """Tell whether room is left for one more beside all that is held."""
+        used = _room.sum_resources(
+            held.order.needs
+            for held in (*self._queue.values(), *self.running.values())
+        )
+        left = _room.subtract_resources(room, used)
+        return _room.fits_resources(left, needs)
+
     def measure_use(self, entry: int) -> _messages.Resources:
         """Return what the attempts of all other entries take."""
         return _room.sum_resources(
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
@@ -34,6 +34,7 @@
 
     NONE = ""
     BUSY = "busy"
+    NO_ROOM = "no_room"
     WITHDRAWN = "withdrawn"
     NOT_SERVING = "not_serving"
     STALE_CONFIGURATION = "stale_configuration"
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_room.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_room.py
@@ -81,8 +81,8 @@
     assert ledger.assign(builders.NOW, QUOTAS)
 
 
-def _announce(room: core.Resources) -> core.Executor:
-    executor = core.Executor(1, 16)
+def _announce(room: core.Resources, queue_limit: int = 16) -> core.Executor:
+    executor = core.Executor(1, queue_limit)
     announcement = core.Announcement(
         "print",
         "http://127.0.0.1:9",
@@ -256,3 +256,47 @@
     ledger.hear_results(results, builders.NOW)
     (action,) = ledger.assign(builders.NOW, QUOTAS)
     assert len(action.orders) == 1
+
+
+def test_agent_without_a_queue_refuses_what_would_wait() -> None:
+    executor = _announce(core.Resources(0, 0, 8_000), queue_limit=0)
+    large = core.Resources(0, 0, 3_000)
+    assert len(_dispatch(executor, 7, (large, large, large))) == 2
+    (kept,) = [
+        report
+        for report in _refusals(executor, 8, large)
+        if report.outcome is core.Outcome.NOT_STARTED
+    ]
+    assert kept.reason is core.Reason.NO_ROOM
+    small = core.Resources(0, 0, 2_000)
+    assert len(_dispatch(executor, 9, (small,))) == 1
+
+
+def _refusals(
+    executor: core.Executor, entry: int, needs: core.Resources
+) -> list[core.AttemptReport]:
+    order = core.Order(1, "t.0.1", "", b"null", needs=needs)
+    dispatch = core.Dispatch(entry, 1, 0, (order,))
+    return [
+        report
+        for action in executor.dispatch(dispatch, builders.NOW)
+        if isinstance(action, core.SendReports)
+        for report in action.reports
+    ]
+
+
+def test_refusal_for_want_of_room_leaves_the_target_open() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    ledger.hear_report(_build_report(), builders.NOW)
+    ledger.submit(_build_job(ledger, 1, _TASK))
+    ledger.assign(builders.NOW, QUOTAS)
+    (attempt,) = ledger.attempts
+    report = core.AttemptReport(
+        attempt, core.Outcome.NOT_STARTED, core.Reason.NO_ROOM
+    )
+    load = core.Load(core.UNBOUNDED_SLOTS, 0, 9, ROOM)
+    results = core.Results("agent-1", 1, load, (report,))
+    ledger.hear_results(results, builders.NOW)
+    assert not ledger.assign(builders.NOW, QUOTAS)
+    ledger.hear_report(_build_report(), builders.NOW)
+    assert ledger.assign(builders.NOW, QUOTAS)
