--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
@@ -63,13 +63,24 @@
     waiting_seconds: float = attrs.field(init=False)
     """Expected run time at speed one of its waiting tasks."""
 
+    due_at: datetime.datetime | None = attrs.field(init=False)
+    """When its callers are promised the answer, or None for no promise."""
+
     def __attrs_post_init__(self) -> None:
         self.tasks.sort(key=_get_order)
         self.needs = frozenset(task.needs for task in self.tasks)
         self.waiting_seconds = sum(task.seconds for task in self.tasks)
+        self.due_at = self._find_due()
         if not self.remaining_seconds:
             self.remaining_seconds = self.waiting_seconds
 
+    def _find_due(self) -> datetime.datetime | None:
+        if not self.terms.objective:
+            return None
+        longest = max(task.seconds for task in self.tasks)
+        allowed = datetime.timedelta(seconds=longest * self.terms.slowdown)
+        return self.submitted_at + self.terms.objective + allowed
+
     @property
     def longest_seconds(self) -> float:
         """Upper run time at speed one of its longest waiting task."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_matching.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_matching.py
@@ -80,12 +80,19 @@
     now: datetime.datetime,
     entries: int,
 ) -> float:
-    """Return the seconds within which tasks of a job should end."""
+    """Return the seconds within which tasks of a job should end.
+
+    Where callers are promised an answer by some time, every target that keeps
+    the promise will do; once none does, any target is better than waiting.
+    """
     if now - job.submitted_at > policy.ageing:
         return math.inf
     fastest = min(pool.get_fastest(needs) for needs in job.needs)
     if fastest <= 0 or pool.capacity <= 0:
         return math.inf
+    if job.due_at is not None:
+        left = (job.due_at - now).total_seconds()
+        return left if left * fastest >= job.longest_seconds else math.inf
     alone = job.longest_seconds / fastest
     alone += job.mean_seconds / (fastest * pool.slots)
     shared = job.remaining_seconds / (pool.capacity / entries)
