Split the run book from its records; one place for the members' call

Moves, and one function in place of two copies. An agent that leaves an entry chooses by its region as when it connects (_may_leave left the region out).

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_discovery.py
@@ -4,15 +4,13 @@
 import itertools
 
 import circuits
-import msgspec
 
 from cowslipgate_agent import _events
-import cowslipgate_core as core
+from cowslipgate_agent import _member_calls
 import cowslipgate_transport as transport
 
 CHANNEL = "discovery"
 DISCOVERY_TIMEOUT = datetime.timedelta(seconds=3)
-MEMBERS_PATH = "/v1/members"
 
 
 class BalancerDiscovery(circuits.BaseComponent):
@@ -27,21 +25,13 @@
 
     @circuits.handler("discover_entries")
     def _on_discover_entries(self) -> None:
-        call = transport.Call(
-            next(self._numbers),
-            self._balancer,
-            "GET",
-            MEMBERS_PATH,
-            timeout=DISCOVERY_TIMEOUT,
+        call = _member_calls.make_members_call(
+            next(self._numbers), self._balancer, DISCOVERY_TIMEOUT
         )
         self.fire(transport.call_http(call))
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
-        try:
-            members = msgspec.json.decode(
-                answer.body, type=tuple[core.Member, ...]
-            )
-        except msgspec.MsgspecError:
-            return
-        self.fire(_events.members_found(members), "links")
+        members = _member_calls.decode_members(answer)
+        if members:
+            self.fire(_events.members_found(members), "links")
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -271,7 +271,10 @@
         if now - since <= self._settings.entry_lost_after:
             return False
         chosen = core.choose_entries(
-            self._settings.name, self._members, self._settings.entries
+            self._settings.name,
+            self._members,
+            self._settings.entries,
+            self._settings.region,
         )
         links = [self._links.get(member.incarnation) for member in chosen]
         return bool(links) and not any(
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
@@ -4,14 +4,13 @@
 import itertools
 
 import circuits
-import msgspec
 
 from cowslipgate_agent import _events
+from cowslipgate_agent import _member_calls
 import cowslipgate_core as core
 import cowslipgate_transport as transport
 
 CHANNEL = "discovery"
-MEMBERS_PATH = "/v1/members"
 
 SEED_TIMEOUT = datetime.timedelta(seconds=1)
 """Time for an answer of a seed, which may be down or stale."""
@@ -50,12 +49,7 @@
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
-        try:
-            members = msgspec.json.decode(
-                answer.body, type=tuple[core.Member, ...]
-            )
-        except msgspec.MsgspecError:
-            return
+        members = _member_calls.decode_members(answer)
         if members:
             self.fire(_events.members_found(members), "links")
 
@@ -63,11 +57,7 @@
         if not self._seeds:
             return
         seed = self._seeds[next(self._turns) % len(self._seeds)]
-        call = transport.Call(
-            next(self._numbers),
-            seed,
-            "GET",
-            MEMBERS_PATH,
-            timeout=SEED_TIMEOUT,
+        call = _member_calls.make_members_call(
+            next(self._numbers), seed, SEED_TIMEOUT
         )
         self.fire(transport.call_http(call))
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -7,12 +7,12 @@
 """
 
 import datetime
-import enum
 
 import attrs
 
 from cowslipgate_core import _charts
 from cowslipgate_core.execution import _executor_actions
+from cowslipgate_core.execution import _run_records
 from cowslipgate_core.messages import _messages
 
 CLOCK_SLACK = datetime.timedelta(milliseconds=100)
@@ -26,162 +26,6 @@
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class RunEnd(enum.StrEnum):
-    """How a run ended, as its target lists it."""
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LAPSED = "lapsed"
-    BROKEN = "broken"
-
-
-class StartReply(enum.StrEnum):
-    """How a target answered an order to start a run."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNHEALTHY = "unhealthy"
-    OUTRANKED = "outranked"
-    REPLACED = "replaced"
-    INVALID = "invalid"
-
-
-@attrs.frozen
-class RunName:
-    """Names a run at a target."""
-
-    task: str
-    """Name of the task."""
-
-    run: int
-    """Number of the run."""
-
-
-@attrs.frozen
-class ListedEnd:
-    """A run that has ended and is not acknowledged."""
-
-    number: int
-    """Number of the end, rising by one in each life of the target."""
-
-    name: RunName
-    """The run."""
-
-    end: RunEnd
-    """How it ended."""
-
-
-@attrs.frozen
-class Listing:
-    """What a target says of its runs."""
-
-    life: int
-    """When the target started, in its own Unix milliseconds."""
-
-    clock_ms: int
-    """The target's clock when it made the listing."""
-
-    running: tuple[RunName, ...]
-    """Runs at work."""
-
-    ended: tuple[ListedEnd, ...]
-    """Ends that are not acknowledged, in the order of their numbers."""
-
-
-@attrs.frozen
-class Outranked:
-    """A target's answer to a watch: it knows a higher fencing token."""
-
-    clock_ms: int
-    """The target's clock."""
-
-
-@attrs.frozen
-class Replaced:
-    """A target's answer to a watch: it is another than the one meant."""
-
-
-WatchReply = Listing | Outranked | Replaced
-
-
-@attrs.frozen
-class CallWatch:
-    """RunAction: renew the lease, acknowledge ends, and ask for a listing."""
-
-    fence: int
-    """Fencing token; zero before the first contact."""
-
-    acknowledged: int
-    """Highest number of an end that was taken in."""
-
-    lease_end_ms: int
-    """End of the lease on the target's clock; zero renews nothing."""
-
-    wait_ms: int
-    """Time that the target may wait for an end."""
-
-    instance: str
-    """Target that is meant, or empty for whoever answers."""
-
-
-@attrs.frozen
-class CallStart:
-    """RunAction: start a run."""
-
-    key: _executor_actions.AttemptKey
-    """The attempt."""
-
-    name: RunName
-    """The run."""
-
-    payload: bytes
-    """JSON payload of the task."""
-
-    fence: int
-    """Fencing token."""
-
-    lease_end_ms: int
-    """When the order expires and the lease ends, on the target's clock."""
-
-    instance: str
-    """Target that is meant."""
-
-
-@attrs.frozen
-class CallStop:
-    """RunAction: stop a run, or keep it from starting."""
-
-    name: RunName
-    """The run."""
-
-    fence: int
-    """Fencing token."""
-
-    instance: str
-    """Target that is meant."""
-
-
-@attrs.frozen
-class EndRun:
-    """RunAction: tell the executor how a run ended."""
-
-    key: _executor_actions.AttemptKey
-    """The attempt."""
-
-    outcome: _messages.Outcome
-    """What became of it."""
-
-    reason: _messages.Reason
-    """Why, when it did not finish."""
-
-    run_ms: float
-    """Time since the order to start it, in milliseconds."""
-
-
-RunAction = CallWatch | CallStart | CallStop | EndRun
-
-
 @attrs.define(eq=False)
 class _Run:
     """A run that was ordered and has not ended for certain."""
@@ -189,7 +33,7 @@
     key: _executor_actions.AttemptKey
     """The attempt."""
 
-    name: RunName
+    name: _run_records.RunName
     """The run."""
 
     ordered_at: datetime.datetime
@@ -206,18 +50,33 @@
 
 
 _ENDS = {
-    RunEnd.DONE: (_messages.Outcome.FINISHED, _messages.Reason.NONE),
-    RunEnd.FAILED: (_messages.Outcome.FAILED, _messages.Reason.TARGET_STATUS),
-    RunEnd.STOPPED: (_messages.Outcome.STOPPED, _messages.Reason.WITHDRAWN),
-    RunEnd.LAPSED: (_messages.Outcome.LOST, _messages.Reason.LEASE_LAPSED),
-    RunEnd.BROKEN: (_messages.Outcome.LOST, _messages.Reason.GROUP_BROKEN),
+    _run_records.RunEnd.DONE: (
+        _messages.Outcome.FINISHED,
+        _messages.Reason.NONE,
+    ),
+    _run_records.RunEnd.FAILED: (
+        _messages.Outcome.FAILED,
+        _messages.Reason.TARGET_STATUS,
+    ),
+    _run_records.RunEnd.STOPPED: (
+        _messages.Outcome.STOPPED,
+        _messages.Reason.WITHDRAWN,
+    ),
+    _run_records.RunEnd.LAPSED: (
+        _messages.Outcome.LOST,
+        _messages.Reason.LEASE_LAPSED,
+    ),
+    _run_records.RunEnd.BROKEN: (
+        _messages.Outcome.LOST,
+        _messages.Reason.GROUP_BROKEN,
+    ),
 }
 
 _REFUSALS = {
-    StartReply.REFUSED: _messages.Reason.BUSY,
-    StartReply.UNHEALTHY: _messages.Reason.TARGET_STATUS,
-    StartReply.OUTRANKED: _messages.Reason.BUSY,
-    StartReply.REPLACED: _messages.Reason.TARGET_REPLACED,
+    _run_records.StartReply.REFUSED: _messages.Reason.BUSY,
+    _run_records.StartReply.UNHEALTHY: _messages.Reason.TARGET_STATUS,
+    _run_records.StartReply.OUTRANKED: _messages.Reason.BUSY,
+    _run_records.StartReply.REPLACED: _messages.Reason.TARGET_REPLACED,
 }
 
 
@@ -230,7 +89,7 @@
     def __init__(self, lease: datetime.timedelta) -> None:
         self._lease = lease
         self._chart = _charts.load_chart("run")
-        self._runs: dict[RunName, _Run] = {}
+        self._runs: dict[_run_records.RunName, _Run] = {}
         self._instance = ""
         self._life = 0
         self._fence = 0
@@ -238,7 +97,7 @@
         self._clock_ms = 0
         self._clock_at: datetime.datetime | None = None
         self._unacknowledged = False
-        self._strangers: set[RunName] = set()
+        self._strangers: set[_run_records.RunName] = set()
         self.safe_at: datetime.datetime | None = None
 
     @property
@@ -263,9 +122,9 @@
 
     def hear_target(
         self, instance: str, life: int, now: datetime.datetime
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         """Take in which target, and which life of it, is beside the agent."""
-        actions: list[RunAction] = []
+        actions: list[_run_records.RunAction] = []
         if self._instance and instance != self._instance:
             actions = self._change_life(life, now)
         elif self._life and life > self._life:
@@ -277,12 +136,12 @@
         """Tell whether a life of the target is over, by its start."""
         return 0 < life < self._life
 
-    def watch(self, now: datetime.datetime) -> CallWatch:
+    def watch(self, now: datetime.datetime) -> _run_records.CallWatch:
         """Return the next watch."""
         first = self._clock_at is None
         lasting = bool(self._runs)
         wait = self._lease * WATCH_SHARE // MILLISECOND if lasting else 0
-        return CallWatch(
+        return _run_records.CallWatch(
             self._fence,
             self._cursor,
             self._extend(now) if lasting and not first else 0,
@@ -295,21 +154,21 @@
         key: _executor_actions.AttemptKey,
         order: _messages.Order,
         now: datetime.datetime,
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         """Order a run; call it only while the book is settled."""
-        name = RunName(order.name, order.run)
+        name = _run_records.RunName(order.name, order.run)
         until = self._extend(now)
         machine = _charts.Machine(self._chart)
         self._runs[name] = _Run(key, name, now, until, machine)
         return [
-            CallStart(
+            _run_records.CallStart(
                 key, name, order.payload, self._fence, until, self._instance
             )
         ]
 
     def stop(
         self, key: _executor_actions.AttemptKey, now: datetime.datetime
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         """Stop a run."""
         return [
             self._stop(run) for run in self._runs.values() if run.key == key
@@ -317,23 +176,23 @@
 
     def hear_start(
         self,
-        name: RunName,
-        reply: StartReply,
+        name: _run_records.RunName,
+        reply: _run_records.StartReply,
         clock_ms: int,
         now: datetime.datetime,
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         """Take in how the target answered an order."""
         self._learn_clock(clock_ms, now)
         run = self._runs.get(name)
         if run is None:
             return []
-        if reply is StartReply.ACCEPTED:
+        if reply is _run_records.StartReply.ACCEPTED:
             run.machine.fire("accept")
             run.certain_from = run.certain_from or now
             return []
-        if reply is StartReply.OUTRANKED:
+        if reply is _run_records.StartReply.OUTRANKED:
             self._outrank()
-        if reply is StartReply.INVALID:
+        if reply is _run_records.StartReply.INVALID:
             run.machine.fire("end")
             return [self._end(run, _INVALID, now)]
         run.machine.fire("refuse")
@@ -343,8 +202,8 @@
         return [self._end(run, outcome, now)]
 
     def miss_start(
-        self, name: RunName, sent: bool, now: datetime.datetime
-    ) -> list[RunAction]:
+        self, name: _run_records.RunName, sent: bool, now: datetime.datetime
+    ) -> list[_run_records.RunAction]:
         """Take in that an order was not answered.
 
         :param sent: whether any byte of it may have left
@@ -358,30 +217,32 @@
         run.machine.fire("miss")
         return [self._stop(run)] if run.machine.state == "unanswered" else []
 
-    def hear_stop(self, name: RunName, now: datetime.datetime) -> None:
+    def hear_stop(
+        self, name: _run_records.RunName, now: datetime.datetime
+    ) -> None:
         """Take in that the target has taken an order to stop."""
         run = self._runs.get(name)
         if run is not None and run.machine.state == "stopping":
             run.certain_from = now
 
     def miss_stop(
-        self, name: RunName, now: datetime.datetime
-    ) -> list[RunAction]:
+        self, name: _run_records.RunName, now: datetime.datetime
+    ) -> list[_run_records.RunAction]:
         """Take in that the target has not taken an order to stop."""
         run = self._runs.get(name)
         return [self._stop(run)] if run is not None else []
 
     def hear_listing(
         self,
-        listing: Listing,
+        listing: _run_records.Listing,
         asked_at: datetime.datetime,
         now: datetime.datetime,
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         """Take in what runs and what has ended.
 
         :param asked_at: when the listing was asked for
         """
-        actions: list[RunAction] = []
+        actions: list[_run_records.RunAction] = []
         if listing.life < self._life:
             return actions
         if listing.life > self._life:
@@ -400,7 +261,7 @@
                 actions.extend(self._judge_absent(run, listing, asked_at, now))
         self._strangers = running - self._runs.keys()
         actions.extend(
-            CallStop(name, self._fence, self._instance)
+            _run_records.CallStop(name, self._fence, self._instance)
             for name in sorted(self._strangers, key=str)
         )
         return actions
@@ -412,9 +273,9 @@
 
     def lose_target(
         self, reason: _messages.Reason, now: datetime.datetime
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         """Take in that nothing runs at the target any more."""
-        actions: list[RunAction] = []
+        actions: list[_run_records.RunAction] = []
         for run in list(self._runs.values()):
             run.machine.fire("end")
             outcome = (_messages.Outcome.LOST, reason)
@@ -447,7 +308,7 @@
 
     def _change_life(
         self, life: int, now: datetime.datetime
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         actions = self.lose_target(_messages.Reason.TARGET_REPLACED, now)
         self._life = life
         self._fence = 0
@@ -457,14 +318,14 @@
         self._unacknowledged = False
         return actions
 
-    def _stop(self, run: _Run) -> CallStop:
+    def _stop(self, run: _Run) -> _run_records.CallStop:
         run.machine.fire("stop")
         run.certain_from = None
-        return CallStop(run.name, self._fence, self._instance)
+        return _run_records.CallStop(run.name, self._fence, self._instance)
 
     def _take_end(
-        self, ended: ListedEnd, now: datetime.datetime
-    ) -> list[RunAction]:
+        self, ended: _run_records.ListedEnd, now: datetime.datetime
+    ) -> list[_run_records.RunAction]:
         if ended.number <= self._cursor:
             return []
         self._cursor = ended.number
@@ -477,10 +338,10 @@
     def _judge_absent(
         self,
         run: _Run,
-        listing: Listing,
+        listing: _run_records.Listing,
         asked_at: datetime.datetime,
         now: datetime.datetime,
-    ) -> list[RunAction]:
+    ) -> list[_run_records.RunAction]:
         expired = listing.clock_ms > run.lease_end_ms
         certain = run.certain_from is not None and asked_at > run.certain_from
         if not (expired or certain):
@@ -501,9 +362,11 @@
         run: _Run,
         outcome: tuple[_messages.Outcome, _messages.Reason],
         now: datetime.datetime,
-    ) -> EndRun:
+    ) -> _run_records.EndRun:
         del self._runs[run.name]
-        return EndRun(run.key, *outcome, (now - run.ordered_at) / MILLISECOND)
+        return _run_records.EndRun(
+            run.key, *outcome, (now - run.ordered_at) / MILLISECOND
+        )
 
 
 _INVALID = (_messages.Outcome.FAILED, _messages.Reason.MALFORMED_RESULT)
