Count a slow reader once

Cause: the connections are looked at again before the end of one that was cut is noticed, and it was cut and counted again. Ruled out: two connections, the test has one.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -258,6 +258,20 @@
     assert served.echo.refused == ["slow_reader"]
 
 
+def test_connection_that_is_checked_again_is_cut_off_once(
+    served: builders.Served,
+) -> None:
+    sock = served.connect()
+    served.send(sock, _post(b"/ok?size=20000000", b""))
+    served.run_until(lambda: served.server.waiting, "an answer is leaving")
+    served.run_until(lambda: not len(served.root), "written")
+    served.clock.advance(2 * LIMITS.send_timeout)
+    for _ in range(2):
+        served.root.fire(transport.check_connections(), served.server.channel)
+    served.run_until(lambda: served.server.connections == 0, "cut off")
+    assert served.echo.refused == ["slow_reader"]
+
+
 def test_truncated_request_leaves_nothing_behind(
     served: builders.Served,
 ) -> None:
