--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_connections.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_connections.py
@@ -36,6 +36,9 @@
     answered: bool = False
     """Whether an answer was written after which nothing has arrived."""
 
+    cut: bool = False
+    """Whether it was cut off in the middle of an answer or a request."""
+
     refused: bool = False
     """Whether the connection only waits for its end."""
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -216,6 +216,7 @@
         why: str,
     ) -> None:
         connection.refused = True
+        connection.cut = True
         connection.received.clear()
         self.fire(_http_exchanges.http_refused(why))
         try:
@@ -317,15 +318,15 @@
         connection: _http_connections.Connection,
         now: datetime.datetime,
     ) -> None:
-        limit = self._limits.send_timeout
         elapsed = now - connection.since
-        if connection.refused:
-            # The end of a connection that was cut may not be noticed yet.
-            if not self._is_sending(sock) or elapsed > 2 * limit:
-                self.fire(net_events.close(sock))
+        if connection.cut:
+            # Its end has not been noticed yet.
+            self.fire(net_events.close(sock))
         elif self._is_sending(sock):
-            if elapsed > limit:
+            if elapsed > self._limits.send_timeout:
                 self._cut(sock, connection, "slow_reader")
+        elif connection.refused:
+            self.fire(net_events.close(sock))
         elif connection.received:
             # Requests that came before the last answer was read.
             if connection.answered:
