--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -178,9 +178,6 @@
         reason = core.Reason.TARGET_UNREACHABLE
         self._perform(self._book.lose_target(reason, now))
         self._settle()
-        if self._beat is not None:
-            self._beat = None
-            self.fire(_events.target_left(), "runner")
 
     def _hear_start(
         self, order: core.CallStart, answer: transport.CallAnswer
