--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -216,6 +216,7 @@
         why: str,
     ) -> None:
         connection.refused = True
+        connection.cut = True
         connection.received.clear()
         self.fire(_http_exchanges.http_refused(why))
         try:
@@ -318,7 +319,10 @@
         now: datetime.datetime,
     ) -> None:
         elapsed = now - connection.since
-        if self._is_sending(sock):
+        if connection.cut:
+            # Its end has not been noticed yet.
+            self.fire(net_events.close(sock))
+        elif self._is_sending(sock):
             if elapsed > self._limits.send_timeout:
                 self._cut(sock, connection, "slow_reader")
         elif connection.refused:
