--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -71,3 +71,30 @@
     rig.run_until(
         lambda: rig.executor.get_link(7) > before, "another link number"
     )
+
+
+def _break_connection(rig: link_builders.LinksRig) -> None:
+    rig.root.fire(transport.peer_disconnected(b"7"), "any")
+    rig.run_until(lambda: not len(rig.root), "quiet")
+
+
+def test_entry_whose_connection_stays_broken_is_given_up_soon(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    # Its callers come to another entry 1.3 s after it was killed.
+    before = rig.links.get_link(7).socket
+    _break_connection(rig)
+    rig.pass_time(1.0)
+    assert rig.links.get_link(7).socket is not before
+
+
+def test_entry_whose_connection_is_made_anew_keeps_its_tasks(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    before = rig.links.get_link(7).socket
+    _break_connection(rig)
+    rig.root.fire(transport.peer_connected(b"7"), "any")
+    rig.run_until(lambda: not len(rig.root), "quiet")
+    rig.pass_time(1.0)
+    assert rig.links.get_link(7).socket is before
+    assert not rig.links.get_link(7).lost
