Keep the number of a link when its entry's session is forgotten

Cause: an agent that gives up a silent entry connects anew and counts the link up; 2 s after the loss it forgets the entry's session, and the link's number was read from the session alone, so it fell to zero while the connection stood.

Ruled out: a missed handshake (the socket drains its monitor when it is registered), and a loss that was never noticed (the clock is manual).

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -73,6 +73,20 @@
     )
 
 
+def test_link_keeps_its_number_while_the_entry_stays_silent(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    before = rig.executor.get_link(7)
+    entry.answering = False
+    rig.pass_time(LOST_SECONDS - 2)
+    # One more for the entry's loss, one for the connection made anew.
+    rig.run_until(
+        lambda: rig.executor.links >= before + 2, "the connection made anew"
+    )
+    rig.pass_time(4)
+    assert rig.executor.get_link(7) > before
+
+
 def _break_connection(rig: link_builders.LinksRig) -> None:
     rig.root.fire(transport.peer_disconnected(b"7"), "any")
     rig.run_until(lambda: not len(rig.root), "quiet")
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -107,8 +107,7 @@
 
     def get_link(self, entry: int) -> int:
         """Return the number of the link to an entry, or zero."""
-        session = self._sessions.get(entry)
-        return session.link if session is not None else 0
+        return self._sessions.get_link(entry)
 
     def connect(self, entry: int) -> None:
         """Take in that a connection to an entry was made.
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
@@ -77,6 +77,14 @@
         """Return the session of an entry, or None."""
         return self._sessions.get(entry)
 
+    def get_link(self, entry: int) -> int:
+        """Return the number of the link to an entry, or zero.
+
+        A connection may outlive what is remembered of its entry.
+        """
+        session = self._sessions.get(entry) or self._evicted.get(entry)
+        return session.link if session is not None else 0
+
     def open(self, entry: int) -> Session:
         """Return the session of an entry, now the most recently used."""
         session = self._sessions.get(entry)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_sessions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_sessions.py
@@ -84,3 +84,14 @@
         core.Dispatch(7, 1, 1, (order,), link=link), later
     )
     assert isinstance(actions[-1], core.StartTask)
+
+
+def test_link_outlives_what_is_remembered_of_its_entry() -> None:
+    executor = builders.build_executor()
+    executor.connect(7)
+    before = executor.get_link(7)
+    executor.drop_entry(7, NOW)
+    executor.connect(7)
+    after = executor.get_link(7)
+    executor.tick(NOW + datetime.timedelta(seconds=4), LAPSE_AFTER)
+    assert executor.get_link(7) == after > before
