Keep the session of a silent entry while its connection stands

The session itself now stays while a connection stands that was made since the entry was given up; only the outcomes kept for it are dropped after 2 s, so a stopping agent does not wait for them.

The tests now wait for that answer.

Not mended: an entry evicted because more than 256 are known keeps its old number, so a pause of the agent does not refuse what was sent before it.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -25,6 +25,8 @@
     rig = link_builders.LinksRig(entry)
     rig.introduce(entry.member)
     rig.run_until(lambda: entry.take(core.Report), "a first report")
+    # The answer to that report would come at some later time of the clock.
+    rig.deliver(entry, core.Beat(entry.incarnation, 1, ()))
     yield rig
     rig.close()
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -107,7 +107,8 @@
 
     def get_link(self, entry: int) -> int:
         """Return the number of the link to an entry, or zero."""
-        return self._sessions.get_link(entry)
+        session = self._sessions.get(entry)
+        return session.link if session is not None else 0
 
     def connect(self, entry: int) -> None:
         """Take in that a connection to an entry was made.
@@ -118,6 +119,7 @@
         self._links += 1
         session = self._sessions.get(entry) or self._open_session(entry)
         session.link = self._links
+        session.connected = True
 
     def announce(
         self,
@@ -219,6 +221,7 @@
             return []
         self._links += 1
         session.link = self._links
+        session.connected = False
         session.dropped_at = now
         keys = self._slots.withdraw_all(entry)
         reports = [
@@ -276,7 +279,12 @@
             dropped = session.dropped_at
             if dropped is None or entry in busy:
                 continue
-            if now - dropped > DROPPED_LIFETIME:
+            if now - dropped <= DROPPED_LIFETIME:
+                continue
+            if session.connected:
+                # Its link is still told, and refuses what was sent before.
+                self.counters.dropped += self._outcomes.forget_entry(entry)
+            else:
                 self._evict(entry)
 
     def _evict(self, entry: int) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
@@ -23,6 +23,9 @@
     link: int = 0
     """Number of the link; dispatches under an older one are refused."""
 
+    connected: bool = False
+    """Whether a connection was made since the entry was last given up."""
+
     dropped_at: datetime.datetime | None = None
     """When the entry was given up, or None while it is heard."""
 
@@ -77,14 +80,6 @@
         """Return the session of an entry, or None."""
         return self._sessions.get(entry)
 
-    def get_link(self, entry: int) -> int:
-        """Return the number of the link to an entry, or zero.
-
-        A connection may outlive what is remembered of its entry.
-        """
-        session = self._sessions.get(entry) or self._evicted.get(entry)
-        return session.link if session is not None else 0
-
     def open(self, entry: int) -> Session:
         """Return the session of an entry, now the most recently used."""
         session = self._sessions.get(entry)
