Close connections that idle when a stopping entry takes no more jobs

Cause: a stopping entry closes each connection after its next answer, but connections that idle stayed open.

Once the balancer has noticed (--drain-delay), the entry now closes the connections on which nothing has happened since the drain began, and goes on listening. A caller finds its connection closed and opens another one, elsewhere. Connections opened since then are left alone: a request is on its way there.

Ruled out: refusing later (a job taken 3 s after the SIGTERM and still at work at the kill would be cut), and closing at the SIGTERM (the balancer would send the callers back).

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_life.py
@@ -59,6 +59,7 @@
         if elapsed >= self._settings.drain_delay and not self._closing:
             self._closing = True
             self.fire(_events.close_entry(), "dispatcher")
+            self.fire(transport.close_idle_http(), _events.GATEWAY)
         done = self._drained and not self._server.waiting
         if elapsed >= self._settings.drain_timeout:
             self._exit(done)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -29,6 +29,7 @@
 check_calls = _http_client.check_calls
 check_connections = _http_exchanges.check_connections
 close_http = _http_exchanges.close_http
+close_idle_http = _http_exchanges.close_idle_http
 Counter = _exposition.Counter
 CurveKeys = _curve.CurveKeys
 derive_public_key = _curve.derive_public_key
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_exchanges.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_exchanges.py
@@ -95,6 +95,14 @@
     """Asks the server to close each connection after its next answer."""
 
 
+class close_idle_http(circuits.Event):
+    """Asks the server to close connections that idle since the drain began.
+
+    It goes on listening. A caller that finds its connection closed opens
+    another one, elsewhere; one that sends on it would have to be refused.
+    """
+
+
 class close_http(circuits.Event):
     """Asks the server to listen no more and close idle connections."""
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -45,7 +45,7 @@
             socket.socket, _http_connections.Connection
         ] = {}
         self._poller: pollers.BasePoller | None = None
-        self._draining = False
+        self._drain_since: datetime.datetime | None = None
         listener = _open_listener(bind)
         self._listener: socket.socket | None = listener
         self._port = listener.getsockname()[1]
@@ -271,7 +271,7 @@
         for name, value in answer.headers.items():
             response.headers[name] = value
         response.body = answer.body
-        if self._draining:
+        if self._drain_since is not None:
             response.close = True
         self._parser.respond(response)
 
@@ -292,16 +292,29 @@
 
     @circuits.handler("drain_http")
     def _on_drain_http(self) -> None:
-        self._draining = True
+        if self._drain_since is None:
+            self._drain_since = self._clock.now()
+
+    @circuits.handler("close_idle_http")
+    def _on_close_idle_http(self) -> None:
+        # On a connection opened since then a request is on its way.
+        before = self._drain_since
+        if before is not None:
+            self._close_idle(before)
 
     @circuits.handler("close_http")
     def _on_close_http(self) -> None:
         if self._listener is not None:
             self.fire(net_events.close(self._listener))
             self._listener = None
+        self._close_idle(self._clock.now())
+
+    def _close_idle(self, since: datetime.datetime) -> None:
+        """Close the connections on which nothing has happened since then."""
         for sock, connection in self._connections.items():
-            idle = not (connection.busy or connection.received)
-            if idle and not self._is_sending(sock):
+            if connection.busy or connection.received:
+                continue
+            if connection.since <= since and not self._is_sending(sock):
                 self.fire(net_events.close(sock))
 
     @circuits.handler("check_connections")
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -333,3 +333,33 @@
     served.check()
     assert served.echo.exceptions == []
     assert served.server.buffered == 0
+
+
+def test_connection_that_idles_since_before_the_drain_is_closed(
+    served: builders.Served,
+) -> None:
+    idle = served.connect()
+    served.advance(1)
+    served.root.fire(transport.drain_http(), builders.CHANNEL)
+    served.check()
+    served.advance(1)
+    fresh = served.connect()
+    served.root.fire(transport.close_idle_http(), builders.CHANNEL)
+    served.run_until(lambda: served.is_closed(idle), "the end")
+    served.send(fresh, _post(b"/ok", b"late"))
+    assert served.read_reply(fresh).body["body"] == "late"
+
+
+def test_connection_with_a_request_is_not_closed_as_idle(
+    served: builders.Served,
+) -> None:
+    sock = served.connect()
+    served.send(sock, _post(b"/hold", b""))
+    served.run_until(lambda: served.echo.held, "the request")
+    served.root.fire(transport.drain_http(), builders.CHANNEL)
+    served.root.fire(transport.close_idle_http(), builders.CHANNEL)
+    served.check()
+    answer = transport.Answer(200, b'"whole"')
+    event = transport.answer_http(served.echo.held[0], answer)
+    served.root.fire(event, builders.CHANNEL)
+    assert served.read_reply(sock).body == "whole"
