--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -254,7 +254,11 @@
 
     def _end(self, end: core.EndRun) -> None:
         report = core.AttemptReport(
-            end.key.attempt, end.outcome, end.reason, run_ms=end.run_ms
+            end.key.attempt,
+            end.outcome,
+            end.reason,
+            run_ms=end.run_ms,
+            checkpoint=end.checkpoint,
         )
         self.fire(_events.task_ended(end.key, report), "runner")
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_run_records.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_run_records.py
@@ -3,6 +3,7 @@
 Times on the target's clock are whole milliseconds.
 """
 
+from collections.abc import Mapping
 import enum
 
 import attrs
@@ -56,6 +57,9 @@
     end: RunEnd
     """How it ended."""
 
+    checkpoint: str = ""
+    """Checkpoint from which the task may go on, or empty."""
+
 
 @attrs.frozen
 class Listing:
@@ -73,6 +77,9 @@
     ended: tuple[ListedEnd, ...]
     """Ends that are not acknowledged, in the order of their numbers."""
 
+    checkpoints: Mapping[RunName, str] = attrs.Factory(dict)
+    """Latest checkpoints of the runs at work that have one."""
+
 
 @attrs.frozen
 class Outranked:
@@ -132,6 +139,9 @@
     instance: str
     """Target that is meant."""
 
+    checkpoint: str = ""
+    """Checkpoint from which the task goes on, or empty."""
+
 
 @attrs.frozen
 class CallStop:
@@ -163,5 +173,8 @@
     run_ms: float
     """Time since the order to start it, in milliseconds."""
 
+    checkpoint: str = ""
+    """Latest checkpoint that is known, or empty."""
+
 
 RunAction = CallWatch | CallStart | CallStop | EndRun
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -45,6 +45,9 @@
     machine: _charts.Machine
     """State, as in ``charts/run.toml``."""
 
+    checkpoint: str = ""
+    """Latest checkpoint that is known, or empty."""
+
     certain_from: datetime.datetime | None = None
     """Listings asked for later tell for certain whether it runs."""
 
@@ -159,10 +162,18 @@
         name = _run_records.RunName(order.name, order.run)
         until = self._extend(now)
         machine = _charts.Machine(self._chart)
-        self._runs[name] = _Run(key, name, now, until, machine)
+        self._runs[name] = _Run(
+            key, name, now, until, machine, order.checkpoint
+        )
         return [
             _run_records.CallStart(
-                key, name, order.payload, self._fence, until, self._instance
+                key,
+                name,
+                order.payload,
+                self._fence,
+                until,
+                self._instance,
+                order.checkpoint,
             )
         ]
 
@@ -255,6 +266,9 @@
         self._unacknowledged = bool(listing.ended)
         for ended in listing.ended:
             actions.extend(self._take_end(ended, now))
+        for name, checkpoint in listing.checkpoints.items():
+            if name in self._runs:
+                self._runs[name].checkpoint = checkpoint
         running = set(listing.running)
         for run in list(self._runs.values()):
             if run.name not in running:
@@ -332,6 +346,7 @@
         run = self._runs.get(ended.name)
         if run is None:
             return []
+        run.checkpoint = ended.checkpoint or run.checkpoint
         run.machine.fire("end")
         return [self._end(run, _ENDS[ended.end], now)]
 
@@ -364,9 +379,8 @@
         now: datetime.datetime,
     ) -> _run_records.EndRun:
         del self._runs[run.name]
-        return _run_records.EndRun(
-            run.key, *outcome, (now - run.ordered_at) / MILLISECOND
-        )
+        run_ms = (now - run.ordered_at) / MILLISECOND
+        return _run_records.EndRun(run.key, *outcome, run_ms, run.checkpoint)
 
 
 _INVALID = (_messages.Outcome.FAILED, _messages.Reason.MALFORMED_RESULT)
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
@@ -51,11 +51,11 @@
     def ask(
         self, sequences: Iterable[int], now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
-        """Ask about attempts; those of failed jobs are stopped."""
+        """Ask about attempts; those that nobody waits for are stopped."""
         attempts = [self._attempts[sequence] for sequence in sorted(sequences)]
         self._counters.inquiries += len(attempts)
-        kept = [a for a in attempts if a.job.failure is None]
-        ended = [a for a in attempts if a.job.failure is not None]
+        kept = [a for a in attempts if not a.needless]
+        ended = [a for a in attempts if a.needless]
         actions = self.withdraw(kept, now, stop=False)
         return actions + self.withdraw(ended, now, stop=True)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -154,6 +154,13 @@
     unsupported: str = ""
     """What the job asks for and cannot be done, or empty."""
 
+    checkpointed: bool = False
+    """Whether a task that runs again goes on from its last checkpoint."""
+
+    copies: bool = False
+    """Whether a second run of a task may go on beside the first; the first
+    to finish counts."""
+
     def name_task(self, index: int) -> str:
         """Return the name of a task, the same over all its attempts."""
         return f"{self.request}.{self.step}.{index}" if self.request else ""
@@ -195,6 +202,11 @@
         """Id that the target echoes."""
         return f"{self.job.id}.{self.index}.{self.sequence}"
 
+    @property
+    def needless(self) -> bool:
+        """Whether nobody waits for its result any more."""
+        return self.job.failure is not None or self.index in self.job.results
+
     @property
     def run(self) -> int:
         """Number that rises over the attempts of a task, at every entry."""
@@ -262,6 +274,20 @@
     failed_runs: collections.Counter[int] = attrs.Factory(collections.Counter)
     """Runs that failed, by index."""
 
+    checkpoints: dict[int, str] = attrs.Factory(dict)
+    """Last checkpoints by index, where the terms allow them."""
+
+    def note_checkpoint(self, index: int, checkpoint: str) -> None:
+        """Take in the last checkpoint that a run of a task has made."""
+        if checkpoint and self.terms.checkpointed:
+            self.checkpoints[index] = checkpoint
+
+    def covers(self, index: int) -> bool:
+        """Tell whether a task has a result or a run under way."""
+        return index in self.results or any(
+            attempt.index == index for attempt in self.active.values()
+        )
+
     def derive_started(self) -> Started:
         """Tell from the attempts' charts what may be said of the tasks."""
         states = {
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -77,9 +77,9 @@
         return self._attempts
 
     @property
-    def has_waiting(self) -> bool:
-        """Whether a task waits for a target."""
-        return self._assigner.has_waiting
+    def has_choice(self) -> bool:
+        """Whether a task waits for a target, or may run on a second one."""
+        return self._assigner.has_choice
 
     def count_demand(self) -> dict[str, int]:
         """Return the tasks waiting or under way by team."""
@@ -320,7 +320,8 @@
         )
         attempt.machine.fire("send")
         job.machine.fire("dispatch")
-        job.waiting.remove(assignment.index)
+        # That of a copy waits no more.
+        job.waiting.discard(assignment.index)
         job.active[attempt.sequence] = attempt
         self._attempts[attempt.sequence] = attempt
         if not record.outstanding:
@@ -339,6 +340,7 @@
             job.terms.name_task(assignment.index),
             attempt.run,
             request.needs,
+            job.checkpoints.get(assignment.index, ""),
         )
 
     def _apply(
@@ -378,9 +380,10 @@
         now: datetime.datetime,
     ) -> list[_ledger_actions.LedgerAction]:
         job = attempt.job
+        job.note_checkpoint(attempt.index, report.checkpoint)
         match report.outcome:
             case _messages.Outcome.FINISHED:
-                return self._finish_task(attempt, report)
+                return self._finish_task(attempt, report, now)
             case _messages.Outcome.NOT_STARTED:
                 self.counters.refused += 1
                 self._hold_agent(attempt, report)
@@ -395,7 +398,7 @@
                 detail = report.result.decode(errors="replace")[:200]
                 message = f"task {attempt.index} failed: {detail}"
                 return self.fail(job, _jobs.Failure.TASK_FAILED, message, now)
-        if job.terms.rerun_lost:
+        if job.terms.rerun_lost or job.covers(attempt.index):
             self.counters.rerun += 1
             self._put_back(attempt)
             return []
@@ -403,8 +406,9 @@
         return self.fail(job, _jobs.Failure.OUTCOME_UNKNOWN, message, now)
 
     def _put_back(self, attempt: _jobs.Attempt) -> None:
-        if attempt.job.failure is None:
-            attempt.job.waiting.add(attempt.index)
+        job = attempt.job
+        if job.failure is None and not job.covers(attempt.index):
+            job.waiting.add(attempt.index)
             self._assigner.put_back(attempt)
 
     def _hold_agent(
@@ -416,21 +420,31 @@
             record.held = True
 
     def _finish_task(
-        self, attempt: _jobs.Attempt, report: _messages.AttemptReport
+        self,
+        attempt: _jobs.Attempt,
+        report: _messages.AttemptReport,
+        now: datetime.datetime,
     ) -> list[_ledger_actions.LedgerAction]:
         job = attempt.job
         request = job.request.tasks[attempt.index]
-        self.estimates.observe(
-            attempt.agent,
-            job.team,
-            request.kind,
-            request.size_ms,
-            report.run_ms,
-        )
-        self._assigner.finish_task(attempt)
-        if job.failure is not None:
+        if attempt.index not in job.checkpoints:
+            # A run that went on from a checkpoint tells less than its size.
+            self.estimates.observe(
+                attempt.agent,
+                job.team,
+                request.kind,
+                request.size_ms,
+                report.run_ms,
+            )
+        if attempt.needless:
             return []
+        self._assigner.finish_task(attempt)
         job.results[attempt.index] = report.result
+        others = [a for a in job.active.values() if a.needless]
+        actions = self._inquiries.withdraw(others, now, stop=True)
+        return actions + self._complete(job)
+
+    def _complete(self, job: _jobs.Job) -> list[_ledger_actions.LedgerAction]:
         if len(job.results) < len(job.request.tasks):
             return []
         job.machine.fire("finish")
@@ -475,7 +489,8 @@
             attempt = self._attempts[sequence]
             attempt.machine.fire("lose")
             self._close_attempt(attempt)
-            if attempt.job.terms.rerun_lost:
+            covered = attempt.job.covers(attempt.index)
+            if attempt.job.terms.rerun_lost or covered:
                 self.counters.rerun += 1
                 self._put_back(attempt)
                 actions.extend(self._settle(attempt.job, now))
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
@@ -149,6 +149,9 @@
     run_ms: _Milliseconds = 0.0
     """Time at the target in milliseconds."""
 
+    checkpoint: str = ""
+    """Checkpoint from which another attempt may go on, or empty."""
+
 
 @attrs.frozen
 class Results:
@@ -201,6 +204,9 @@
     needs: Resources = Resources()
     """What the task takes of the target's room."""
 
+    checkpoint: str = ""
+    """Checkpoint from which the task goes on, or empty."""
+
 
 @attrs.frozen
 class Dispatch:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -9,6 +9,7 @@
 from cowslipgate_core.configuration import _configuration
 from cowslipgate_core.jobs import _jobs
 from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _copies
 from cowslipgate_core.placement import _estimates
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _roster
@@ -28,6 +29,9 @@
     tasks: tuple[_backlog.WaitingTask, ...]
     """Every task by index."""
 
+    runs: dict[int, _copies.Run] = attrs.Factory(dict)
+    """Attempts under way by number, where copies are allowed."""
+
 
 class Assigner:
     """Owns the view of the backlog; the ledger tells it what happened."""
@@ -42,14 +46,15 @@
         self._roster = roster
         self._estimates = estimates
         self._plans: dict[str, _Plan] = {}
+        self._copied: dict[str, _Plan] = {}
         self._waiting: dict[str, dict[str, _backlog.WaitingJob]] = {}
         self._waiting_tasks: collections.Counter[str] = collections.Counter()
         self._active: collections.Counter[str] = collections.Counter()
 
     @property
-    def has_waiting(self) -> bool:
-        """Whether a task of any service waits."""
-        return bool(self._waiting)
+    def has_choice(self) -> bool:
+        """Whether a task of any service waits, or may be copied."""
+        return bool(self._waiting or self._copied)
 
     def count_waiting(self, service: str) -> int:
         """Return the number of tasks of a service that wait."""
@@ -66,7 +71,10 @@
         view = _backlog.WaitingJob(
             job.id, job.team, job.submitted_at, list(tasks), terms=job.terms
         )
-        self._plans[job.id] = _Plan(job.service, view, tasks)
+        plan = _Plan(job.service, view, tasks)
+        self._plans[job.id] = plan
+        if job.terms.copies:
+            self._copied[job.id] = plan
         for task in tasks:
             self._roster.note_needs(job.service, task.needs)
         self._waiting.setdefault(job.service, {})[job.id] = view
@@ -74,6 +82,7 @@
 
     def drop_job(self, job: _jobs.Job) -> None:
         """Forget a job whose tasks are no longer sent."""
+        self._copied.pop(job.id, None)
         plan = self._plans.pop(job.id, None)
         if plan is not None:
             self._waiting_tasks[job.service] -= len(plan.view.tasks)
@@ -82,7 +91,12 @@
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt was sent."""
         self._active[attempt.job.team] += 1
-        task = self._plans[attempt.job.id].tasks[attempt.index]
+        plan = self._plans[attempt.job.id]
+        task = plan.tasks[attempt.index]
+        if plan.view.terms.copies:
+            plan.runs[attempt.sequence] = _copies.Run(
+                task, attempt.agent, attempt.sent_at
+            )
         self._estimates.overdue.start(
             attempt.agent, attempt.sequence, task.seconds, attempt.sent_at
         )
@@ -90,8 +104,10 @@
     def close_attempt(self, attempt: _jobs.Attempt) -> None:
         """Take in that an attempt is final."""
         plan = self._plans.get(attempt.job.id)
-        if plan is not None and plan.view.terms.limit_per_target:
-            plan.view.placed[attempt.agent] -= 1
+        if plan is not None:
+            plan.runs.pop(attempt.sequence, None)
+            if plan.view.terms.limit_per_target:
+                plan.view.placed[attempt.agent] -= 1
         self._estimates.overdue.end(attempt.agent, attempt.sequence)
         team = attempt.job.team
         self._active[team] -= 1
@@ -147,6 +163,20 @@
             self._waiting_tasks[service] -= len(assignments)
             chosen.extend(assignments)
         self._drop_empty(chosen)
+        return chosen + self._choose_copies(allowances, now)
+
+    def _choose_copies(
+        self, allowances: dict[str, int], now: datetime.datetime
+    ) -> list[_placement.Assignment]:
+        chosen: list[_placement.Assignment] = []
+        for plan in self._copied.values():
+            pool = self._roster.get_pool(plan.service, now)
+            if pool is None or plan.service in self._waiting:
+                continue
+            runs = plan.runs.values()
+            chosen.extend(
+                _copies.choose_copies(plan.view, runs, pool, allowances, now)
+            )
         return chosen
 
     def _tune(
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_placement.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_placement.py
@@ -72,9 +72,19 @@
     allowances: dict[str, int],
 ) -> Assignment:
     """Take a task out of its job for a target."""
+    return place_task(job, job.take(position), target, pool, allowances)
+
+
+def place_task(
+    job: _backlog.WaitingJob,
+    task: _backlog.WaitingTask,
+    target: _targets.TargetView,
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+) -> Assignment:
+    """Take up room at a target for a task that no longer waits."""
     if job.terms.limit_per_target:
         job.placed[target.agent] += 1
-    task = job.take(position)
     pool.occupy(target, task.needs)
     allowances[job.team] -= 1
     return Assignment(job.job, task.index, target.agent)
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_copies.py
@@ -0,0 +1,164 @@
+"""Second runs of stragglers, where a job's terms allow them.
+
+The pattern: one target stands still while others have room.
+"""
+
+import datetime
+import random
+
+import cowslipgate_core as core
+from cowslipgate_core.tests import builders
+import pytest
+
+QUOTAS = {"hall": 100}
+TERMS = core.JobTerms(rerun_lost=True, copies=True)
+DECLARED = datetime.timedelta(milliseconds=100)
+LATE = builders.NOW + 20 * DECLARED
+
+
+def _send(
+    terms: core.JobTerms, tasks: int = 1, slots: int = 1, agents: int = 2
+) -> tuple[core.Ledger, core.Job]:
+    """Return a ledger whose agents got the tasks of one job."""
+    ledger = core.Ledger(core.LateBinding())
+    for number in range(agents):
+        report = builders.build_report(f"agent-{number}", slots=slots)
+        ledger.hear_report(report, builders.NOW)
+    job = builders.build_job(ledger, tasks)
+    job.terms = terms
+    ledger.submit(job)
+    ledger.assign(builders.NOW, QUOTAS)
+    return ledger, job
+
+
+def _copy(
+    ledger: core.Ledger, now: datetime.datetime = LATE
+) -> list[core.SendOrders]:
+    for name, record in ledger.agents.items():
+        report = builders.build_report(name, slots=record.load.slots)
+        ledger.hear_report(report, now)
+    return ledger.assign(now, QUOTAS)
+
+
+def _end(
+    ledger: core.Ledger, attempt: core.Attempt, outcome: core.Outcome
+) -> list[core.LedgerAction]:
+    report = core.AttemptReport(attempt.sequence, outcome, result=b"1")
+    results = builders.build_results(report, agent=attempt.agent)
+    return ledger.hear_results(results, LATE)
+
+
+def test_straggler_gets_one_copy_on_another_target() -> None:
+    ledger, job = _send(TERMS, agents=3)
+    assert len(_copy(ledger)) == 1
+    first, second = job.active.values()
+    assert first.agent != second.agent
+    assert first.index == second.index
+    assert second.run > first.run
+    assert _copy(ledger) == []
+
+
+@pytest.mark.parametrize(
+    ("terms", "now", "agents"),
+    [
+        (core.JobTerms(rerun_lost=True), LATE, 2),
+        (TERMS, builders.NOW + DECLARED, 2),
+        (TERMS, LATE, 1),
+    ],
+)
+def test_no_copy_without_permission_reason_or_another_target(
+    terms: core.JobTerms, now: datetime.datetime, agents: int
+) -> None:
+    ledger, _ = _send(terms, agents=agents)
+    assert _copy(ledger, now) == []
+
+
+def test_waiting_tasks_go_before_copies() -> None:
+    ledger, job = _send(TERMS, tasks=2, agents=1)
+    assert job.waiting
+    ledger.hear_report(builders.build_report("agent-9", slots=1), LATE)
+    (action,) = _copy(ledger)
+    assert [order.task for order in action.orders] == [
+        a.task_id for a in job.active.values() if a.agent == "agent-9"
+    ]
+    assert not job.waiting
+    assert len({attempt.index for attempt in job.active.values()}) == 2
+
+
+def test_first_to_finish_counts_and_stops_the_other() -> None:
+    ledger, job = _send(TERMS)
+    _copy(ledger)
+    first, second = job.active.values()
+    withdraw, answer = _end(ledger, second, core.Outcome.FINISHED)
+    assert withdraw.attempts == (first.sequence,)
+    assert withdraw.stop
+    assert answer.answer.results == (b"1",)
+    assert _end(ledger, first, core.Outcome.STOPPED) == []
+    assert not ledger.attempts
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        core.Outcome.STOPPED,
+        core.Outcome.LOST,
+        core.Outcome.FAILED,
+        core.Outcome.NOT_STARTED,
+        core.Outcome.UNKNOWN,
+    ],
+)
+@pytest.mark.parametrize("which", [0, 1])
+@pytest.mark.parametrize("rerun_lost", [True, False])
+def test_task_waits_no_second_time_while_its_other_run_goes_on(
+    outcome: core.Outcome, which: int, rerun_lost: bool
+) -> None:
+    terms = core.JobTerms(attempts=4, rerun_lost=rerun_lost, copies=True)
+    ledger, job = _send(terms)
+    _copy(ledger)
+    runs = list(job.active.values())
+    assert _end(ledger, runs[which], outcome) == []
+    assert not job.waiting
+    (answer,) = _end(ledger, runs[1 - which], core.Outcome.FINISHED)
+    assert answer.answer.failure is None
+
+
+def test_every_failed_run_counts_against_the_attempts() -> None:
+    ledger, job = _send(core.JobTerms(attempts=2, copies=True))
+    _copy(ledger)
+    first, second = job.active.values()
+    assert _end(ledger, first, core.Outcome.FAILED) == []
+    actions = _end(ledger, second, core.Outcome.FAILED)
+    assert actions[-1].answer.failure is core.Failure.TASK_FAILED
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_any_order_of_ends_gives_one_whole_answer(seed: int) -> None:
+    rng = random.Random(seed)
+    terms = core.JobTerms(attempts=50, rerun_lost=True, copies=True)
+    ledger, job = _send(terms, tasks=6, slots=3, agents=4)
+    answers: list[core.JobAnswer] = []
+    now = LATE
+    outcomes = [
+        core.Outcome.FINISHED,
+        core.Outcome.LOST,
+        core.Outcome.NOT_STARTED,
+        core.Outcome.STOPPED,
+    ]
+    while ledger.attempts or not answers:
+        _copy(ledger, now)
+        now += 20 * DECLARED
+        by_index: dict[int, int] = {}
+        for attempt in ledger.attempts.values():
+            by_index[attempt.index] = by_index.get(attempt.index, 0) + 1
+        assert all(count <= 2 for count in by_index.values())
+        attempt = rng.choice(list(ledger.attempts.values()))
+        actions = _end(ledger, attempt, rng.choice(outcomes))
+        answers += [
+            action.answer
+            for action in actions
+            if isinstance(action, core.AnswerJob)
+        ]
+    (answer,) = answers
+    assert answer.results == (b"1",) * 6
+    assert ledger.count_active() == {}
+    assert not ledger.has_choice
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_delivery.py
@@ -170,7 +170,7 @@
             jobs = entry.ledger.jobs.values()
             waiting = sum(len(job.waiting) for job in jobs)
             assert entry.ledger.count_waiting("print") == waiting
-            assert entry.ledger.has_waiting == bool(waiting)
+            assert entry.ledger.has_choice == bool(waiting)
 
     @stateful.invariant()
     def pools_agree_with_the_records(self) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import attrs
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
 from cowslipgate_core.tests import run_builders
@@ -204,3 +205,37 @@
     _start(book)
     assert not book.has_lapsed(_later(1_020))
     assert book.has_lapsed(_later(1_100))
+
+
+@pytest.mark.parametrize(
+    ("listed", "at_end", "told"),
+    [
+        ("", "", ""),
+        ("c1", "", "c1"),
+        ("c1", "c2", "c2"),
+        ("", "c2", "c2"),
+    ],
+)
+def test_latest_checkpoint_of_a_run_is_told_with_its_end(
+    listed: str, at_end: str, told: str
+) -> None:
+    book = run_builders.build_contacted_book()
+    _start(book)
+    running = run_builders.build_listing(6_000, running=(NAME,))
+    if listed:
+        running = attrs.evolve(running, checkpoints={NAME: listed})
+    book.hear_listing(running, NOW, NOW)
+    end = core.ListedEnd(1, NAME, core.RunEnd.LAPSED, at_end)
+    listing = run_builders.build_listing(7_000, ended=(end,))
+    (action,) = book.hear_listing(listing, NOW, NOW)
+    assert action.checkpoint == told
+
+
+def test_run_goes_on_from_the_checkpoint_of_its_order() -> None:
+    book = run_builders.build_contacted_book()
+    order = attrs.evolve(run_builders.build_order(), checkpoint="c1")
+    (call,) = book.start(core.AttemptKey(1, 1), order, NOW)
+    assert call.checkpoint == "c1"
+    # A target that is lost before another one is made leaves this one.
+    (end,) = book.lose_target(core.Reason.TARGET_UNREACHABLE, NOW)
+    assert end.checkpoint == "c1"
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_terms.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_terms.py
@@ -78,3 +78,22 @@
     (order,) = action.orders
     assert order.run > first.run
     assert order.name == "0123.0.0.0"
+
+
+@pytest.mark.parametrize(
+    ("checkpointed", "carried"), [(True, "c1"), (False, "")]
+)
+def test_next_run_goes_on_from_the_last_checkpoint_if_the_terms_allow(
+    checkpointed: bool, carried: str
+) -> None:
+    terms = core.JobTerms(rerun_lost=True, checkpointed=checkpointed)
+    ledger, _ = _dispatch(terms)
+    for checkpoint in ("c1", ""):
+        # A run that made none of its own leaves that of the one before.
+        (attempt,) = ledger.attempts
+        report = core.AttemptReport(
+            attempt, core.Outcome.LOST, checkpoint=checkpoint
+        )
+        ledger.hear_results(builders.build_results(report), builders.NOW)
+        (action,) = ledger.assign(builders.NOW, QUOTAS)
+        assert action.orders[0].checkpoint == carried
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -334,7 +334,7 @@
 
     def _schedule(self) -> None:
         # One pass takes in everything that arrived in the same turn.
-        if self._assigning or not self._ledger.has_waiting:
+        if self._assigning or not self._ledger.has_choice:
             return
         self._assigning = True
         self.fire(_events.assign_tasks())
