--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -13,6 +13,7 @@
     "build_agent": "_process",
     "LeasedCalls": "_leased_calls",
     "Links": "_links",
+    "Relay": "_relay",
     "Runner": "_runner",
     "RuntimeCodec": "_runtimes",
     "RuntimeRequest": "_runtimes",
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -67,6 +67,10 @@
     """An entry is gone; the argument is its incarnation."""
 
 
+class tell_entry(circuits.Event):
+    """Asks to send a message; an entry's incarnation and the message."""
+
+
 class tick(circuits.Event):
     """Fired at a regular interval."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -142,6 +142,13 @@
             event = transport.send_message(b"", results)
             self.fire(event, link.socket.channel)
 
+    @circuits.handler("tell_entry")
+    def _on_tell_entry(self, entry: int, message: object) -> None:
+        link = self._links.get(entry)
+        if link is not None:
+            event = transport.send_message(b"", message)
+            self.fire(event, link.socket.channel)
+
     @circuits.handler("peer_connected", channel="*")
     def _on_peer_connected(self, peer: bytes) -> None:
         link = self._links.get(int(peer))
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
@@ -396,6 +396,54 @@
     """The version in force."""
 
 
+@attrs.frozen
+class RelayRequest:
+    """An agent asks an entry for its configuration on another's behalf."""
+
+    agent: _Text
+    """Name of the agent."""
+
+    incarnation: _Count
+    """Incarnation of the agent process."""
+
+    asker: int
+    """Incarnation of the entry that wants it."""
+
+
+@attrs.frozen
+class ConfigurationRelay:
+    """A configuration that an agent is to pass on to another entry."""
+
+    entry: int
+    """Incarnation of the sender."""
+
+    asker: int
+    """Incarnation of the entry that wants it."""
+
+    version: int
+    """Version of the document."""
+
+    document: bytes
+    """The document in JSON, compressed."""
+
+
+@attrs.frozen
+class RelayedConfiguration:
+    """A configuration of another entry, passed on by an agent."""
+
+    agent: _Text
+    """Name of the agent."""
+
+    incarnation: _Count
+    """Incarnation of the agent process."""
+
+    version: int
+    """Version of the document."""
+
+    document: bytes
+    """The document in JSON, compressed."""
+
+
 @attrs.frozen
 class CancelRequest:
     """Asks an entry to cancel a job or every job with a label."""
@@ -446,6 +494,9 @@
     ConfigurationPush,
     ConfigurationRequest,
     ConfigurationAcknowledge,
+    RelayRequest,
+    ConfigurationRelay,
+    RelayedConfiguration,
     CancelRequest,
     CancelReply,
 )
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_screening.py
@@ -20,8 +20,14 @@
 @find_message_fault.register(_messages.Report)
 @find_message_fault.register(_messages.Results)
 @find_message_fault.register(_messages.Goodbye)
+@find_message_fault.register(_messages.RelayRequest)
+@find_message_fault.register(_messages.RelayedConfiguration)
 def _(
-    message: _messages.Report | _messages.Results | _messages.Goodbye,
+    message: _messages.Report
+    | _messages.Results
+    | _messages.Goodbye
+    | _messages.RelayRequest
+    | _messages.RelayedConfiguration,
     identity: bytes,
 ) -> str:
     if not _AGENT.fullmatch(message.agent):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -15,6 +15,7 @@
     "FollowedConfiguration": "store._followed",
     "GATEWAY": "_events",
     "JobLog": "observation._job_log",
+    "RelayedConfiguration": "store._relayed",
     "StoredMembers": "peers._stored_members",
     "submit_job": "_events",
     "Submission": "callers._requests",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -103,7 +103,18 @@
 
 
 class configuration_wanted(circuits.Event):
-    """Somebody knows a newer version; the argument is that version."""
+    """Somebody knows a newer version.
+
+    The arguments are that version and, if it is an agent, its identity.
+    """
+
+
+class configuration_asked(circuits.Event):
+    """An agent was asked for a version; the version and its identity."""
+
+
+class configuration_relayed(circuits.Event):
+    """An agent passed one on; the argument is the Configuration."""
 
 
 class peer_heard(circuits.Event):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -222,7 +222,8 @@
         """Take in an agent's heartbeat and answer it."""
         self._admission.note_report(report, now)
         self._perform(self._ledger.hear_report(report, now))
-        self._hear_version(report.configuration_version)
+        sender = core.encode_identity(report.agent, report.incarnation)
+        self._hear_version(report.configuration_version, sender)
         current = core.digest_members(self._members)
         beat = attrs.evolve(
             self._make_beat(report.members_digest != current),
@@ -256,14 +257,16 @@
             if report.outcome is not core.Outcome.RUNNING
         ]
         self._acknowledgements.add(results.agent, kept, now)
-        self._hear_version(results.configuration_version)
+        sender = core.encode_identity(results.agent, results.incarnation)
+        self._hear_version(results.configuration_version, sender)
         self._perform(self._ledger.hear_results(results, now))
         self._schedule()
 
-    def _hear_version(self, version: int) -> None:
+    def _hear_version(self, version: int, sender: bytes) -> None:
         self._versions.hear(version)
         if self._versions.behind:
-            event = _events.configuration_wanted(self._versions.newest)
+            newest = self._versions.newest
+            event = _events.configuration_wanted(newest, sender)
             self.fire(event, "keeper")
 
     def _make_job(self, submission: _requests.Submission) -> core.Job:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -27,6 +27,17 @@
     """The version."""
 
 
+@attrs.frozen
+class ConfigurationAsked(Change):
+    """The store did not tell of a newer version; an agent was asked for it."""
+
+    version: int
+    """Version that an agent named."""
+
+    agent: str
+    """Agent that was asked to pass it on."""
+
+
 @attrs.frozen
 class MemberJoined(Change):
     """Another entry is known."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_watch.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_watch.py
@@ -99,11 +99,14 @@
         self._note_store(answer.detail if failed else "")
 
     @circuits.handler("configuration_rejected")
-    def _on_configuration_rejected(
-        self, error: core.ConfigurationError
-    ) -> None:
+    def _on_configuration_rejected(self, error: Exception) -> None:
         self._tell(_changes.ConfigurationRejected(str(error)))
 
+    @circuits.handler("configuration_asked")
+    def _on_configuration_asked(self, version: int, identity: bytes) -> None:
+        agent = identity.decode().rpartition("/")[0]
+        self._tell(_changes.ConfigurationAsked(version, agent))
+
     def _note_store(self, problem: str) -> None:
         reachable = not problem
         if reachable == self._store_reachable:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_followed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_followed.py
@@ -28,7 +28,7 @@
 
 
 class FollowedConfiguration(circuits.BaseComponent):
-    """Adopts each higher version that it reads or hears of.
+    """Adopts each higher version that it reads or that is passed on to it.
 
     :param table: table of the configuration's row
     :param key: key of the row
@@ -73,6 +73,12 @@
                 self._take(row)
         self._call()
 
+    @circuits.handler("configuration_relayed")
+    def _on_configuration_relayed(
+        self, configuration: core.Configuration
+    ) -> None:
+        self._adopt(configuration)
+
     def _call(self) -> None:
         if self._busy or self._clock.now() < self._next_call:
             return
@@ -92,6 +98,9 @@
         except core.ConfigurationError as error:
             self.fire(_events.configuration_rejected(error), "watch")
             return
+        self._adopt(configuration)
+
+    def _adopt(self, configuration: core.Configuration) -> None:
         known = self._configuration
         if known is not None and configuration.version <= known.version:
             return
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_keeper.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_keeper.py
@@ -69,7 +69,9 @@
             del self._acknowledged[entry]
 
     @circuits.handler("configuration_wanted")
-    def _on_configuration_wanted(self, version: int) -> None:
+    def _on_configuration_wanted(
+        self, version: int, identity: bytes = b""
+    ) -> None:
         now = self._clock.now()
         if version <= self._version or now < self._next_wanted:
             return
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_stale_dispatch.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_stale_dispatch.py
@@ -51,4 +51,4 @@
     bench = builders.DispatcherBench()
     recorder = control_builders.Recorder("keeper").register(bench.root)
     _refuse_first(bench)
-    assert recorder.take("configuration_wanted") == [(2,)]
+    assert recorder.take("configuration_wanted") == [(2, b"agent-1/1")]
