Let jobs choose by what can still be kept, priority and size

The priority of a route was decoded and changed nothing. Jobs that wait now go in this order: those older than 10 s, as before; those whose promise can still be kept, the most urgent first and the smallest of these first; those that will be late anyway, in the same order. What a caller gains: when there is not room for all, more are answered in time, and the operators' priority decides who. Jobs without a promise or a priority go as before.

Ruled out: priority before lateness (an urgent answer that is late already would make others late that are not), and earliest promise first (under overload it serves each just too late).

--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -56,19 +56,37 @@
 def sort_jobs(
     policy: LateBinding,
     jobs: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
     now: datetime.datetime,
 ) -> None:
-    """Put aged jobs first, the oldest before the others, then the smallest."""
+    """Put jobs in the order in which they choose targets.
+
+    Aged jobs go first, the oldest before the others; then those whose promise
+    may still be kept, the most urgent before the others and the smallest of
+    these first; then those that will be late anyway.
+    """
     aged_before = now - policy.ageing
 
-    def rank(job: _backlog.WaitingJob) -> tuple[int, float]:
+    def rank(job: _backlog.WaitingJob) -> tuple[int, bool, int, float]:
         if job.submitted_at < aged_before:
-            return (0, (job.submitted_at - now).total_seconds())
-        return (1, job.remaining_seconds)
+            return (0, False, 0, (job.submitted_at - now).total_seconds())
+        late = is_late(job, pool, now)
+        return (1, late, job.terms.priority, job.remaining_seconds)
 
     jobs.sort(key=rank)
 
 
+def is_late(
+    job: _backlog.WaitingJob, pool: _targets.Pool, now: datetime.datetime
+) -> bool:
+    """Tell whether a promise is past keeping, even on the fastest target."""
+    if job.due_at is None:
+        return False
+    fastest = max(pool.get_fastest(needs) for needs in job.needs)
+    left = (job.due_at - now).total_seconds()
+    return left * fastest < job.longest_seconds
+
+
 def fill_slots(
     policy: LateBinding,
     jobs: list[_backlog.WaitingJob],
@@ -86,7 +104,7 @@
     if not pool.has_open(now):
         return []
     ordered = _ready_jobs.list_ready(jobs, allowances)
-    sort_jobs(policy, ordered, now)
+    sort_jobs(policy, ordered, pool, now)
     fitting = _ready_jobs.find_fitting(ordered, pool, now)
     trials = pool.list_trials(now)
     assignments = _try_targets(trials, fitting, pool, allowances)
