Count the room of targets, not their slots, when a job would wait too long

Cause: a target whose tasks share room announces 10,000 slots, so the time that a job would wait was never above its deadline and nothing was ever refused for it. The capacity is now what the pool reckons: the typical tasks that fit, at most the slots.

Test: test_targets_bounded_by_room_refuse_what_cannot_be_done_in_time fails on the code before (100 of 100 taken) and passes now.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_admission.py
@@ -137,10 +137,13 @@
         return self._work[job.id] * left / tasks
 
     def _measure_capacity(self, service: str) -> float:
+        pool = self._ledger.find_pool(service)
+        if pool is None:
+            return 0.0
+        get_speed = self._ledger.estimates.get_speed
         return sum(
-            record.load.slots * self._ledger.estimates.get_speed(name)
-            for name, record in self._ledger.agents.items()
-            if record.report.service == service
+            pool.count_parallel(view) * get_speed(view.agent)
+            for view in pool.ranked
         )
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_admission.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+import attrs
 import pytest
 
 import cowslipgate_core as core
@@ -134,3 +135,36 @@
     for job in [*jobs, *jobs]:
         taken.drop(job)
     assert taken.get_seconds("print") == 0
+
+
+def test_targets_bounded_by_room_refuse_what_cannot_be_done_in_time() -> None:
+    # One target of 32 cores has room for ten tasks of one second at once.
+    clock = core.ManualClock()
+    ledger = core.Ledger(core.LateBinding())
+    admission = _admission.Admission(ledger)
+    room = core.Resources(1_000, 0, 32_000)
+    load = core.Load(core.UNBOUNDED_SLOTS, 0, 0)
+    report = attrs.evolve(
+        builders.build_report(), load=load, resources=room, room=room
+    )
+    ledger.hear_report(report, clock.now())
+    task = core.TaskRequest(size_ms=1_000, needs=core.Resources(0, 0, 3_100))
+    taken = 0
+    for number in range(100):
+        job = core.Job(
+            f"job-{number}",
+            "hall",
+            "print",
+            core.JobRequest((task,)),
+            clock.now(),
+            clock.now() + 3 * SECOND,
+            ledger.make_machine(),
+        )
+        if admission.find_refusal(job, SERVICES) is not None:
+            break
+        taken += 1
+        admission.add_job(job)
+        ledger.submit(job)
+        ledger.assign(clock.now(), {"hall": 1000})
+    # Ten run at once, and thirty more would do so within three seconds.
+    assert 30 <= taken <= 45
