Come back sooner after all lose power: quick reconnects, no early refusals

Two entries of four saw four of eleven agents only 0.75 s after they served: these agents had tried to connect while the entries were still starting, and ZeroMQ doubled its pause up to 2 s (more than RESET_GRACE, after which a broken link is given up, allows). And an entry refused what came in the 20 to 100 ms before its first configuration; such a caller comes back no more.

Connections are tried again after 200 ms at most, each try lasts 500 ms at most (a VM without power answers nothing).

Ruled out: listening later (callers' connections would be reset and come back 1.3 s later).

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -10,6 +10,7 @@
     "AnswerCodec": "callers._desk",
     "Desk": "callers._desk",
     "Dispatcher": "agents._dispatcher",
+    "EarlyRequests": "callers._early",
     "EntryProcess": "_life",
     "EntrySettings": "_settings",
     "FollowedConfiguration": "store._followed",
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -17,7 +17,14 @@
 KEEPALIVE_INTERVAL_SECONDS = 2
 KEEPALIVE_PROBES = 3
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 2_000
+RECONNECT_MAX_MS = 200
+"""Longest pause between two tries, in milliseconds: an entry that starts
+again has to see its agents before it can place anything. Who gives an entry
+up closes the socket, which bounds the tries."""
+CONNECT_TIMEOUT_MS = 500
+"""Time for one try, in milliseconds. A VM without power answers nothing, and
+the system would repeat its opening packet after seconds only. Regions are
+some 70 ms apart."""
 LINGER_MS = 1_000
 FRAMES = 2
 # Plain numbers, since pyzmq's enumerations build an object at each use.
@@ -223,6 +230,7 @@
     sock.setsockopt(zmq.IMMEDIATE, 1)
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
     # The first handshake may be over before a component owns the socket.
     _open_monitor(sock)
     sock.connect(connect)
