Stop runs that stand still and run their tasks elsewhere

Nothing told the target's agent, so every entry had to learn it for itself and forgot it with the run.

A run that takes four times as long as few tasks like it take at its target, and 300 ms at least, is now stopped, where the job's terms allow a task to run again and another target has room. The agent is told why, and counts it like a failed run: three jobs in a row put the target in quarantine, after which one task tries it. What a caller gains: an answer instead of a wait to the end.

Ruled out: a second run beside the first (only where the terms allow copies), learning from the stopped run (its speed would have to fall by a factor that the estimates do not follow), and a smaller factor (it would stop the long runs of a spread of 0.4).

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -171,6 +171,7 @@
                 reports.append(self._fence(session, key))
                 continue
             if withdraw.stop:
+                held.stalled |= withdraw.stalled
                 actions.extend(_stop(held))
             reports.append(
                 _messages.AttemptReport(attempt, _messages.Outcome.RUNNING)
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
@@ -34,6 +34,9 @@
     stopping: bool = False
     """Whether the target was told to stop it."""
 
+    stalled: bool = False
+    """Whether it is stopped because the target seems to be to blame."""
+
 
 class Slots:
     """Queue and running attempts, first come first served."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -110,7 +110,7 @@
             self._fire_allowed("disconnect")
             if self.state == _targets.PROBATION:
                 self._quarantine(now)
-        elif not held.stopping and report.outcome is not _LOST:
+        elif _is_to_blame(report, held):
             job = held.order.task.partition(".")[0]
             self._health.note_failure(job, held.started_at, now)
             if self.state == _targets.PROBATION or self._health.failing:
@@ -125,3 +125,10 @@
         if allowed:
             self._machine.fire(event)
         return allowed
+
+
+def _is_to_blame(report: _messages.AttemptReport, held: _slots.Held) -> bool:
+    """Tell whether a run that did not finish speaks against the target."""
+    if held.stopping:
+        return held.stalled
+    return report.outcome is not _LOST
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
@@ -31,10 +31,12 @@
         attempts: list[_jobs.Attempt],
         now: datetime.datetime,
         stop: bool,
+        stalled: bool = False,
     ) -> list[_ledger_actions.LedgerAction]:
         """Return one withdrawal for each agent.
 
         :param stop: whether running attempts are stopped too
+        :param stalled: whether the targets seem to be to blame
         """
         by_agent: dict[tuple[str, int], list[int]] = {}
         for attempt in attempts:
@@ -43,7 +45,7 @@
             by_agent.setdefault(key, []).append(attempt.sequence)
         return [
             _ledger_actions.SendWithdraw(
-                agent, incarnation, tuple(sequences), stop
+                agent, incarnation, tuple(sequences), stop, stalled
             )
             for (agent, incarnation), sequences in by_agent.items()
         ]
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -197,6 +197,9 @@
     asked_at: datetime.datetime
     """When the agent was last asked about the attempt."""
 
+    moved_at: datetime.datetime | None = None
+    """When it was last stopped to run elsewhere, or None."""
+
     @property
     def task_id(self) -> str:
         """Id that the target echoes."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -25,6 +25,11 @@
 from cowslipgate_core.placement import _targets
 
 
+MOVE_AGAIN_AFTER = datetime.timedelta(seconds=1)
+"""Time after which a stalled run is stopped once more; an answer takes some
+60 ms."""
+
+
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
@@ -479,7 +484,31 @@
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        return self._inquiries.ask_overdue(record, now)
+        actions = self._inquiries.ask_overdue(record, now)
+        return actions + self._move_stalled(record, now)
+
+    def _move_stalled(
+        self, record: _roster.AgentRecord, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        stalled = [
+            attempt
+            for sequence in sorted(record.outstanding)
+            if self._may_move(attempt := self._attempts[sequence], now)
+            and self._assigner.is_stalled(attempt, now)
+        ]
+        for attempt in stalled:
+            attempt.moved_at = now
+        self.counters.stalled += len(stalled)
+        return self._inquiries.withdraw(stalled, now, stop=True, stalled=True)
+
+    def _may_move(
+        self, attempt: _jobs.Attempt, now: datetime.datetime
+    ) -> bool:
+        if attempt.needless or not attempt.job.terms.rerun_lost:
+            return False
+        # The order to stop it may have been lost.
+        moved_at = attempt.moved_at
+        return moved_at is None or now - moved_at > MOVE_AGAIN_AFTER
 
     def _lose_attempts(
         self, record: _roster.AgentRecord, now: datetime.datetime
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -36,6 +36,9 @@
     stop: bool
     """Whether running attempts are stopped too."""
 
+    stalled: bool = False
+    """Whether the target seems to be to blame."""
+
 
 @attrs.frozen
 class AnswerJob:
@@ -54,13 +57,20 @@
 def merge_withdraws(actions: list[LedgerAction]) -> list[LedgerAction]:
     """Return the actions with one withdrawal for each agent."""
     merged: list[LedgerAction] = []
-    attempts: dict[tuple[str, int, bool], list[int]] = {}
+    attempts: dict[tuple[str, int, bool, bool], list[int]] = {}
     for action in actions:
         if not isinstance(action, SendWithdraw):
             merged.append(action)
             continue
-        key = (action.agent, action.incarnation, action.stop)
+        key = (
+            action.agent,
+            action.incarnation,
+            action.stop,
+            action.stalled,
+        )
         attempts.setdefault(key, []).extend(action.attempts)
-    for (agent, incarnation, stop), sequences in attempts.items():
-        merged.append(SendWithdraw(agent, incarnation, tuple(sequences), stop))
+    for (agent, incarnation, stop, stalled), found in attempts.items():
+        merged.append(
+            SendWithdraw(agent, incarnation, tuple(found), stop, stalled)
+        )
     return merged
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
@@ -21,6 +21,9 @@
     repeated: int = 0
     """Tasks sent again because a run of theirs failed."""
 
+    stalled: int = 0
+    """Runs stopped because they took far too long, to run elsewhere."""
+
     rerun: int = 0
     """Tasks sent again because a run of theirs ended without a result."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_messages.py
@@ -251,6 +251,9 @@
     stop: bool
     """Whether running attempts are stopped too."""
 
+    stalled: bool = False
+    """Whether they are stopped because the target seems to be to blame."""
+
 
 @attrs.frozen
 class Acknowledge:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -13,6 +13,7 @@
 from cowslipgate_core.placement import _estimates
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _roster
+from cowslipgate_core.placement import _stalls
 from cowslipgate_core.placement import _weights
 
 
@@ -130,6 +131,22 @@
             task = plan.tasks[attempt.index]
             plan.view.remaining_seconds -= task.seconds
 
+    def is_stalled(
+        self, attempt: _jobs.Attempt, now: datetime.datetime
+    ) -> bool:
+        """Tell whether a run is better stopped and sent elsewhere."""
+        plan = self._plans.get(attempt.job.id)
+        if plan is None:
+            return False
+        task = plan.tasks[attempt.index]
+        speed = self._estimates.get_speed(attempt.agent)
+        if not _stalls.is_stalled(task, speed, now - attempt.sent_at):
+            return False
+        pool = self._roster.find_pool(plan.service)
+        return pool is not None and _stalls.has_other_place(
+            task, attempt.agent, pool, now
+        )
+
     def choose(
         self,
         now: datetime.datetime,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_post.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_post.py
@@ -55,7 +55,11 @@
     def withdraw(self, action: core.SendWithdraw) -> None:
         """Withdraw attempts or ask about them."""
         message = core.Withdraw(
-            self._incarnation, action.incarnation, action.attempts, action.stop
+            self._incarnation,
+            action.incarnation,
+            action.attempts,
+            action.stop,
+            action.stalled,
         )
         self._ledger.counters.note_withdraw(action.stop)
         self.send_to(action.agent, action.incarnation, message)
