--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -14,6 +14,7 @@
 from cowslipgate_core.jobs import _jobs
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
+from cowslipgate_core.jobs import _moves
 from cowslipgate_core.jobs import _timing
 from cowslipgate_core.jobs import _traceparents
 from cowslipgate_core.messages import _messages
@@ -25,11 +26,6 @@
 from cowslipgate_core.placement import _targets
 
 
-MOVE_AGAIN_AFTER = datetime.timedelta(seconds=1)
-"""Time after which a stalled run is stopped once more; an answer takes some
-60 ms."""
-
-
 class Ledger:
     """Jobs, attempts and agents of one entry."""
 
@@ -60,6 +56,9 @@
         self._inquiries = _inquiries.Inquiries(
             self._attempts, timing, self.counters
         )
+        self._moves = _moves.Moves(
+            self._assigner, self._inquiries, self.counters
+        )
 
     @property
     def jobs(self) -> dict[str, _jobs.Job]:
@@ -485,30 +484,10 @@
             self._roster.remove(name)
             return self._lose_attempts(record, now)
         actions = self._inquiries.ask_overdue(record, now)
-        return actions + self._move_stalled(record, now)
-
-    def _move_stalled(
-        self, record: _roster.AgentRecord, now: datetime.datetime
-    ) -> list[_ledger_actions.LedgerAction]:
-        stalled = [
-            attempt
-            for sequence in sorted(record.outstanding)
-            if self._may_move(attempt := self._attempts[sequence], now)
-            and self._assigner.is_stalled(attempt, now)
+        outstanding = [
+            self._attempts[sequence] for sequence in sorted(record.outstanding)
         ]
-        for attempt in stalled:
-            attempt.moved_at = now
-        self.counters.stalled += len(stalled)
-        return self._inquiries.withdraw(stalled, now, stop=True, stalled=True)
-
-    def _may_move(
-        self, attempt: _jobs.Attempt, now: datetime.datetime
-    ) -> bool:
-        if attempt.needless or not attempt.job.terms.rerun_lost:
-            return False
-        # The order to stop it may have been lost.
-        moved_at = attempt.moved_at
-        return moved_at is None or now - moved_at > MOVE_AGAIN_AFTER
+        return actions + self._moves.move_stalled(outstanding, now)
 
     def _lose_attempts(
         self, record: _roster.AgentRecord, now: datetime.datetime
