--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_relayed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_relayed.py
@@ -7,6 +7,7 @@
 
 import datetime
 
+import attrs
 import circuits
 import msgspec
 
@@ -26,6 +27,20 @@
 between failure domains, of 1.5 ms or of some 30 ms between regions."""
 
 
+@attrs.frozen
+class _Wanted:
+    """A version that is in force elsewhere and not known here."""
+
+    version: int
+    """The version."""
+
+    identity: bytes
+    """ZeroMQ identity of the agent that named it last."""
+
+    since: datetime.datetime
+    """Since when a newer version is wanted."""
+
+
 class RelayedConfiguration(circuits.BaseComponent):
     """Asks agents for newer versions, and answers those that ask."""
 
@@ -36,7 +51,7 @@
         self._incarnation = incarnation
         self._clock = clock
         self._configuration: core.Configuration | None = None
-        self._wanted_since: datetime.datetime | None = None
+        self._wanted: _Wanted | None = None
         self._next_request = clock.now()
 
     @property
@@ -49,7 +64,7 @@
         self, configuration: core.Configuration
     ) -> None:
         self._configuration = configuration
-        self._wanted_since = None
+        self._wanted = None
 
     @circuits.handler("configuration_wanted", channel="keeper")
     def _on_configuration_wanted(
@@ -57,14 +72,26 @@
     ) -> None:
         if version <= self._version or not identity:
             return
+        since = self._wanted.since if self._wanted else self._clock.now()
+        self._wanted = _Wanted(version, identity, since)
+        self._ask()
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        # An agent without work names the version seldom.
+        self._ask()
+
+    def _ask(self) -> None:
+        wanted = self._wanted
+        if wanted is None:
+            return
         now = self._clock.now()
-        self._wanted_since = self._wanted_since or now
-        due = max(self._wanted_since + RELAY_AFTER, self._next_request)
-        if now < due:
+        if now < max(wanted.since + RELAY_AFTER, self._next_request):
             return
         self._next_request = now + RELAY_INTERVAL
-        self._send(identity, core.ConfigurationRequest(self._incarnation))
-        event = _events.configuration_asked(version, identity)
+        request = core.ConfigurationRequest(self._incarnation)
+        self._send(wanted.identity, request)
+        event = _events.configuration_asked(wanted.version, wanted.identity)
         self.fire(event, "watch")
 
     @circuits.handler("message_received", channel=_dispatcher.AGENTS_CHANNEL)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_relayed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_relayed.py
@@ -93,6 +93,15 @@
     assert rig.take_sent() == [(AGENT, core.ConfigurationRequest(OWN))]
 
 
+def test_agent_is_asked_though_it_names_the_version_only_once() -> None:
+    rig = Rig()
+    rig.want(4)
+    for expected in ([], [(AGENT, core.ConfigurationRequest(OWN))], []):
+        rig.pass_time(110)
+        rig.tell(_events.tick(), _relayed.CHANNEL)
+        assert rig.take_sent() == expected
+
+
 def test_another_agent_is_asked_when_the_first_does_not_answer() -> None:
     rig = Rig()
     for milliseconds, identity in (
