Add a model of a deployment: real decisions on a virtual clock

Entries run the product's ledger and agents its executor; the network between failure domains, the targets (unequal speeds and sizes; slow, hanging, failing, orders lost) and the callers are played, seeded, without sockets. The command experiment plays a grid of policies, patterns and loads and writes a table, JSON lines and a plot.

Not modelled: the calls of a target and its watches (a lost order is known after 200 ms), admission, the store, and what processors take but 0.5 ms for each message.

Tests: 13, of which the naive twin and the reference are two. Nothing outside the bench package changes.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -127,6 +127,46 @@
         _report.write_report(runs, folder)
 
 
+@app.command
+def experiment(
+    *,
+    site: str = "al-haddad",
+    policies: str = "in_turn,late_binding,matching,central",
+    patterns: str = "calm,burst,slow,hang,fail,lost-orders",
+    loads: str = "0.8,1.0,1.2",
+    seconds: float = 30.0,
+    seed: int = 1,
+    folder: pathlib.Path | None = None,
+) -> None:
+    """Play policies, patterns and loads on a model, without processes.
+
+    :param site: al-haddad or schelde
+    :param policies: names of policies, separated by commas
+    :param patterns: names of patterns, separated by commas
+    :param loads: multiples of the site's traffic
+    :param seconds: seconds of traffic of each day
+    :param seed: seed of each day
+    :param folder: where JSON lines and a plot are written
+    """
+    from cowslipgate_bench import model
+
+    plan = model.Plan(
+        model.SITES[site],
+        tuple(policies.split(",")),
+        tuple(patterns.split(",")),
+        tuple(float(load) for load in loads.split(",")),
+        seconds,
+        seed,
+    )
+    experiments = []
+    for played in model.run_experiment(plan):
+        experiments.append(played)
+        print(model.format_row(played), flush=True)
+    print(model.format_table(experiments))
+    if folder is not None:
+        model.write_report(experiments, folder)
+
+
 @app.command
 def soak(minutes: float = 5.0, seed: int = 1) -> None:
     """Mix every fault under load and judge what became of it."""
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/__init__.py
@@ -0,0 +1,28 @@
+"""A model of a deployment: real decisions on a virtual clock, no sockets.
+
+Entries run the product's ledger and agents its executor; the network, the
+targets and the callers are played. A day of a site takes seconds.
+"""
+
+from cowslipgate_bench.model import _day
+from cowslipgate_bench.model import _experiment
+from cowslipgate_bench.model import _loop
+from cowslipgate_bench.model import _sites
+from cowslipgate_bench.model import _traffic
+
+Day = _day.Day
+DayFigures = _day.DayFigures
+Experiment = _experiment.Experiment
+Plan = _experiment.Plan
+Loop = _loop.Loop
+Pattern = _sites.Pattern
+PATTERNS = _sites.PATTERNS
+POLICIES = _experiment.POLICIES
+SITES = _sites.SITES
+Site = _sites.Site
+make_traffic = _traffic.make_traffic
+play_day = _day.play_day
+run_experiment = _experiment.run_experiment
+format_row = _experiment.format_row
+format_table = _experiment.format_table
+write_report = _experiment.write_report
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_day.py
@@ -0,0 +1,317 @@
+"""A day of a site: entries, agents and targets played together."""
+
+from collections.abc import Callable
+import datetime
+import functools
+import math
+import random
+
+import attrs
+import cowslipgate_core as core
+import msgspec
+
+from cowslipgate_bench.model import _agents
+from cowslipgate_bench.model import _entries
+from cowslipgate_bench.model import _loop
+from cowslipgate_bench.model import _sites
+from cowslipgate_bench.model import _targets
+from cowslipgate_bench.model import _traffic
+
+START_SECONDS = 2.0
+"""Time before traffic, in which agents find the entries."""
+
+FINISH_SECONDS = 15.0
+"""Time after traffic, in which what was taken ends."""
+
+HANDLING_SECONDS = 0.000_5
+"""Time that a process takes to handle a message."""
+
+DEADLINE_FACTOR = 4.0
+"""Multiple of the objective for which callers wait."""
+
+LATE_FACTOR = 3.0
+"""Multiple of the objective up to which an answer is worth something."""
+
+LATE_WORTH = 0.2
+"""Share of the worth that a late answer has."""
+
+
+@attrs.frozen
+class Day:
+    """What is played."""
+
+    site: _sites.Site
+    """The deployment."""
+
+    pattern: _sites.Pattern
+    """Load and trouble."""
+
+    policy: core.Policy
+    """How entries choose targets."""
+
+    load: float = 1.0
+    """Multiple of the site's traffic."""
+
+    seconds: float = 30.0
+    """Seconds of traffic."""
+
+    seed: int = 1
+    """Seed of everything that happens by chance."""
+
+    central: bool = False
+    """Whether one entry without latencies serves all: the reference."""
+
+
+@attrs.frozen
+class DayFigures:
+    """How callers were served."""
+
+    requests: int
+    """Requests."""
+
+    in_time: float
+    """Share answered within the promise."""
+
+    late: float
+    """Share answered within three times that."""
+
+    worth: float
+    """Worth earned over worth asked for, late answers at a fifth."""
+
+    worst_kind: float
+    """The same for the kind of request that was served worst."""
+
+    median_ms: float
+    """Median response of complete jobs in milliseconds."""
+
+    p99_ms: float
+    """Their 99th percentile."""
+
+    refused: float
+    """Orders that agents refused, over tasks finished."""
+
+    stalled: int
+    """Runs that were stopped to run elsewhere."""
+
+
+@attrs.define
+class _Outcome:
+    """What became of a request."""
+
+    request: _traffic.Request
+    """The request."""
+
+    seconds: float = math.inf
+    """Time until it was answered whole."""
+
+
+class _World:
+    """Everything of one day."""
+
+    def __init__(self, day: Day) -> None:
+        self._day = day
+        self._loop = _loop.Loop()
+        self._outcomes: dict[str, _Outcome] = {}
+        self._jobs: dict[str, _Outcome] = {}
+        site = day.site
+        count = 1 if day.central else site.domains
+        incarnations = list(range(1, count + 1))
+        self._domains = {n: n - 1 for n in incarnations}
+        self._entries = {
+            n: _entries.Entry(
+                n,
+                day.policy,
+                count,
+                self._loop,
+                functools.partial(self._send_to_agent, n),
+                self._take_answer,
+            )
+            for n in incarnations
+        }
+        self._agents = {agent.name: agent for agent in self._make_agents(site)}
+        for agent in self._agents.values():
+            agent.start(incarnations)
+
+    def _make_agents(self, site: _sites.Site) -> list[_agents.Agent]:
+        source = random.Random(self._day.seed)
+        struck = self._choose_struck(source)
+        agents = []
+        for number in range(site.targets):
+            target = self._make_target(number, number in struck)
+            name = f"agent-{number:02}"
+            agents.append(
+                _agents.Agent(
+                    name,
+                    number % site.domains,
+                    target,
+                    self._loop,
+                    functools.partial(self._send_to_entry, name),
+                    self._find_seconds,
+                )
+            )
+        return agents
+
+    def _choose_struck(self, source: random.Random) -> set[int]:
+        pattern = self._day.pattern
+        numbers = list(range(self._day.site.targets))
+        match pattern.trouble:
+            case _sites.Trouble.NONE:
+                return set()
+            case _sites.Trouble.LOST_ORDERS:
+                return set(numbers)
+        count = max(1, round(pattern.share * len(numbers)))
+        return set(source.sample(numbers, count))
+
+    def _make_target(self, number: int, struck: bool) -> _targets.Target:
+        day = self._day
+        speeds, cores = _sites.RACK_SPEEDS, _sites.RACK_MILLICORES
+        return _targets.Target(
+            speeds[number % len(speeds)],
+            cores[number % len(cores)],
+            self._loop,
+            random.Random(day.seed * 1_000 + number),
+            day.pattern.trouble if struck else _sites.Trouble.NONE,
+            day.pattern.share,
+            START_SECONDS + day.seconds / 3,
+            START_SECONDS + 2 * day.seconds / 3,
+        )
+
+    def play(self) -> DayFigures:
+        """Play the day."""
+        day = self._day
+        site = attrs.evolve(day.site, requests=day.site.requests * day.load)
+        for request in _traffic.make_traffic(
+            site, day.pattern, day.seconds, day.seed
+        ):
+            self._outcomes[request.name] = _Outcome(request)
+            submit = functools.partial(self._submit, request)
+            self._loop.call_in(START_SECONDS + request.at, submit)
+        self._loop.run(START_SECONDS + day.seconds + FINISH_SECONDS)
+        return self._measure()
+
+    def _submit(self, request: _traffic.Request) -> None:
+        numbers = list(self._entries)
+        entry = self._entries[numbers[request.entry % len(numbers)]]
+        needs = core.Resources(64, 0, request.millicores)
+        task = core.TaskRequest(
+            msgspec.Raw(b"null"),
+            request.kind.name,
+            request.declared_seconds * 1_000,
+            needs,
+        )
+        site = self._day.site
+        terms = core.JobTerms(
+            request.name,
+            "0.0",
+            request.kind.attempts,
+            True,
+            request.kind.priority,
+            datetime.timedelta(seconds=site.latency_seconds),
+            site.slowdown,
+        )
+        wait = DEADLINE_FACTOR * self._find_objective(request)
+        now = self._loop.now()
+        job = core.Job(
+            f"job-{request.name}",
+            _entries.TEAM,
+            _agents.SERVICE,
+            core.JobRequest((task,) * len(request.seconds)),
+            now,
+            now + datetime.timedelta(seconds=wait),
+            entry.ledger.make_machine(),
+            terms=terms,
+        )
+        self._jobs[job.id] = self._outcomes[request.name]
+        entry.submit(job)
+
+    def _find_objective(self, request: _traffic.Request) -> float:
+        site = self._day.site
+        return site.latency_seconds + site.slowdown * max(request.seconds)
+
+    def _find_seconds(self, task: str) -> float:
+        job, index, _ = task.split(".")
+        return self._jobs[job].request.seconds[int(index)]
+
+    def _take_answer(self, job: core.Job, answer: core.JobAnswer) -> None:
+        if answer.failure is None:
+            waited = self._loop.now() - job.submitted_at
+            self._jobs[job.id].seconds = waited.total_seconds()
+
+    def _send_to_agent(self, entry: int, agent: str, message: object) -> None:
+        delay = self._find_delay(entry, agent)
+        self._deliver(delay, self._agents[agent].hear, message)
+
+    def _send_to_entry(self, agent: str, entry: int, message: object) -> None:
+        delay = self._find_delay(entry, agent)
+        self._deliver(delay, self._entries[entry].hear, message)
+
+    def _deliver(
+        self, delay: float, hear: Callable[[object], None], message: object
+    ) -> None:
+        self._loop.call_in(delay, functools.partial(hear, message))
+
+    def _find_delay(self, entry: int, agent: str) -> float:
+        if self._day.central:
+            return 0.0
+        site = self._day.site
+        near = self._domains[entry] == self._agents[agent].domain
+        way = site.near_seconds if near else site.cross_seconds
+        return way + HANDLING_SECONDS
+
+    def _measure(self) -> DayFigures:
+        outcomes = list(self._outcomes.values())
+        ratios = [
+            outcome.seconds / self._find_objective(outcome.request)
+            for outcome in outcomes
+        ]
+        in_time = sum(1 for ratio in ratios if ratio <= 1.0)
+        late = sum(1 for ratio in ratios if 1.0 < ratio <= LATE_FACTOR)
+        done = sorted(o.seconds for o in outcomes if o.seconds < math.inf)
+        ledgers = [entry.ledger for entry in self._entries.values()]
+        refused = sum(ledger.counters.refused for ledger in ledgers)
+        tasks = sum(len(outcome.request.seconds) for outcome in outcomes)
+        worths = [
+            _measure_worth(outcomes, ratios, kind)
+            for kind in (None, *self._day.site.kinds)
+        ]
+        return DayFigures(
+            len(outcomes),
+            in_time / len(outcomes),
+            late / len(outcomes),
+            worths[0],
+            min(worths[1:]),
+            _find_quantile(done, 0.5) * 1_000,
+            _find_quantile(done, 0.99) * 1_000,
+            refused / tasks,
+            sum(ledger.counters.stalled for ledger in ledgers),
+        )
+
+
+def _measure_worth(
+    outcomes: list[_Outcome],
+    ratios: list[float],
+    kind: _sites.Kind | None,
+) -> float:
+    """Return what was earned over what was asked, of one kind or of all."""
+    asked = earned = 0.0
+    for outcome, ratio in zip(outcomes, ratios, strict=True):
+        if kind is not None and outcome.request.kind is not kind:
+            continue
+        worth = outcome.request.kind.worth
+        asked += worth
+        if ratio <= 1.0:
+            earned += worth
+        elif ratio <= LATE_FACTOR:
+            earned += worth * LATE_WORTH
+    return earned / asked if asked else 1.0
+
+
+def _find_quantile(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def play_day(day: Day) -> DayFigures:
+    """Play a day and return how callers were served."""
+    return _World(day).play()
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_entries.py
@@ -0,0 +1,121 @@
+"""An entry: the product's ledger, driven as its dispatcher drives it."""
+
+from collections.abc import Callable
+import datetime
+
+import cowslipgate_core as core
+
+from cowslipgate_bench.model import _agents
+from cowslipgate_bench.model import _loop
+
+TEAM = "callers"
+SLOTS = 1_000_000
+"""Slots of the one team: the platform knows no quotas."""
+
+TIMING = core.Timing(
+    agent_suspect_after=datetime.timedelta(milliseconds=1_200),
+    agent_lost_after=datetime.timedelta(milliseconds=3_500),
+)
+"""As on the users' machines."""
+
+Send = Callable[[str, object], None]
+Answer = Callable[[core.Job, core.JobAnswer], None]
+
+
+class Entry:
+    """Takes jobs and sends their tasks to agents.
+
+    :param entries: number of entries that share the targets
+    :param send: sends a message to an agent
+    :param answer: takes the answer to a job
+    """
+
+    def __init__(
+        self,
+        incarnation: int,
+        policy: core.Policy,
+        entries: int,
+        loop: _loop.Loop,
+        send: Send,
+        answer: Answer,
+    ) -> None:
+        self.ledger = core.Ledger(policy, incarnation, TIMING)
+        self._incarnation = incarnation
+        self._entries = entries
+        self._loop = loop
+        self._send = send
+        self._answer = answer
+        self._acknowledgements = core.Acknowledgements()
+        self._assigning = False
+        self._tick()
+
+    def submit(self, job: core.Job) -> None:
+        """Take a job."""
+        self.ledger.submit(job)
+        self._schedule()
+
+    def hear(self, message: object) -> None:
+        """Take in a message of an agent."""
+        now = self._loop.now()
+        match message:
+            case core.Report():
+                self._perform(self.ledger.hear_report(message, now))
+                beat = core.Beat(
+                    self._incarnation,
+                    0,
+                    (),
+                    acknowledged=self._acknowledgements.take(message.agent),
+                )
+                self._send(message.agent, beat)
+            case core.Results():
+                kept = [
+                    report.attempt
+                    for report in message.reports
+                    if report.outcome is not core.Outcome.RUNNING
+                ]
+                self._acknowledgements.add(message.agent, kept, now)
+                self._perform(self.ledger.hear_results(message, now))
+        self._schedule()
+
+    def _tick(self) -> None:
+        self._perform(self.ledger.tick(self._loop.now()))
+        self._schedule()
+        self._loop.call_in(_agents.TICK_SECONDS, self._tick)
+
+    def _schedule(self) -> None:
+        if not self._assigning and self.ledger.has_choice:
+            self._assigning = True
+            self._loop.call_in(0.0, self._assign)
+
+    def _assign(self) -> None:
+        self._assigning = False
+        actions = self.ledger.assign(
+            self._loop.now(), {TEAM: SLOTS}, self._entries
+        )
+        self._perform(actions)
+
+    def _perform(self, actions: list[core.LedgerAction]) -> None:
+        for action in actions:
+            match action:
+                case core.SendOrders():
+                    record = self.ledger.agents[action.agent]
+                    dispatch = core.Dispatch(
+                        self._incarnation,
+                        action.incarnation,
+                        0,
+                        action.orders,
+                        self._acknowledgements.take(action.agent),
+                        record.report.link,
+                    )
+                    self._send(action.agent, dispatch)
+                case core.SendWithdraw():
+                    withdraw = core.Withdraw(
+                        self._incarnation,
+                        action.incarnation,
+                        action.attempts,
+                        action.stop,
+                        action.stalled,
+                    )
+                    self._send(action.agent, withdraw)
+                case core.AnswerJob():
+                    self._answer(action.job, action.answer)
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
@@ -0,0 +1,158 @@
+"""A grid of policies, patterns and loads, and its report."""
+
+from collections.abc import Iterator, Sequence
+import itertools
+import json
+import pathlib
+
+import attrs
+import cowslipgate_core as core
+import matplotlib
+from matplotlib import figure
+
+from cowslipgate_bench.model import _day
+from cowslipgate_bench.model import _sites
+
+matplotlib.use("agg")
+
+CENTRAL = "central"
+"""Matching by one entry without latencies: the reference."""
+
+POLICIES: dict[str, core.Policy] = {
+    "in_turn": core.RoundRobin(),
+    "late_binding": core.LateBinding(),
+    "matching": core.Matching(),
+    CENTRAL: core.Matching(),
+}
+"""The naive twin first."""
+
+COLUMNS = (
+    "pattern",
+    "load",
+    "policy",
+    "requests",
+    "in time",
+    "late",
+    "worth",
+    "worst kind",
+    "median ms",
+    "p99 ms",
+    "refused",
+    "stalled",
+)
+
+
+@attrs.frozen
+class Plan:
+    """The grid."""
+
+    site: _sites.Site
+    """The deployment."""
+
+    policies: tuple[str, ...]
+    """Names of policies."""
+
+    patterns: tuple[str, ...]
+    """Names of patterns."""
+
+    loads: tuple[float, ...]
+    """Multiples of the site's traffic."""
+
+    seconds: float = 30.0
+    """Seconds of traffic of each day."""
+
+    seed: int = 1
+    """Seed of each day."""
+
+
+@attrs.frozen
+class Experiment:
+    """One day of the grid."""
+
+    pattern: str
+    """Name of the pattern."""
+
+    load: float
+    """Multiple of the site's traffic."""
+
+    policy: str
+    """Name of the policy."""
+
+    figures: _day.DayFigures
+    """How callers were served."""
+
+
+def run_experiment(plan: Plan) -> Iterator[Experiment]:
+    """Play every day of a grid; the same day for each policy."""
+    for pattern, load, policy in itertools.product(
+        plan.patterns, plan.loads, plan.policies
+    ):
+        day = _day.Day(
+            plan.site,
+            _sites.PATTERNS[pattern],
+            POLICIES[policy],
+            load,
+            plan.seconds,
+            plan.seed,
+            central=policy == CENTRAL,
+        )
+        yield Experiment(pattern, load, policy, _day.play_day(day))
+
+
+def format_row(experiment: Experiment) -> str:
+    """Return the row of one day."""
+    figures = experiment.figures
+    cells = (
+        experiment.pattern,
+        f"{experiment.load:g}",
+        experiment.policy,
+        str(figures.requests),
+        f"{figures.in_time:.3f}",
+        f"{figures.late:.3f}",
+        f"{figures.worth:.3f}",
+        f"{figures.worst_kind:.3f}",
+        f"{figures.median_ms:.0f}",
+        f"{figures.p99_ms:.0f}",
+        f"{figures.refused:.3f}",
+        str(figures.stalled),
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def format_table(experiments: Sequence[Experiment]) -> str:
+    """Return all rows with their heading, as Markdown."""
+    heading = f"| {' | '.join(COLUMNS)} |"
+    rule = f"|{'---|' * len(COLUMNS)}"
+    return "\n".join([heading, rule, *map(format_row, experiments)])
+
+
+def write_report(
+    experiments: Sequence[Experiment], folder: pathlib.Path
+) -> None:
+    """Write ``experiments.jsonl`` and ``experiments.png`` into a folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    lines = [json.dumps(attrs.asdict(e)) + "\n" for e in experiments]
+    (folder / "experiments.jsonl").write_text("".join(lines))
+    _plot(experiments, folder / "experiments.png")
+
+
+def _plot(experiments: Sequence[Experiment], path: pathlib.Path) -> None:
+    patterns = list(dict.fromkeys(e.pattern for e in experiments))
+    policies = list(dict.fromkeys(e.policy for e in experiments))
+    drawing = figure.Figure(figsize=(3.2 * len(patterns), 3.2))
+    plots = drawing.subplots(1, len(patterns), sharey=True, squeeze=False)
+    for plot, pattern in zip(plots[0], patterns, strict=True):
+        for policy in policies:
+            group = [
+                e
+                for e in experiments
+                if (e.pattern, e.policy) == (pattern, policy)
+            ]
+            loads = [e.load for e in group]
+            worths = [e.figures.worth for e in group]
+            plot.plot(loads, worths, marker="o", label=policy)
+        plot.set(title=pattern, xlabel="load", ylim=(0, 1.05))
+    plots[0][0].set_ylabel("worth earned")
+    plots[0][0].legend()
+    drawing.tight_layout()
+    drawing.savefig(path)
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_loop.py
@@ -0,0 +1,42 @@
+"""A virtual clock and what is to happen at later instants."""
+
+from collections.abc import Callable
+import datetime
+import heapq
+import itertools
+
+import cowslipgate_core as core
+
+Action = Callable[[], None]
+
+
+class Loop(core.Clock):
+    """Calls actions in the order of their instants; time jumps to each."""
+
+    def __init__(self) -> None:
+        self._now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+        self._start = self._now
+        self._actions: list[tuple[datetime.datetime, int, Action]] = []
+        self._numbers = itertools.count()
+
+    def now(self) -> datetime.datetime:
+        """Return the instant that has been reached."""
+        return self._now
+
+    @property
+    def elapsed(self) -> float:
+        """Seconds since the start."""
+        return (self._now - self._start).total_seconds()
+
+    def call_in(self, seconds: float, action: Action) -> None:
+        """Have an action called after a time; those due at once in turn."""
+        due = self._now + datetime.timedelta(seconds=seconds)
+        heapq.heappush(self._actions, (due, next(self._numbers), action))
+
+    def run(self, seconds: float) -> None:
+        """Call what is due until some seconds after the start."""
+        until = self._start + datetime.timedelta(seconds=seconds)
+        while self._actions and self._actions[0][0] <= until:
+            self._now, _, action = heapq.heappop(self._actions)
+            action()
+        self._now = until
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
@@ -0,0 +1,104 @@
+"""Tests of the model of a deployment."""
+
+import json
+import pathlib
+
+import attrs
+import cowslipgate_core as core
+import pytest
+
+from cowslipgate_bench import model
+
+SITE = model.SITES["al-haddad"]
+CALM = model.PATTERNS["calm"]
+SHORT = 6.0
+"""Seconds of traffic; some 500 requests."""
+
+
+def _play(
+    pattern: str = "calm",
+    policy: str = "matching",
+    load: float = 1.0,
+    seconds: float = SHORT,
+) -> model.DayFigures:
+    day = model.Day(
+        SITE,
+        model.PATTERNS[pattern],
+        model.POLICIES[policy],
+        load,
+        seconds,
+        central=policy == "central",
+    )
+    return model.play_day(day)
+
+
+def test_actions_are_called_in_the_order_of_their_instants() -> None:
+    loop = model.Loop()
+    called: list[str] = []
+    loop.call_in(2.0, lambda: called.append("second"))
+    loop.call_in(1.0, lambda: called.append("first"))
+    loop.call_in(1.0, lambda: called.append("also first"))
+    loop.call_in(9.0, lambda: called.append("never"))
+    loop.run(5.0)
+    assert called == ["first", "also first", "second"]
+    assert loop.elapsed == 5.0
+
+
+def test_traffic_depends_on_the_seed_alone() -> None:
+    first = model.make_traffic(SITE, CALM, SHORT, 1)
+    assert first == model.make_traffic(SITE, CALM, SHORT, 1)
+    assert first != model.make_traffic(SITE, CALM, SHORT, 2)
+
+
+def test_burst_is_in_the_middle_third() -> None:
+    burst = attrs.evolve(CALM, burst=10.0)
+    requests = model.make_traffic(SITE, burst, 9.0, 1)
+    within = [r for r in requests if 3.0 <= r.at < 6.0]
+    assert len(within) > 0.7 * len(requests)
+
+
+def test_same_day_is_played_the_same() -> None:
+    assert _play("burst") == _play("burst")
+
+
+@pytest.mark.parametrize("policy", list(model.POLICIES))
+def test_calm_day_is_served_whole_by_every_policy(policy: str) -> None:
+    figures = _play(policy=policy, load=0.5)
+    assert figures.in_time + figures.late == 1.0
+
+
+def test_naive_policy_serves_a_burst_worse() -> None:
+    naive, ours = (
+        _play("burst", policy, 1.2, 9.0) for policy in ("in_turn", "matching")
+    )
+    assert ours.worth > naive.worth
+    assert ours.worst_kind > naive.worst_kind
+
+
+def test_one_entry_that_knows_all_is_a_reference() -> None:
+    shared, central = (
+        _play("burst", policy, 1.2, 9.0) for policy in ("matching", "central")
+    )
+    assert central.worth >= shared.worth
+    # Nobody else takes the room that it sees.
+    assert central.refused == 0.0
+
+
+def test_requests_at_a_target_that_hangs_are_answered() -> None:
+    figures = _play("hang", seconds=9.0)
+    assert figures.stalled > 0
+    assert figures.in_time + figures.late > 0.95
+
+
+def test_report_has_a_line_for_each_day(tmp_path: pathlib.Path) -> None:
+    plan = model.Plan(SITE, ("matching",), ("calm", "slow"), (0.5,), 2.0)
+    played = list(model.run_experiment(plan))
+    model.write_report(played, tmp_path)
+    lines = (tmp_path / "experiments.jsonl").read_text().splitlines()
+    assert [json.loads(line)["pattern"] for line in lines] == ["calm", "slow"]
+    assert (tmp_path / "experiments.png").stat().st_size > 0
+    assert model.format_table(played).count("\n") == 3
+
+
+def test_policies_are_those_of_the_product() -> None:
+    assert isinstance(model.POLICIES["matching"], core.Matching)
