Name the tasks of refused orders in the agents' lines

TasksRefused had the attempts' numbers at the entry alone, so a search for an id did not find it. It now has the tasks' names; the last 1,000 orders are remembered for it, since refusals are told after a turn.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -1,5 +1,7 @@
 """The component that tells in log lines and counters what an agent does."""
 
+import collections
+
 import circuits
 
 from cowslipgate_agent import _changes
@@ -8,6 +10,9 @@
 
 CHANNEL = "agent-log"
 MILLISECONDS_PER_SECOND = 1_000
+MAX_NAMES = 1_000
+"""Orders whose tasks' names are remembered; refusals follow their orders
+within one turn, in which some hundred may come."""
 _REFUSALS = frozenset((core.Outcome.NOT_STARTED,))
 
 
@@ -21,6 +26,9 @@
         self._executor = executor
         self._state = executor.state
         self._life = ""
+        self._names: collections.OrderedDict[core.AttemptKey, str] = (
+            collections.OrderedDict()
+        )
         self._ended = transport.Counter(
             "cowslipgate_agent_tasks_total",
             "Tasks that ended, by outcome and reason.",
@@ -68,6 +76,17 @@
             )
             self._tell(change)
 
+    @circuits.handler("entry_heard", channel="runner", priority=5)
+    def _on_entry_heard(self, message: object) -> None:
+        # Before the runner, which may refuse the orders.
+        if not isinstance(message, core.Dispatch):
+            return
+        for order in message.orders:
+            key = core.AttemptKey(message.entry, order.attempt)
+            self._names[key] = order.name or order.task
+        while len(self._names) > MAX_NAMES:
+            self._names.popitem(last=False)
+
     @circuits.handler("target_unclear", channel="*")
     def _on_target_unclear(self, error: core.WireError) -> None:
         self._tell(_changes.TargetUnclear(str(error)))
@@ -121,6 +140,12 @@
         change = _changes.TasksRefused(
             action.entry,
             tuple(report.attempt for report in refused),
+            tuple(
+                self._names.get(
+                    core.AttemptKey(action.entry, report.attempt), ""
+                )
+                for report in refused
+            ),
             tuple(report.reason.value for report in refused),
             len(self._executor.running),
         )
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
@@ -100,6 +100,10 @@
     attempts: tuple[int, ...]
     """Their numbers at the entry."""
 
+    tasks: tuple[str, ...]
+    """Names of the tasks, in the same order, which begin with the ids of
+    their requests; empty where the order is not remembered."""
+
     reasons: tuple[str, ...]
     """Why, in the same order."""
 
