Look for copies only where a job may have them

Found while reading the change: each result, and each task that waits again, looked at all tasks of its job under way, 410 for a wide job, though only jobs with copies have a second run. Not measured: by count, some 200 comparisons less for each task of a job of 410.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -287,9 +287,17 @@
 
     def covers(self, index: int) -> bool:
         """Tell whether a task has a result or a run under way."""
-        return index in self.results or any(
-            attempt.index == index for attempt in self.active.values()
-        )
+        return index in self.results or bool(self.list_runs(index))
+
+    def list_runs(self, index: int) -> list[Attempt]:
+        """Return the copies of a task that are under way.
+
+        Without copies there is no other beside the one that is looked at, and
+        a wide job would look at all its tasks for each of them.
+        """
+        if not self.terms.copies:
+            return []
+        return [a for a in self.active.values() if a.index == index]
 
     def derive_started(self) -> Started:
         """Tell from the attempts' charts what may be said of the tasks."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -444,7 +444,7 @@
             return []
         self._assigner.finish_task(attempt)
         job.results[attempt.index] = report.result
-        others = [a for a in job.active.values() if a.needless]
+        others = job.list_runs(attempt.index)
         actions = self._inquiries.withdraw(others, now, stop=True)
         return actions + self._complete(job)
 
