Refuse what an entry sent before a long silence of its link

An agent was cut from the entries for 3 s while it had no task of one of them. An order on its way was held up, reached the agent after 3.03 s and started; the entry had given the agent up after 3.5 s and ran the task elsewhere, while the first run went on for 1.3 s. An agent that holds tasks gives a silent entry up after 1.5 s; one without any waits five heartbeats, and took the order under the old link.

Ruled out: dispatches with an age (two more numbers in each message; it would also catch delays without a gap, which the links do not show), a later end of the agents' life at the entry (each loss would be mended later).

Test: test_what_arrives_after_a_long_silence_starts_nothing, seen failing first (2 of 4 cases).

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -174,6 +174,7 @@
             # Another incarnation answers at the address of the lost one.
             self._drop(int(peer))
         elif sender == int(peer):
+            self._end_silence(sender, link)
             link.heard_at = self._clock.now()
             link.lost = False
             self.fire(_events.entry_heard(message), "runner")
@@ -188,6 +189,13 @@
     def _on_members_found(self, members: tuple[core.Member, ...]) -> None:
         self._learn_members(members)
 
+    def _end_silence(self, incarnation: int, link: Link) -> None:
+        # The entry may have given up what was held up on its way here.
+        silence = self._clock.now() - link.heard_at
+        if silence > self._settings.entry_lost_after:
+            self._executor.connect(incarnation)
+            self._report(incarnation, link)
+
     def _hear_beat(self, beat: core.Beat) -> None:
         if beat.members:
             self._learn_members(beat.members)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -1,6 +1,7 @@
 """Tests that an agent connects anew to an entry that went silent."""
 
 from collections.abc import Iterator
+import datetime
 
 import cowslipgate_core as core
 import cowslipgate_transport as transport
@@ -114,3 +115,36 @@
     rig.pass_time(1.0)
     assert rig.links.get_link(7).socket is before
     assert not rig.links.get_link(7).lost
+
+
+@pytest.mark.parametrize(
+    ("seconds", "reason"),
+    [
+        (4.9, core.Reason.NOT_SERVING),
+        (5.1, core.Reason.STALE_LINK),
+    ],
+)
+@pytest.mark.parametrize("heartbeat_first", [True, False])
+def test_what_arrives_after_a_long_silence_starts_nothing(
+    rig: link_builders.LinksRig,
+    entry: link_builders.EntryTwin,
+    seconds: float,
+    reason: core.Reason,
+    heartbeat_first: bool,
+) -> None:
+    # A cut holds messages up; the entry has long given the agent up.
+    link = rig.executor.get_link(7)
+    order = core.Order(1, "job-1.0.1", "", b"{}")
+    rig.clock.advance(datetime.timedelta(seconds=seconds))
+    if heartbeat_first:
+        rig.deliver(entry, core.Beat(7, 1, ()))
+    rig.deliver(entry, core.Dispatch(7, 1, 1, (order,), link=link))
+    told: list[core.AttemptReport] = []
+
+    def is_told() -> bool:
+        for results in entry.take(core.Results):
+            told.extend(results.reports)
+        return bool(told)
+
+    rig.run_until(is_told, "the refusal")
+    assert [report.reason for report in told] == [reason]
