Have the links' rig wait for each message that was sent

The fixture sends a heartbeat while the answer to the first report is on its way, and waited until the link had been heard at the clock's time. The answer alone fulfilled that; the heartbeat then arrived later by the manual clock, the entry was given up later than the 6 s that the test lets pass, and the connection was never made anew. The red is a fault of the test's rig, not of the product.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
@@ -1,10 +1,12 @@
 """An agent's links to entries that a test plays."""
 
+import collections
 from collections.abc import Callable
 import datetime
 import threading
 import time
 
+import attrs
 import circuits
 from circuits.core import events
 from circuits.core import pollers
@@ -35,6 +37,35 @@
 }
 
 
+@attrs.define
+class _HeldMessage:
+    """A message that has not left its entry."""
+
+    message: object
+    """What is to be sent."""
+
+    polls: int
+    """Polls of the entry until it leaves."""
+
+
+class Arrivals(circuits.BaseComponent):
+    """Counts what an agent has heard on each of its links."""
+
+    channel = "arrivals"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._counts: collections.Counter[int] = collections.Counter()
+
+    def count(self, entry: int) -> int:
+        """Return the number of messages that came from an entry."""
+        return self._counts[entry]
+
+    @circuits.handler("message_received", channel="*")
+    def _on_message_received(self, peer: bytes, message: object) -> None:
+        self._counts[int(peer)] += 1
+
+
 class EntryTwin:
     """An entry that answers each report by a heartbeat."""
 
@@ -49,6 +80,9 @@
         self.identity = b""
         self.answering = True
         self.received: list[object] = []
+        self.sent = 0
+        self.held_polls = 0
+        self._held: list[_HeldMessage] = []
 
     def take(self, kind: type) -> list[object]:
         """Return and forget the messages of one type."""
@@ -57,12 +91,21 @@
         return found
 
     def send(self, message: object) -> None:
-        """Send a message to the agent."""
-        frames = core.encode_message(message)
-        self.router.send_multipart([self.identity, *frames])
+        """Send a message to the agent, after the polls that hold it up."""
+        self.sent += 1
+        self._held.append(_HeldMessage(message, self.held_polls))
+        self._send_due()
+
+    def _send_due(self) -> None:
+        while self._held and self._held[0].polls <= 0:
+            frames = core.encode_message(self._held.pop(0).message)
+            self.router.send_multipart([self.identity, *frames])
 
     def poll(self) -> None:
         """Take in what has arrived and answer reports."""
+        for held in self._held:
+            held.polls -= 1
+        self._send_due()
         while self.router.getsockopt(zmq.EVENTS) & zmq.POLLIN:
             identity, *frames = self.router.recv_multipart()
             message = core.decode_message(*frames)
@@ -79,6 +122,7 @@
         self.entries = entries
         self.clock = core.ManualClock()
         self.root = circuits.BaseComponent(channel="root")
+        self._arrivals = Arrivals().register(self.root)
         poller = pollers.EPoll().register(self.root)
         settings = core.load_settings(_settings.AgentSettings, FLAGS, {})
         self.executor = core.Executor(1, 2, settings.entry_lost_after)
@@ -112,12 +156,15 @@
             entry.poll()
 
     def deliver(self, entry: EntryTwin, message: object) -> None:
-        """Send a message of an entry and wait until it was taken in."""
-        link = self.links.get_link(entry.incarnation)
+        """Send a message of an entry and wait until it was taken in.
+
+        So is all that the entry sent before.
+        """
         self.clock.advance(INSTANT)
         entry.send(message)
         self.run_until(
-            lambda: link.heard_at == self.clock.now(), "the message"
+            lambda: self._arrivals.count(entry.incarnation) == entry.sent,
+            "the message",
         )
         self.run_until(self._is_quiet, "quiet")
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -12,6 +12,7 @@
 
 LOST_SECONDS = 8
 WAIT_MS = 10_000
+HELD_POLLS = 3
 
 
 @pytest.fixture
@@ -90,6 +91,21 @@
     assert rig.executor.get_link(7) > before
 
 
+def test_messages_that_are_held_up_are_waited_for(
+    rig: link_builders.LinksRig, entry: link_builders.EntryTwin
+) -> None:
+    # The rig must not let time pass while an answer is on its way: the agent
+    # would hear it later by the clock and give the entry up later.
+    beat = core.Beat(entry.incarnation, 1, ())
+    entry.send(beat)
+    entry.held_polls = HELD_POLLS
+    rig.deliver(entry, beat)
+    heard_at = rig.links.get_link(7).heard_at
+    entry.answering = False
+    rig.pass_time(2)
+    assert rig.links.get_link(7).heard_at == heard_at
+
+
 def _break_connection(rig: link_builders.LinksRig) -> None:
     rig.root.fire(transport.peer_disconnected(b"7"), "any")
     rig.run_until(lambda: not len(rig.root), "quiet")
