--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -22,6 +22,7 @@
     "TargetBeat": "_leased_calls",
     "target_gone": "_events",
     "target_heard": "_events",
+    "target_unclear": "_events",
     "tick": "_events",
 }
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -51,6 +51,9 @@
     life: int
     """When the target started, in its own Unix milliseconds; zero unknown."""
 
+    number: int
+    """Rises with each heartbeat of one life, so that a late one shows."""
+
     announcement: core.Announcement
     """What it offers."""
 
@@ -94,7 +97,7 @@
 
     @circuits.handler("target_heard")
     def _on_target_heard(self, beat: TargetBeat) -> None:
-        if self._book.is_outdated(beat.life):
+        if self._is_outdated(beat):
             return
         now = self._clock.now()
         self._beat = beat
@@ -102,6 +105,17 @@
         self._announce()
         self._watch()
 
+    def _is_outdated(self, beat: TargetBeat) -> bool:
+        if self._book.is_outdated(beat.life):
+            return True
+        last = self._beat
+        if last is None or (last.instance, last.life) != (
+            beat.instance,
+            beat.life,
+        ):
+            return False
+        return beat.number < last.number
+
     @circuits.handler("target_gone")
     def _on_target_gone(self, instance: str) -> None:
         if self._beat is not None and instance == self._beat.instance:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
@@ -126,12 +126,22 @@
     yield made
 
 
-def _build_beat(life: int = run_builders.LIFE) -> _leased_calls.TargetBeat:
+def _build_beat(
+    life: int = run_builders.LIFE, number: int = 1, draining: bool = False
+) -> _leased_calls.TargetBeat:
     room = core.Resources(1_000, 0, 32_000)
     announcement = core.Announcement(
         "print", "http://127.0.0.1:1", 9, 9, room, room, str(life)
     )
-    return _leased_calls.TargetBeat("i-1", life, announcement, False)
+    return _leased_calls.TargetBeat(
+        "i-1", life, number, announcement, draining
+    )
+
+
+def _be_reborn(rig: Rig) -> None:
+    life = run_builders.LIFE + 9
+    rig.send(_events.target_heard(_build_beat(life)))
+    rig.answer(rig.calls[-1], run_builders.build_listing(life=life))
 
 
 def _contact(rig: Rig) -> None:
@@ -301,9 +311,26 @@
     assert not any(isinstance(s, core.CallStop) for s in rig.codec.sent)
 
 
+def test_heartbeat_that_is_overtaken_changes_nothing(rig: Rig) -> None:
+    _contact(rig)
+    rig.send(_events.target_heard(_build_beat(number=3, draining=True)))
+    told = len(rig.told)
+    rig.send(_events.target_heard(_build_beat(number=2)))
+    assert len(rig.told) == told
+    assert rig.told[-1] == "left"
+
+
+def test_heartbeats_of_a_new_life_are_numbered_anew(rig: Rig) -> None:
+    _contact(rig)
+    rig.send(_events.target_heard(_build_beat(number=9)))
+    told = len(rig.told)
+    _be_reborn(rig)
+    assert rig.told[told:] == ["announced"]
+
+
 def test_heartbeat_of_a_former_life_changes_nothing(rig: Rig) -> None:
     _contact(rig)
-    rig.send(_events.target_heard(_build_beat(run_builders.LIFE + 9)))
+    _be_reborn(rig)
     told = len(rig.told)
-    rig.send(_events.target_heard(_build_beat()))
+    rig.send(_events.target_heard(_build_beat(draining=True)))
     assert len(rig.told) == told
