--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -35,10 +35,15 @@
 from cowslipgate_core.membership import _membership
 from cowslipgate_core.membership import _quotas
 from cowslipgate_core.membership import _validity
+from cowslipgate_core.messages import _attempts
 from cowslipgate_core.messages import _batches
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _cancels
+from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _reports
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.messages import _screening
 from cowslipgate_core.messages import _tables
+from cowslipgate_core.messages import _wire
 from cowslipgate_core.placement import _admission
 from cowslipgate_core.placement import _assignment
 from cowslipgate_core.placement import _backlog
@@ -57,7 +62,7 @@
 from cowslipgate_core.placement import _targets
 from cowslipgate_core.placement import _weights
 
-Acknowledge = _messages.Acknowledge
+Acknowledge = _attempts.Acknowledge
 ACKNOWLEDGE_WITHIN = _acknowledgements.ACKNOWLEDGE_WITHIN
 Acknowledgements = _acknowledgements.Acknowledgements
 add_resources = _room.add_resources
@@ -69,8 +74,8 @@
 Assignment = _placement.Assignment
 Attempt = _jobs.Attempt
 AttemptKey = _executor_actions.AttemptKey
-AttemptReport = _messages.AttemptReport
-Beat = _messages.Beat
+AttemptReport = _attempts.AttemptReport
+Beat = _reports.Beat
 BELIEF_RUNS = _sizes.BELIEF_RUNS
 Bind = _settings.Bind
 BINS = _sizes.BINS
@@ -82,8 +87,8 @@
 CallWatch = _run_records.CallWatch
 can_run = _placement.can_run
 can_spare = _late_binding.can_spare
-CancelReply = _messages.CancelReply
-CancelRequest = _messages.CancelRequest
+CancelReply = _cancels.CancelReply
+CancelRequest = _cancels.CancelRequest
 Candidates = _membership.Candidates
 Chart = _charts.Chart
 ChartError = _exceptions.ChartError
@@ -103,17 +108,17 @@
 Clock = _clock.Clock
 compress_document = _compression.compress_document
 Configuration = _configuration.Configuration
-ConfigurationAcknowledge = _messages.ConfigurationAcknowledge
-RelayedConfiguration = _messages.RelayedConfiguration
-ConfigurationRelay = _messages.ConfigurationRelay
-RelayRequest = _messages.RelayRequest
+ConfigurationAcknowledge = _documents.ConfigurationAcknowledge
+RelayedConfiguration = _documents.RelayedConfiguration
+ConfigurationRelay = _documents.ConfigurationRelay
+RelayRequest = _documents.RelayRequest
 ConfigurationError = _exceptions.ConfigurationError
-ConfigurationPush = _messages.ConfigurationPush
-ConfigurationRequest = _messages.ConfigurationRequest
+ConfigurationPush = _documents.ConfigurationPush
+ConfigurationRequest = _documents.ConfigurationRequest
 count_turns = _gossip.count_turns
 CowslipgateError = _exceptions.CowslipgateError
 decode_leases = _lease_rows.decode_leases
-decode_message = _messages.decode_message
+decode_message = _wire.decode_message
 DEFAULT_TERMS = _jobs.DEFAULT_TERMS
 derive_span = _traceparents.derive_span
 derive_traceparent = _traceparents.derive_traceparent
@@ -121,13 +126,13 @@
 digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
 digest_token = _configuration.digest_token
-Dispatch = _messages.Dispatch
+Dispatch = _attempts.Dispatch
 Document = _configuration.Document
 DROPPED_LIFETIME = _executor.DROPPED_LIFETIME
 encode_entry_identity = _screening.encode_entry_identity
-encode_identity = _messages.encode_identity
+encode_identity = _wire.encode_identity
 encode_lease = _lease_rows.encode_lease
-encode_message = _messages.encode_message
+encode_message = _wire.encode_message
 EndRun = _run_records.EndRun
 ENTRIES_TABLE = _lease_rows.ENTRIES_TABLE
 ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
@@ -154,8 +159,8 @@
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 FoundRoute = _routes.FoundRoute
 FULL_HISTORY = _sizes.FULL_HISTORY
-Goodbye = _messages.Goodbye
-Gossip = _messages.Gossip
+Goodbye = _reports.Goodbye
+Gossip = _reports.Gossip
 GOSSIP_FANOUT = _gossip.GOSSIP_FANOUT
 GOSSIP_INTERVAL = _gossip.GOSSIP_INTERVAL
 GROWTH_TO_REFRESH = _sizes.GROWTH_TO_REFRESH
@@ -186,7 +191,7 @@
 LimitValidity = _validity.LimitValidity
 ListedEnd = _run_records.ListedEnd
 Listing = _run_records.Listing
-Load = _messages.Load
+Load = _resources.Load
 load_chart = _charts.load_chart
 load_settings = _settings.load_settings
 LONGEST_BIN = _sizes.LONGEST_BIN
@@ -216,7 +221,7 @@
 MAX_TASKS = _configuration.MAX_TASKS
 MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
 measure_horizon = _matching.measure_horizon
-Member = _messages.Member
+Member = _reports.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
 merge_withdraws = _ledger_actions.merge_withdraws
@@ -228,9 +233,9 @@
 OfferBook = _admission.OfferBook
 OFFERS_KEPT_FOR = _admission.OFFERS_KEPT_FOR
 Operator = _configuration.Operator
-Order = _messages.Order
+Order = _attempts.Order
 OUTAGE_CERTAIN_AFTER = _validity.OUTAGE_CERTAIN_AFTER
-Outcome = _messages.Outcome
+Outcome = _attempts.Outcome
 OUTCOME_LIFETIME = _outcomes.OUTCOME_LIFETIME
 Outcomes = _outcomes.Outcomes
 Outranked = _run_records.Outranked
@@ -259,17 +264,17 @@
 QuotaBook = _quotas.QuotaBook
 RANDOM_BITS = _incarnations.RANDOM_BITS
 RANKING_INTERVAL = _roster.RANKING_INTERVAL
-Reason = _messages.Reason
+Reason = _attempts.Reason
 Refusal = _admission.Refusal
-Release = _messages.Release
+Release = _reports.Release
 Replaced = _run_records.Replaced
-Report = _messages.Report
+Report = _reports.Report
 REQUIRED = _settings.REQUIRED
 RESEND_AFTER = _outcomes.RESEND_AFTER
 RESEND_BATCH = _outcomes.RESEND_BATCH
-Resources = _messages.Resources
-Results = _messages.Results
-Room = _messages.Room
+Resources = _resources.Resources
+Results = _attempts.Results
+Room = _resources.Room
 Roster = _roster.Roster
 RoundRobin = _round_robin.RoundRobin
 Route = _routes.Route
@@ -335,4 +340,4 @@
 WaitingTask = _backlog.WaitingTask
 WatchReply = _run_records.WatchReply
 WireError = _exceptions.WireError
-Withdraw = _messages.Withdraw
+Withdraw = _attempts.Withdraw
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -14,12 +14,14 @@
 from cowslipgate_core.execution import _sessions
 from cowslipgate_core.execution import _slots
 from cowslipgate_core.execution import _target_state
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _reports
+from cowslipgate_core.messages import _resources
 
 DROPPED_LIFETIME = datetime.timedelta(seconds=2)
 ENTRY_LOST_AFTER = datetime.timedelta(seconds=20)
 PAUSE_FRACTION = 0.25
-_NO_USE = _messages.Resources()
+_NO_USE = _resources.Resources()
 
 
 @attrs.define
@@ -98,12 +100,12 @@
         """Tell whether work of an entry is in hand or not acknowledged."""
         return bool(self._slots.count(entry) or self._outcomes.count(entry))
 
-    def measure_load(self, entry: int) -> _messages.Load:
+    def measure_load(self, entry: int) -> _resources.Load:
         """Return the load as one entry is told of it."""
         own = self._slots.count(entry)
         others = len(self._slots) - own
         use = self._slots.measure_use(entry) if others else _NO_USE
-        return _messages.Load(self.slots, own, others, use)
+        return _resources.Load(self.slots, own, others, use)
 
     def get_link(self, entry: int) -> int:
         """Return the number of the link to an entry, or zero."""
@@ -139,7 +141,7 @@
         return self._advance(now)
 
     def dispatch(
-        self, dispatch: _messages.Dispatch, now: datetime.datetime
+        self, dispatch: _attempts.Dispatch, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
         """Take in new attempts."""
         actions = self._notice_pause(now)
@@ -155,7 +157,7 @@
         return actions + self._advance(now)
 
     def withdraw(
-        self, withdraw: _messages.Withdraw, now: datetime.datetime
+        self, withdraw: _attempts.Withdraw, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
         """Fence attempts that have not started and tell of the others."""
         actions = self._notice_pause(now)
@@ -174,7 +176,7 @@
                 held.stalled |= withdraw.stalled
                 actions.extend(_stop(held))
             reports.append(
-                _messages.AttemptReport(attempt, _messages.Outcome.RUNNING)
+                _attempts.AttemptReport(attempt, _attempts.Outcome.RUNNING)
             )
         actions.extend(self._send(withdraw.entry, reports, now))
         return actions + self._advance(now)
@@ -183,7 +185,7 @@
         """Forget the outcomes that an entry has received."""
         self._outcomes.acknowledge(entry, attempts)
 
-    def hear_beat(self, beat: _messages.Beat) -> None:
+    def hear_beat(self, beat: _reports.Beat) -> None:
         """Take in an entry's heartbeat."""
         session = self._sessions.get(beat.entry)
         if session is not None:
@@ -194,14 +196,14 @@
     def end_task(
         self,
         key: _executor_actions.AttemptKey,
-        report: _messages.AttemptReport,
+        report: _attempts.AttemptReport,
         now: datetime.datetime,
     ) -> list[_executor_actions.ExecutorAction]:
         """Take in how a call of the target ended."""
         held = self._slots.running.pop(key)
         actions = self._notice_pause(now)
-        if held.stopping and report.outcome is _messages.Outcome.FAILED:
-            report = attrs.evolve(report, outcome=_messages.Outcome.STOPPED)
+        if held.stopping and report.outcome is _attempts.Outcome.FAILED:
+            report = attrs.evolve(report, outcome=_attempts.Outcome.STOPPED)
         waited = held.started_at - held.queued_at
         report = attrs.evolve(
             report, wait_ms=waited / datetime.timedelta(milliseconds=1)
@@ -226,7 +228,7 @@
         session.dropped_at = now
         keys = self._slots.withdraw_all(entry)
         reports = [
-            self._refuse(key.attempt, _messages.Reason.WITHDRAWN)
+            self._refuse(key.attempt, _attempts.Reason.WITHDRAWN)
             for key in keys
         ]
         actions = self._send(entry, reports, now)
@@ -260,7 +262,7 @@
             return []
         self.counters.pauses += 1
         self._links += 1
-        actions = self._refuse_queued(_messages.Reason.WITHDRAWN, now)
+        actions = self._refuse_queued(_attempts.Reason.WITHDRAWN, now)
         for entry, session in self._sessions:
             session.link = self._links
             if now - previous > self._entry_lost_after:
@@ -298,19 +300,19 @@
     def _accept(
         self,
         session: _sessions.Session,
-        order: _messages.Order,
-        dispatch: _messages.Dispatch,
+        order: _attempts.Order,
+        dispatch: _attempts.Dispatch,
         now: datetime.datetime,
-    ) -> _messages.AttemptReport | None:
+    ) -> _attempts.AttemptReport | None:
         attempt = order.attempt
         key = _executor_actions.AttemptKey(dispatch.entry, attempt)
         if session.knows(attempt):
             return self._answer_duplicate(session, key)
         session.remember(attempt)
         reason = self._find_refusal(session, dispatch)
-        if reason is _messages.Reason.NONE and not self._has_room(order):
-            reason = _messages.Reason.NO_ROOM
-        if reason is not _messages.Reason.NONE:
+        if reason is _attempts.Reason.NONE and not self._has_room(order):
+            reason = _attempts.Reason.NO_ROOM
+        if reason is not _attempts.Reason.NONE:
             return self._refuse(attempt, reason)
         self._slots.push(_slots.Held(key, order, now))
         return None
@@ -319,7 +321,7 @@
         self,
         session: _sessions.Session,
         key: _executor_actions.AttemptKey,
-    ) -> _messages.AttemptReport | None:
+    ) -> _attempts.AttemptReport | None:
         self.counters.duplicates += 1
         if key in self._slots:
             return None
@@ -329,23 +331,23 @@
         return kept
 
     def _find_refusal(
-        self, session: _sessions.Session, dispatch: _messages.Dispatch
-    ) -> _messages.Reason:
+        self, session: _sessions.Session, dispatch: _attempts.Dispatch
+    ) -> _attempts.Reason:
         if dispatch.incarnation != self._incarnation:
-            return _messages.Reason.OTHER_INCARNATION
+            return _attempts.Reason.OTHER_INCARNATION
         if dispatch.link < session.link:
-            return _messages.Reason.STALE_LINK
+            return _attempts.Reason.STALE_LINK
         if dispatch.configuration_version < self.configuration_version:
-            return _messages.Reason.STALE_CONFIGURATION
+            return _attempts.Reason.STALE_CONFIGURATION
         if self.slots == 0:
-            return _messages.Reason.NOT_SERVING
+            return _attempts.Reason.NOT_SERVING
         if self._outcomes.full:
-            return _messages.Reason.BUSY
+            return _attempts.Reason.BUSY
         if len(self._slots) >= self.slots + self._queue_limit:
-            return _messages.Reason.BUSY
-        return _messages.Reason.NONE
+            return _attempts.Reason.BUSY
+        return _attempts.Reason.NONE
 
-    def _has_room(self, order: _messages.Order) -> bool:
+    def _has_room(self, order: _attempts.Order) -> bool:
         # Elsewhere the task may start at once; here it would wait.
         room = self._target.room
         if room is msgspec.UNSET or self._slots.queued < self._queue_limit:
@@ -353,18 +355,18 @@
         return self._slots.covers(room, order.needs)
 
     def _refuse(
-        self, attempt: int, reason: _messages.Reason
-    ) -> _messages.AttemptReport:
+        self, attempt: int, reason: _attempts.Reason
+    ) -> _attempts.AttemptReport:
         self.counters.refused += 1
-        return _messages.AttemptReport(
-            attempt, _messages.Outcome.NOT_STARTED, reason
+        return _attempts.AttemptReport(
+            attempt, _attempts.Outcome.NOT_STARTED, reason
         )
 
     def _fence(
         self,
         session: _sessions.Session,
         key: _executor_actions.AttemptKey,
-    ) -> _messages.AttemptReport:
+    ) -> _attempts.AttemptReport:
         kept = self._outcomes.get(key.entry, key.attempt)
         if kept is not None:
             return kept
@@ -372,20 +374,20 @@
             if session.knows(key.attempt):
                 return _forget(key.attempt)
             session.remember(key.attempt)
-        return self._refuse(key.attempt, _messages.Reason.WITHDRAWN)
+        return self._refuse(key.attempt, _attempts.Reason.WITHDRAWN)
 
     def _send(
         self,
         entry: int,
-        reports: list[_messages.AttemptReport],
+        reports: list[_attempts.AttemptReport],
         now: datetime.datetime,
     ) -> list[_executor_actions.ExecutorAction]:
         for report in reports:
-            if report.outcome is _messages.Outcome.RUNNING:
+            if report.outcome is _attempts.Outcome.RUNNING:
                 continue
-            if report.reason is _messages.Reason.FORGOTTEN:
+            if report.reason is _attempts.Reason.FORGOTTEN:
                 continue
-            refusal = report.outcome is _messages.Outcome.NOT_STARTED
+            refusal = report.outcome is _attempts.Outcome.NOT_STARTED
             if refusal and self._outcomes.full:
                 self.counters.dropped += 1
                 continue
@@ -398,7 +400,7 @@
         self, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
         if self.slots == 0:
-            return self._refuse_queued(_messages.Reason.NOT_SERVING, now)
+            return self._refuse_queued(_attempts.Reason.NOT_SERVING, now)
         actions: list[_executor_actions.ExecutorAction] = []
         address = self._target.address
         room = self._target.room
@@ -408,9 +410,9 @@
         return actions
 
     def _refuse_queued(
-        self, reason: _messages.Reason, now: datetime.datetime
+        self, reason: _attempts.Reason, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
-        by_entry: dict[int, list[_messages.AttemptReport]] = {}
+        by_entry: dict[int, list[_attempts.AttemptReport]] = {}
         for key in self._slots.withdraw_all():
             report = self._refuse(key.attempt, reason)
             by_entry.setdefault(key.entry, []).append(report)
@@ -427,7 +429,7 @@
     return [_executor_actions.StopTask(held.key, held.order.task)]
 
 
-def _forget(attempt: int) -> _messages.AttemptReport:
-    return _messages.AttemptReport(
-        attempt, _messages.Outcome.UNKNOWN, _messages.Reason.FORGOTTEN
+def _forget(attempt: int) -> _attempts.AttemptReport:
+    return _attempts.AttemptReport(
+        attempt, _attempts.Outcome.UNKNOWN, _attempts.Reason.FORGOTTEN
     )
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor_actions.py
@@ -3,7 +3,8 @@
 import attrs
 import msgspec
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _resources
 
 
 @attrs.frozen
@@ -33,10 +34,10 @@
     connections: int
     """Connections that may be open."""
 
-    resources: _messages.Resources = _messages.Resources()
+    resources: _resources.Resources = _resources.Resources()
     """What one task may use."""
 
-    room: _messages.Room = msgspec.UNSET
+    room: _resources.Room = msgspec.UNSET
     """What all tasks share."""
 
     life: str = ""
@@ -50,7 +51,7 @@
     key: AttemptKey
     """The attempt."""
 
-    order: _messages.Order
+    order: _attempts.Order
     """What to run."""
 
 
@@ -72,7 +73,7 @@
     entry: int
     """Incarnation of the entry."""
 
-    reports: tuple[_messages.AttemptReport, ...]
+    reports: tuple[_attempts.AttemptReport, ...]
     """The outcomes."""
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_outcomes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_outcomes.py
@@ -5,7 +5,7 @@
 import attrs
 
 from cowslipgate_core.execution import _executor_actions
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
 
 LONGEST_RESEND = datetime.timedelta(seconds=8)
 MAX_KEPT_BYTES = 8_388_608
@@ -19,7 +19,7 @@
 class Kept:
     """An outcome that the entry has not acknowledged."""
 
-    report: _messages.AttemptReport
+    report: _attempts.AttemptReport
     """The outcome."""
 
     since: datetime.datetime
@@ -54,7 +54,7 @@
         """Return the number of outcomes kept for an entry."""
         return len(self._kept.get(entry, ()))
 
-    def get(self, entry: int, attempt: int) -> _messages.AttemptReport | None:
+    def get(self, entry: int, attempt: int) -> _attempts.AttemptReport | None:
         """Return the outcome of an attempt, or None."""
         kept = self._kept.get(entry, {}).get(attempt)
         return kept.report if kept is not None else None
@@ -62,7 +62,7 @@
     def keep(
         self,
         entry: int,
-        report: _messages.AttemptReport,
+        report: _attempts.AttemptReport,
         now: datetime.datetime,
     ) -> None:
         """Keep an outcome that is sent now."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_run_records.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_run_records.py
@@ -9,7 +9,7 @@
 import attrs
 
 from cowslipgate_core.execution import _executor_actions
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
 
 
 class RunEnd(enum.StrEnum):
@@ -164,10 +164,10 @@
     key: _executor_actions.AttemptKey
     """The attempt."""
 
-    outcome: _messages.Outcome
+    outcome: _attempts.Outcome
     """What became of it."""
 
-    reason: _messages.Reason
+    reason: _attempts.Reason
     """Why, when it did not finish."""
 
     run_ms: float
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -13,7 +13,7 @@
 from cowslipgate_core import _charts
 from cowslipgate_core.execution import _executor_actions
 from cowslipgate_core.execution import _run_records
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
 
 CLOCK_SLACK = datetime.timedelta(milliseconds=100)
 """Added to a lease until it counts as lapsed: a target's clock may be 2%
@@ -54,32 +54,32 @@
 
 _ENDS = {
     _run_records.RunEnd.DONE: (
-        _messages.Outcome.FINISHED,
-        _messages.Reason.NONE,
+        _attempts.Outcome.FINISHED,
+        _attempts.Reason.NONE,
     ),
     _run_records.RunEnd.FAILED: (
-        _messages.Outcome.FAILED,
-        _messages.Reason.TARGET_STATUS,
+        _attempts.Outcome.FAILED,
+        _attempts.Reason.TARGET_STATUS,
     ),
     _run_records.RunEnd.STOPPED: (
-        _messages.Outcome.STOPPED,
-        _messages.Reason.WITHDRAWN,
+        _attempts.Outcome.STOPPED,
+        _attempts.Reason.WITHDRAWN,
     ),
     _run_records.RunEnd.LAPSED: (
-        _messages.Outcome.LOST,
-        _messages.Reason.LEASE_LAPSED,
+        _attempts.Outcome.LOST,
+        _attempts.Reason.LEASE_LAPSED,
     ),
     _run_records.RunEnd.BROKEN: (
-        _messages.Outcome.LOST,
-        _messages.Reason.GROUP_BROKEN,
+        _attempts.Outcome.LOST,
+        _attempts.Reason.GROUP_BROKEN,
     ),
 }
 
 _REFUSALS = {
-    _run_records.StartReply.REFUSED: _messages.Reason.BUSY,
-    _run_records.StartReply.UNHEALTHY: _messages.Reason.TARGET_STATUS,
-    _run_records.StartReply.OUTRANKED: _messages.Reason.BUSY,
-    _run_records.StartReply.REPLACED: _messages.Reason.TARGET_REPLACED,
+    _run_records.StartReply.REFUSED: _attempts.Reason.BUSY,
+    _run_records.StartReply.UNHEALTHY: _attempts.Reason.TARGET_STATUS,
+    _run_records.StartReply.OUTRANKED: _attempts.Reason.BUSY,
+    _run_records.StartReply.REPLACED: _attempts.Reason.TARGET_REPLACED,
 }
 
 
@@ -156,7 +156,7 @@
     def start(
         self,
         key: _executor_actions.AttemptKey,
-        order: _messages.Order,
+        order: _attempts.Order,
         now: datetime.datetime,
     ) -> list[_run_records.RunAction]:
         """Order a run; call it only while the book is settled."""
@@ -210,7 +210,7 @@
         run.machine.fire("refuse")
         if not run.machine.final:
             return []
-        outcome = (_messages.Outcome.NOT_STARTED, _REFUSALS[reply])
+        outcome = (_attempts.Outcome.NOT_STARTED, _REFUSALS[reply])
         return [self._end(run, outcome, now)]
 
     def miss_start(
@@ -291,13 +291,13 @@
         self._outrank()
 
     def lose_target(
-        self, reason: _messages.Reason, now: datetime.datetime
+        self, reason: _attempts.Reason, now: datetime.datetime
     ) -> list[_run_records.RunAction]:
         """Take in that nothing runs at the target any more."""
         actions: list[_run_records.RunAction] = []
         for run in list(self._runs.values()):
             run.machine.fire("end")
-            outcome = (_messages.Outcome.LOST, reason)
+            outcome = (_attempts.Outcome.LOST, reason)
             actions.append(self._end(run, outcome, now))
         self._strangers.clear()
         return actions
@@ -328,7 +328,7 @@
     def _change_life(
         self, life: int, now: datetime.datetime
     ) -> list[_run_records.RunAction]:
-        actions = self.lose_target(_messages.Reason.TARGET_REPLACED, now)
+        actions = self.lose_target(_attempts.Reason.TARGET_REPLACED, now)
         self._life = life
         self._fence = 0
         self._cursor = 0
@@ -370,18 +370,18 @@
         never = run.machine.state in ("starting", "unanswered")
         run.machine.fire("clear")
         if never:
-            outcome = (_messages.Outcome.NOT_STARTED, _messages.Reason.BUSY)
+            outcome = (_attempts.Outcome.NOT_STARTED, _attempts.Reason.BUSY)
         else:
             outcome = (
-                _messages.Outcome.LOST,
-                _messages.Reason.TARGET_REPLACED,
+                _attempts.Outcome.LOST,
+                _attempts.Reason.TARGET_REPLACED,
             )
         return [self._end(run, outcome, now)]
 
     def _end(
         self,
         run: _Run,
-        outcome: tuple[_messages.Outcome, _messages.Reason],
+        outcome: tuple[_attempts.Outcome, _attempts.Reason],
         now: datetime.datetime,
     ) -> _run_records.EndRun:
         del self._runs[run.name]
@@ -389,8 +389,8 @@
         return _run_records.EndRun(run.key, *outcome, run_ms, run.checkpoint)
 
 
-_INVALID = (_messages.Outcome.FAILED, _messages.Reason.MALFORMED_RESULT)
+_INVALID = (_attempts.Outcome.FAILED, _attempts.Reason.MALFORMED_RESULT)
 _UNREACHABLE = (
-    _messages.Outcome.NOT_STARTED,
-    _messages.Reason.TARGET_UNREACHABLE,
+    _attempts.Outcome.NOT_STARTED,
+    _attempts.Reason.TARGET_UNREACHABLE,
 )
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from cowslipgate_core.execution import _executor_actions
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _room
 
 
@@ -19,7 +20,7 @@
     key: _executor_actions.AttemptKey
     """The attempt."""
 
-    order: _messages.Order
+    order: _attempts.Order
     """What to run."""
 
     queued_at: datetime.datetime
@@ -90,7 +91,7 @@
         return len(self._queue)
 
     def covers(
-        self, room: _messages.Resources, needs: _messages.Resources
+        self, room: _resources.Resources, needs: _resources.Resources
     ) -> bool:
         """Tell whether room is left for one more beside all that is held."""
         used = _room.sum_resources(
@@ -100,7 +101,7 @@
         left = _room.subtract_resources(room, used)
         return _room.fits_resources(left, needs)
 
-    def measure_use(self, entry: int) -> _messages.Resources:
+    def measure_use(self, entry: int) -> _resources.Resources:
         """Return what the attempts of all other entries take."""
         return _room.sum_resources(
             held.order.needs
@@ -111,7 +112,7 @@
     def start_next(
         self,
         limit: int,
-        room: _messages.Room,
+        room: _resources.Room,
         address: str,
         now: datetime.datetime,
     ) -> Held | None:
@@ -132,7 +133,9 @@
         self.running[key] = held
         return held
 
-    def _measure_left(self, room: _messages.Resources) -> _messages.Resources:
+    def _measure_left(
+        self, room: _resources.Resources
+    ) -> _resources.Resources:
         used = _room.sum_resources(
             held.order.needs for held in self.running.values()
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -8,10 +8,11 @@
 from cowslipgate_core.execution import _executor_actions
 from cowslipgate_core.execution import _health
 from cowslipgate_core.execution import _slots
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _targets
 
-_LOST = _messages.Outcome.LOST
+_LOST = _attempts.Outcome.LOST
 
 
 class TargetState:
@@ -35,7 +36,7 @@
         return announcement.address if announcement is not None else ""
 
     @property
-    def room(self) -> _messages.Room:
+    def room(self) -> _resources.Room:
         """What all tasks of the target share."""
         announcement = self.announcement
         return announcement.room if announcement else msgspec.UNSET
@@ -96,17 +97,17 @@
 
     def judge(
         self,
-        report: _messages.AttemptReport,
+        report: _attempts.AttemptReport,
         held: _slots.Held,
         now: datetime.datetime,
     ) -> None:
         """Take in how a call of the target ended."""
         if held.address != self.address:
             return
-        if report.outcome is _messages.Outcome.FINISHED:
+        if report.outcome is _attempts.Outcome.FINISHED:
             self._health.note_success(held.started_at)
             self._fire_allowed("recover")
-        elif report.reason is _messages.Reason.TARGET_UNREACHABLE:
+        elif report.reason is _attempts.Reason.TARGET_UNREACHABLE:
             self._fire_allowed("disconnect")
             if self.state == _targets.PROBATION:
                 self._quarantine(now)
@@ -127,7 +128,7 @@
         return allowed
 
 
-def _is_to_blame(report: _messages.AttemptReport, held: _slots.Held) -> bool:
+def _is_to_blame(report: _attempts.AttemptReport, held: _slots.Held) -> bool:
     """Tell whether a run that did not finish speaks against the target."""
     if held.stopping:
         return held.stalled
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_bodies.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_bodies.py
@@ -9,7 +9,7 @@
 
 from cowslipgate_core import _exceptions
 from cowslipgate_core.jobs import _jobs
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 
 _PATH = re.compile(r" - at `(?:key in )?(\$.*)`$")
 _DECODER = msgspec.json.Decoder(_jobs.JobRequest)
@@ -18,7 +18,7 @@
 _TASK_DECODER = msgspec.json.Decoder(_jobs.TaskRequest)
 _JOB_FIELDS = frozenset(f.name for f in attrs.fields(_jobs.JobRequest))
 _TASK_FIELDS = frozenset(f.name for f in attrs.fields(_jobs.TaskRequest))
-_NEED_FIELDS = frozenset(f.name for f in attrs.fields(_messages.Resources))
+_NEED_FIELDS = frozenset(f.name for f in attrs.fields(_resources.Resources))
 
 
 def _make_shape(cls: type, **nested: Any) -> type:
@@ -36,7 +36,7 @@
     )
 
 
-_NeedsShape = _make_shape(_messages.Resources)
+_NeedsShape = _make_shape(_resources.Resources)
 _TaskShape = _make_shape(_jobs.TaskRequest, needs=_NeedsShape)
 _JobShape = _make_shape(_jobs.JobRequest, tasks=list[_TaskShape])
 _SHAPE_DECODER = msgspec.json.Decoder(_JobShape)
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -10,7 +10,7 @@
 
 from cowslipgate_core import _charts
 from cowslipgate_core.configuration import _configuration
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 
 _Size = Annotated[float, msgspec.Meta(gt=0.0, le=3_600_000.0)]
 _Name = Annotated[str, msgspec.Meta(max_length=128)]
@@ -66,7 +66,7 @@
     size_ms: _Size = 100.0
     """Declared run time on a target of speed one, in milliseconds."""
 
-    needs: _messages.Resources = _messages.Resources()
+    needs: _resources.Resources = _resources.Resources()
     """What the task needs of its target."""
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -17,7 +17,8 @@
 from cowslipgate_core.jobs import _moves
 from cowslipgate_core.jobs import _timing
 from cowslipgate_core.jobs import _traceparents
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _reports
 from cowslipgate_core.placement import _assignment
 from cowslipgate_core.placement import _estimates
 from cowslipgate_core.placement import _placement
@@ -127,7 +128,7 @@
         self._assigner.add_job(job)
 
     def hear_report(
-        self, report: _messages.Report, now: datetime.datetime
+        self, report: _reports.Report, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
         """Take in an agent's heartbeat."""
         record = self._agents.get(report.agent)
@@ -150,7 +151,7 @@
         return actions
 
     def hear_goodbye(
-        self, goodbye: _messages.Goodbye, now: datetime.datetime
+        self, goodbye: _reports.Goodbye, now: datetime.datetime
     ) -> bool:
         """Forget an agent that leaves, once it owes no outcome.
 
@@ -170,7 +171,7 @@
         return False
 
     def hear_results(
-        self, results: _messages.Results, now: datetime.datetime
+        self, results: _attempts.Results, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
         """Take in the outcomes of attempts."""
         self.counters.note_results(results.reports)
@@ -206,8 +207,8 @@
             attempt = self._attempts.get(sequence)
             if attempt is None:
                 continue
-            report = _messages.AttemptReport(
-                sequence, _messages.Outcome.NOT_STARTED
+            report = _attempts.AttemptReport(
+                sequence, _attempts.Outcome.NOT_STARTED
             )
             actions.extend(self._apply(attempt, report, now))
         record = self._agents.get(agent)
@@ -295,7 +296,7 @@
     def _send(
         self, chosen: list[_placement.Assignment], now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
-        by_agent: dict[str, list[_messages.Order]] = {}
+        by_agent: dict[str, list[_attempts.Order]] = {}
         for assignment in chosen:
             order = self._start_attempt(assignment, now)
             by_agent.setdefault(assignment.agent, []).append(order)
@@ -308,7 +309,7 @@
 
     def _start_attempt(
         self, assignment: _placement.Assignment, now: datetime.datetime
-    ) -> _messages.Order:
+    ) -> _attempts.Order:
         job = self._jobs[assignment.job]
         record = self._agents[assignment.agent]
         self._sequence += 1
@@ -335,7 +336,7 @@
         self.counters.dispatched += 1
         request = job.request.tasks[assignment.index]
         record.own_use = _room.add_resources(record.own_use, request.needs)
-        return _messages.Order(
+        return _attempts.Order(
             attempt.sequence,
             attempt.task_id,
             request.kind,
@@ -350,7 +351,7 @@
     def _apply(
         self,
         attempt: _jobs.Attempt,
-        report: _messages.AttemptReport,
+        report: _attempts.AttemptReport,
         now: datetime.datetime,
     ) -> list[_ledger_actions.LedgerAction]:
         # The caller updates the roster, once for all reports of a message.
@@ -380,20 +381,20 @@
     def _follow_outcome(
         self,
         attempt: _jobs.Attempt,
-        report: _messages.AttemptReport,
+        report: _attempts.AttemptReport,
         now: datetime.datetime,
     ) -> list[_ledger_actions.LedgerAction]:
         job = attempt.job
         job.note_checkpoint(attempt.index, report.checkpoint)
         match report.outcome:
-            case _messages.Outcome.FINISHED:
+            case _attempts.Outcome.FINISHED:
                 return self._finish_task(attempt, report, now)
-            case _messages.Outcome.NOT_STARTED:
+            case _attempts.Outcome.NOT_STARTED:
                 self.counters.refused += 1
                 self._hold_agent(attempt, report)
                 self._put_back(attempt)
                 return []
-            case _messages.Outcome.FAILED:
+            case _attempts.Outcome.FAILED:
                 job.failed_runs[attempt.index] += 1
                 if job.failed_runs[attempt.index] < job.terms.attempts:
                     self.counters.repeated += 1
@@ -416,7 +417,7 @@
             self._assigner.put_back(attempt)
 
     def _hold_agent(
-        self, attempt: _jobs.Attempt, report: _messages.AttemptReport
+        self, attempt: _jobs.Attempt, report: _attempts.AttemptReport
     ) -> None:
         # Sending again what the agent has just refused would be a hot loop.
         record = self._agents.get(attempt.agent)
@@ -426,7 +427,7 @@
     def _finish_task(
         self,
         attempt: _jobs.Attempt,
-        report: _messages.AttemptReport,
+        report: _attempts.AttemptReport,
         now: datetime.datetime,
     ) -> list[_ledger_actions.LedgerAction]:
         job = attempt.job
@@ -512,22 +513,22 @@
 
 
 _HOLDING_REASONS = frozenset(
-    (_messages.Reason.BUSY, _messages.Reason.NOT_SERVING)
+    (_attempts.Reason.BUSY, _attempts.Reason.NOT_SERVING)
 )
 
 _EVENTS = {
-    _messages.Outcome.FINISHED: "finish",
-    _messages.Outcome.FAILED: "break",
-    _messages.Outcome.NOT_STARTED: "refuse",
-    _messages.Outcome.STOPPED: "stop",
-    _messages.Outcome.RUNNING: "run",
-    _messages.Outcome.LOST: "end",
-    _messages.Outcome.UNKNOWN: "lose",
+    _attempts.Outcome.FINISHED: "finish",
+    _attempts.Outcome.FAILED: "break",
+    _attempts.Outcome.NOT_STARTED: "refuse",
+    _attempts.Outcome.STOPPED: "stop",
+    _attempts.Outcome.RUNNING: "run",
+    _attempts.Outcome.LOST: "end",
+    _attempts.Outcome.UNKNOWN: "lose",
 }
 
 
 def _advance_attempt(
-    machine: _charts.Machine, outcome: _messages.Outcome
+    machine: _charts.Machine, outcome: _attempts.Outcome
 ) -> None:
     event = _EVENTS[outcome]
     # A repeated or crossed report may tell less than is known already.
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -3,7 +3,7 @@
 import attrs
 
 from cowslipgate_core.jobs import _jobs
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
 
 
 @attrs.frozen
@@ -16,7 +16,7 @@
     incarnation: int
     """Incarnation of the agent."""
 
-    orders: tuple[_messages.Order, ...]
+    orders: tuple[_attempts.Order, ...]
     """The attempts."""
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
 
 
 @attrs.define
@@ -68,13 +68,13 @@
             self.inquiry_messages += 1
 
     def note_results(
-        self, reports: tuple[_messages.AttemptReport, ...]
+        self, reports: tuple[_attempts.AttemptReport, ...]
     ) -> None:
         """Count a message of outcomes by whether it carried a result."""
         outcomes = {report.outcome for report in reports}
-        if outcomes & {_messages.Outcome.FINISHED, _messages.Outcome.FAILED}:
+        if outcomes & {_attempts.Outcome.FINISHED, _attempts.Outcome.FAILED}:
             self.results += 1
-        elif _messages.Outcome.NOT_STARTED in outcomes:
+        elif _attempts.Outcome.NOT_STARTED in outcomes:
             self.refusals += 1
         else:
             self.idle_results += 1
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from cowslipgate_core.membership import _quotas
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _reports
 from cowslipgate_core.messages import _tables
 
 ENTRIES_TABLE = "entries"
@@ -12,7 +12,7 @@
 _DECODER = msgspec.json.Decoder(_quotas.Lease)
 
 
-def name_lease(member: _messages.Member) -> str:
+def name_lease(member: _reports.Member) -> str:
     """Return the key of an entry's row; a restart overwrites it."""
     return member.address.removeprefix("tcp://")
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cowslipgate_core.membership import _gossip
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _reports
 
 MAX_CANDIDATES = 64
 
@@ -16,7 +16,7 @@
 class Membership:
     """Live entries by address, the newest incarnation of each."""
 
-    _members: dict[str, _messages.Member] = attrs.Factory(dict)
+    _members: dict[str, _reports.Member] = attrs.Factory(dict)
     """Newest known member by address."""
 
     _heard: dict[str, datetime.datetime] = attrs.Factory(dict)
@@ -27,7 +27,7 @@
         """Silence after which a member is forgotten."""
         return _gossip.stretch_lapse(len(self._members) - 1)
 
-    def hear(self, member: _messages.Member, now: datetime.datetime) -> bool:
+    def hear(self, member: _reports.Member, now: datetime.datetime) -> bool:
         """Note a sign of life; return whether the member is new.
 
         A member with an older incarnation than the known one is ignored.
@@ -39,24 +39,24 @@
         self._heard[member.address] = now
         return known is None or known.incarnation != member.incarnation
 
-    def has(self, member: _messages.Member) -> bool:
+    def has(self, member: _reports.Member) -> bool:
         """Tell whether this incarnation is a live member."""
         known = self._members.get(member.address)
         return known is not None and known.incarnation == member.incarnation
 
-    def is_superseded(self, member: _messages.Member) -> bool:
+    def is_superseded(self, member: _reports.Member) -> bool:
         """Tell whether a newer incarnation has the member's address."""
         known = self._members.get(member.address)
         return known is not None and known.incarnation > member.incarnation
 
-    def remove(self, member: _messages.Member) -> None:
+    def remove(self, member: _reports.Member) -> None:
         """Forget a member that said goodbye."""
         known = self._members.get(member.address)
         if known is not None and known.incarnation <= member.incarnation:
             del self._members[member.address]
             del self._heard[member.address]
 
-    def expire(self, now: datetime.datetime) -> list[_messages.Member]:
+    def expire(self, now: datetime.datetime) -> list[_reports.Member]:
         """Forget and return the members that were silent too long."""
         limit = self.lapse_after
         lapsed = [
@@ -68,7 +68,7 @@
             self.remove(member)
         return lapsed
 
-    def get_members(self) -> tuple[_messages.Member, ...]:
+    def get_members(self) -> tuple[_reports.Member, ...]:
         """Return the live members in the order of their addresses."""
         return tuple(self._members[key] for key in sorted(self._members))
 
@@ -77,12 +77,12 @@
 class Candidates:
     """Entries known from others only, that may turn out to live."""
 
-    _added: dict[int, tuple[_messages.Member, datetime.datetime]] = (
+    _added: dict[int, tuple[_reports.Member, datetime.datetime]] = (
         attrs.Factory(dict)
     )
     """Candidate and when it was added, by incarnation."""
 
-    def add(self, member: _messages.Member, now: datetime.datetime) -> bool:
+    def add(self, member: _reports.Member, now: datetime.datetime) -> bool:
         """Note a candidate; return whether it is new and there is room."""
         if member.incarnation in self._added:
             return False
@@ -93,7 +93,7 @@
 
     def expire(
         self, limit: datetime.timedelta, now: datetime.datetime
-    ) -> list[_messages.Member]:
+    ) -> list[_reports.Member]:
         """Forget and return the candidates that had time to answer.
 
         :param limit: time that a candidate has for its answer
@@ -107,12 +107,12 @@
             del self._added[member.incarnation]
         return lapsed
 
-    def get_members(self) -> tuple[_messages.Member, ...]:
+    def get_members(self) -> tuple[_reports.Member, ...]:
         """Return the candidates."""
         return tuple(member for member, _ in self._added.values())
 
 
-def digest_members(members: tuple[_messages.Member, ...]) -> str:
+def digest_members(members: tuple[_reports.Member, ...]) -> str:
     """Return a short digest of the members' incarnations."""
     text = ",".join(str(member.incarnation) for member in members)
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
@@ -120,10 +120,10 @@
 
 def choose_entries(
     agent: str,
-    members: tuple[_messages.Member, ...],
+    members: tuple[_reports.Member, ...],
     count: int,
     region: str = "",
-) -> tuple[_messages.Member, ...]:
+) -> tuple[_reports.Member, ...]:
     """Return the entries that an agent connects to.
 
     All but one are in the agent's region, so that it is served while the
@@ -141,8 +141,8 @@
 
 
 def _alternate_domains(
-    ranked: list[_messages.Member],
-) -> list[_messages.Member]:
+    ranked: list[_reports.Member],
+) -> list[_reports.Member]:
     """Put one entry of each failure domain before a second one of any."""
     seen: collections.Counter[str] = collections.Counter()
     rounds = []
@@ -152,6 +152,6 @@
     return [member for _, _, member in sorted(rounds)]
 
 
-def _rank(agent: str, member: _messages.Member) -> bytes:
+def _rank(agent: str, member: _reports.Member) -> bytes:
     text = f"{agent}|{member.address}"
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
@@ -11,7 +11,7 @@
 import attrs
 import msgspec
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _reports
 
 UNLIMITED_SLOTS = 1_000_000
 LEASE_LAPSES_AFTER = datetime.timedelta(seconds=30)
@@ -35,7 +35,7 @@
 class Lease:
     """What one entry writes of itself into the lease row."""
 
-    member: _messages.Member
+    member: _reports.Member
     """The entry."""
 
     renewal: int
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_batches.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_batches.py
@@ -2,15 +2,15 @@
 
 from collections.abc import Iterator
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
 
 MAX_BATCH_BYTES = 4_194_304
 MAX_RESULT_BYTES = 8_388_608
 
 
 def split_orders(
-    orders: tuple[_messages.Order, ...],
-) -> Iterator[tuple[_messages.Order, ...]]:
+    orders: tuple[_attempts.Order, ...],
+) -> Iterator[tuple[_attempts.Order, ...]]:
     """Return the orders in batches of at most MAX_BATCH_BYTES.
 
     An order that is larger makes a batch of its own.
@@ -20,8 +20,8 @@
 
 
 def split_reports(
-    reports: tuple[_messages.AttemptReport, ...],
-) -> Iterator[tuple[_messages.AttemptReport, ...]]:
+    reports: tuple[_attempts.AttemptReport, ...],
+) -> Iterator[tuple[_attempts.AttemptReport, ...]]:
     """Return the reports in batches of at most MAX_BATCH_BYTES.
 
     A report that is larger makes a batch of its own.
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_screening.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_screening.py
@@ -3,7 +3,11 @@
 import functools
 import re
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _cancels
+from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _reports
+from cowslipgate_core.messages import _wire
 
 _AGENT = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
@@ -17,43 +21,43 @@
     return "entries take no message of this kind"
 
 
-@find_message_fault.register(_messages.Report)
-@find_message_fault.register(_messages.Results)
-@find_message_fault.register(_messages.Goodbye)
-@find_message_fault.register(_messages.RelayRequest)
-@find_message_fault.register(_messages.RelayedConfiguration)
+@find_message_fault.register(_reports.Report)
+@find_message_fault.register(_attempts.Results)
+@find_message_fault.register(_reports.Goodbye)
+@find_message_fault.register(_documents.RelayRequest)
+@find_message_fault.register(_documents.RelayedConfiguration)
 def _(
-    message: _messages.Report
-    | _messages.Results
-    | _messages.Goodbye
-    | _messages.RelayRequest
-    | _messages.RelayedConfiguration,
+    message: _reports.Report
+    | _attempts.Results
+    | _reports.Goodbye
+    | _documents.RelayRequest
+    | _documents.RelayedConfiguration,
     identity: bytes,
 ) -> str:
     if not _AGENT.fullmatch(message.agent):
         return "the agent's name is not allowed"
-    known = _messages.encode_identity(message.agent, message.incarnation)
+    known = _wire.encode_identity(message.agent, message.incarnation)
     if identity != known:
         return "the agent is not the sender"
     return ""
 
 
-@find_message_fault.register(_messages.Gossip)
-def _(message: _messages.Gossip, identity: bytes) -> str:
+@find_message_fault.register(_reports.Gossip)
+def _(message: _reports.Gossip, identity: bytes) -> str:
     return _check_entry(message.member.incarnation, identity)
 
 
-@find_message_fault.register(_messages.ConfigurationPush)
-@find_message_fault.register(_messages.ConfigurationRequest)
-@find_message_fault.register(_messages.ConfigurationAcknowledge)
-@find_message_fault.register(_messages.CancelRequest)
-@find_message_fault.register(_messages.CancelReply)
+@find_message_fault.register(_documents.ConfigurationPush)
+@find_message_fault.register(_documents.ConfigurationRequest)
+@find_message_fault.register(_documents.ConfigurationAcknowledge)
+@find_message_fault.register(_cancels.CancelRequest)
+@find_message_fault.register(_cancels.CancelReply)
 def _(
-    message: _messages.ConfigurationPush
-    | _messages.ConfigurationRequest
-    | _messages.ConfigurationAcknowledge
-    | _messages.CancelRequest
-    | _messages.CancelReply,
+    message: _documents.ConfigurationPush
+    | _documents.ConfigurationRequest
+    | _documents.ConfigurationAcknowledge
+    | _cancels.CancelRequest
+    | _cancels.CancelReply,
     identity: bytes,
 ) -> str:
     return _check_entry(message.entry, identity)
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_admission.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_admission.py
@@ -6,7 +6,7 @@
 
 from cowslipgate_core.configuration import _configuration
 from cowslipgate_core.jobs import _jobs
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _room
 
 VIEW_SETTLES_AFTER = datetime.timedelta(seconds=15)
@@ -36,7 +36,7 @@
     nothing; neither does the view of an entry that has just started.
     """
 
-    _seen: dict[tuple[str, _messages.Resources], datetime.datetime] = (
+    _seen: dict[tuple[str, _resources.Resources], datetime.datetime] = (
         attrs.Factory(dict)
     )
     """When each offer was last announced, by service and resources."""
@@ -47,7 +47,7 @@
     def note(
         self,
         service: str,
-        resources: _messages.Resources,
+        resources: _resources.Resources,
         now: datetime.datetime,
     ) -> None:
         """Take in an announcement."""
@@ -83,7 +83,7 @@
 
     def _get_offers(
         self, service: str, now: datetime.datetime
-    ) -> list[_messages.Resources]:
+    ) -> list[_resources.Resources]:
         return [
             resources
             for (name, resources), seen in self._seen.items()
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
@@ -7,7 +7,7 @@
 import attrs
 
 from cowslipgate_core.jobs import _jobs
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _targets
 
@@ -25,7 +25,7 @@
     seconds: float
     """Expected run time on a target of speed one."""
 
-    needs: _messages.Resources = _messages.Resources()
+    needs: _resources.Resources = _resources.Resources()
     """What it needs of its target."""
 
     upper_seconds: float = 0.0
@@ -57,7 +57,7 @@
     placed: collections.Counter[str] = attrs.Factory(collections.Counter)
     """Tasks under way by agent, where the terms limit them."""
 
-    needs: frozenset[_messages.Resources] = attrs.field(init=False)
+    needs: frozenset[_resources.Resources] = attrs.field(init=False)
     """The different needs of its tasks."""
 
     waiting_seconds: float = attrs.field(init=False)
@@ -107,7 +107,7 @@
         return not prefers or prefers in target.resources.labels
 
     def find_longest(
-        self, limit_seconds: float, offer: _messages.Resources
+        self, limit_seconds: float, offer: _resources.Resources
     ) -> int | None:
         """Return the position of the longest task that fits.
 
@@ -125,7 +125,7 @@
         return None
 
     def find_shortest(
-        self, limit_seconds: float, offer: _messages.Resources
+        self, limit_seconds: float, offer: _resources.Resources
     ) -> int | None:
         """Return the position of the shortest task that fits.
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _backlog
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _ready_jobs
@@ -133,7 +133,7 @@
     """Go through the open targets once, the fastest first."""
     assignments = []
     # What no task fits on one target fits on no slower one like it.
-    exhausted: set[_messages.Resources] = set()
+    exhausted: set[_resources.Resources] = set()
     for target in pool.iterate_open(now):
         if not fitting:
             break
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_ready_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_ready_jobs.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _backlog
 from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _targets
@@ -43,7 +43,7 @@
     if len(jobs) <= MAX_JOBS_TRIED:
         return list(jobs)
     offers = {target.offer for target in pool.iterate_open(now)}
-    needs = frozenset[_messages.Resources]().union(
+    needs = frozenset[_resources.Resources]().union(
         *(job.needs for job in jobs)
     )
     covered = {
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_room.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_room.py
@@ -3,17 +3,17 @@
 from collections.abc import Iterable
 import sys
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 
 UNBOUNDED_SLOTS = 10_000
 """Slots that a target announces whose room alone bounds its tasks."""
 
 
 def add_resources(
-    first: _messages.Resources, second: _messages.Resources
-) -> _messages.Resources:
+    first: _resources.Resources, second: _resources.Resources
+) -> _resources.Resources:
     """Return what both take together; labels are not taken."""
-    return _messages.Resources(
+    return _resources.Resources(
         first.memory_mb + second.memory_mb,
         first.accelerators + second.accelerators,
         first.millicores + second.millicores,
@@ -21,10 +21,10 @@
 
 
 def subtract_resources(
-    whole: _messages.Resources, part: _messages.Resources
-) -> _messages.Resources:
+    whole: _resources.Resources, part: _resources.Resources
+) -> _resources.Resources:
     """Return what is left of ``whole``, nothing below zero."""
-    return _messages.Resources(
+    return _resources.Resources(
         max(0, whole.memory_mb - part.memory_mb),
         max(0, whole.accelerators - part.accelerators),
         max(0, whole.millicores - part.millicores),
@@ -33,10 +33,10 @@
 
 
 def scale_resources(
-    resources: _messages.Resources, factor: float
-) -> _messages.Resources:
+    resources: _resources.Resources, factor: float
+) -> _resources.Resources:
     """Return ``factor`` times the resources, rounded."""
-    return _messages.Resources(
+    return _resources.Resources(
         round(resources.memory_mb * factor),
         round(resources.accelerators * factor),
         round(resources.millicores * factor),
@@ -44,17 +44,17 @@
 
 
 def sum_resources(
-    parts: Iterable[_messages.Resources],
-) -> _messages.Resources:
+    parts: Iterable[_resources.Resources],
+) -> _resources.Resources:
     """Return what all parts take together."""
-    total = _messages.Resources()
+    total = _resources.Resources()
     for part in parts:
         total = add_resources(total, part)
     return total
 
 
 def fits_resources(
-    offer: _messages.Resources, needs: _messages.Resources
+    offer: _resources.Resources, needs: _resources.Resources
 ) -> bool:
     """Tell whether ``offer`` covers ``needs``."""
     return (
@@ -66,7 +66,7 @@
 
 
 def count_fitting(
-    offer: _messages.Resources, needs: _messages.Resources
+    offer: _resources.Resources, needs: _resources.Resources
 ) -> int:
     """Return how many tasks with these needs the offer covers at once."""
     counts = [
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
@@ -6,7 +6,8 @@
 import attrs
 
 from cowslipgate_core.membership import _heartbeats
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _reports
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _staleness
 from cowslipgate_core.placement import _targets
@@ -21,19 +22,19 @@
 class AgentRecord:
     """What the entry knows of one agent."""
 
-    report: _messages.Report
+    report: _reports.Report
     """Its last report."""
 
     heard_at: datetime.datetime
     """When it was last heard."""
 
-    load: _messages.Load
+    load: _resources.Load
     """Its last load."""
 
     outstanding: set[int] = attrs.Factory(set)
     """Sequence numbers of attempts sent and not final."""
 
-    own_use: _messages.Resources = _messages.Resources()
+    own_use: _resources.Resources = _resources.Resources()
     """What these attempts take of the target's room."""
 
     busy_since: datetime.datetime | None = None
@@ -66,7 +67,7 @@
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
         self._aged_at: dict[str, datetime.datetime] = {}
-        self._typical: dict[str, _messages.Resources] = {}
+        self._typical: dict[str, _resources.Resources] = {}
         self.agents: dict[str, AgentRecord] = {}
 
     @property
@@ -111,7 +112,7 @@
         self._remove_target(agent, record.report.service)
 
     def replace_report(
-        self, record: AgentRecord, report: _messages.Report
+        self, record: AgentRecord, report: _reports.Report
     ) -> None:
         """Take in a report; the agent may have changed its service."""
         if record.report.service != report.service:
@@ -122,7 +123,7 @@
         record.departing = False
         self.update(record)
 
-    def note_needs(self, service: str, needs: _messages.Resources) -> None:
+    def note_needs(self, service: str, needs: _resources.Resources) -> None:
         """Take in what a task of a service takes of a target's room."""
         known = self._typical.get(service, needs)
         self._typical[service] = _room.add_resources(
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from cowslipgate_core.messages import _messages
+from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _room
 
 PROBATION = "probation"
@@ -20,7 +20,7 @@
     agent: str
     """Name of the agent."""
 
-    resources: _messages.Resources
+    resources: _resources.Resources
     """What one task may use."""
 
     slots: int
@@ -47,10 +47,10 @@
     listed: bool = False
     """Whether the pool lists it as open."""
 
-    room: _messages.Room = msgspec.UNSET
+    room: _resources.Room = msgspec.UNSET
     """What all its tasks share."""
 
-    used: _messages.Resources = _messages.Resources()
+    used: _resources.Resources = _resources.Resources()
     """What tasks under way take of the room, those of other entries too."""
 
     @property
@@ -59,7 +59,7 @@
         return self.slots - self.occupied
 
     @property
-    def offer(self) -> _messages.Resources:
+    def offer(self) -> _resources.Resources:
         """What the next task may use."""
         if self.room is msgspec.UNSET:
             return self.resources
@@ -91,9 +91,9 @@
         self._open: list[int] = []
         self._probation: dict[str, TargetView] = {}
         self._faster: list[float] = []
-        self._fastest: dict[_messages.Resources, float] = {}
+        self._fastest: dict[_resources.Resources, float] = {}
         self._margin = margin
-        self.typical_needs = _messages.Resources()
+        self.typical_needs = _resources.Resources()
         self.capacity = 0.0
         self.slots = 0
         self.turn = 0
@@ -184,7 +184,7 @@
         fitting = _room.count_fitting(target.room, self.typical_needs)
         return min(target.slots, fitting)
 
-    def occupy(self, target: TargetView, needs: _messages.Resources) -> None:
+    def occupy(self, target: TargetView, needs: _resources.Resources) -> None:
         """Take in that a task goes to a target."""
         target.occupied += 1
         target.used = _room.add_resources(target.used, needs)
@@ -214,7 +214,7 @@
         waiting.sort(key=lambda view: view.rank)
         return waiting
 
-    def get_fastest(self, needs: _messages.Resources) -> float:
+    def get_fastest(self, needs: _resources.Resources) -> float:
         """Return the speed of the fastest target that covers ``needs``."""
         known = self._fastest.get(needs)
         if known is None:
@@ -222,7 +222,7 @@
             self._fastest[needs] = known
         return known
 
-    def _find_fastest(self, needs: _messages.Resources) -> float:
+    def _find_fastest(self, needs: _resources.Resources) -> float:
         for view in self._ranked:
             if view.slots and _room.fits_resources(view.resources, needs):
                 return view.speed
