Keep every job of the wave in flight until it is cancelled

With a submission each 40 ms the old test fails with the same line, 'every job in flight did not happen in 30.0 s'.

The jobs now last 20 s and declare 400 ms, so none ends before it is cancelled; that also asks for more: the slots that the later job needs are free only because running tasks were stopped. Ruled out: a lost submission (no answer came before the wait ended).

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/control_builders.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/control_builders.py
@@ -51,9 +51,17 @@
     return {"services": {SERVICE: {}}, "teams": teams}
 
 
-def build_job(tasks: int = 1, true_ms: int = 0, **fields: Any) -> Any:
-    """Return the body of a submission."""
-    task = {"payload": {"true_ms": true_ms}, "size_ms": max(true_ms, 1)}
+def build_job(
+    tasks: int = 1, true_ms: int = 0, size_ms: int = 0, **fields: Any
+) -> Any:
+    """Return the body of a submission.
+
+    :param size_ms: declared size, or zero for the true one
+    """
+    task = {
+        "payload": {"true_ms": true_ms},
+        "size_ms": size_ms or max(true_ms, 1),
+    }
     return {"tasks": [task] * tasks} | fields
 
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cancellation_wave.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cancellation_wave.py
@@ -8,12 +8,17 @@
 
 JOBS = 60
 SLOTS = 4
+LASTING_MS = 20_000
+DECLARED_MS = 400
 
 
 def test_nothing_starts_after_the_answer(tmp_path: pathlib.Path) -> None:
     with builders.build_cluster(tmp_path, slots=SLOTS) as cluster:
         asked, *owners = cluster.entries
-        job = builders.build_job(true_ms=400, label="hall-7")
+        # None may end before the last is submitted, however slowly.
+        job = builders.build_job(
+            true_ms=LASTING_MS, size_ms=DECLARED_MS, label="hall-7"
+        )
         with concurrent.futures.ThreadPoolExecutor(JOBS) as pool:
             answers = [
                 pool.submit(
