Let a ledger be given its estimates

A model needs a reference that knows sizes and speeds; the ledger made its estimates itself. Nothing changes where none are given: tests of core pass.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -35,6 +35,7 @@
         policy: _placement.Policy,
         incarnation: int = 0,
         timing: _timing.Timing = _timing.Timing(),
+        estimates: _estimates.Estimates | None = None,
     ) -> None:
         self._incarnation = incarnation
         self._timing = timing
@@ -43,7 +44,7 @@
         self._jobs: dict[str, _jobs.Job] = {}
         self._attempts: dict[int, _jobs.Attempt] = {}
         self._sequence = 0
-        self.estimates = _estimates.Estimates()
+        self.estimates = estimates or _estimates.Estimates()
         self._roster = _roster.Roster(
             self.estimates.get_present_speed,
             policy.margin,
