Add references that know sizes and speeds to the load model

Question: what do several entries lose under load, views or knowledge? Before, the only reference was one entry without latencies, which learns as all do.

Agents could tell speeds.

Test: one entry that knows all serves no worse than one that learns, on four patterns.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -131,7 +131,7 @@
 def experiment(
     *,
     site: str = "al-haddad",
-    policies: str = "in_turn,late_binding,matching,central",
+    policies: str = "in_turn,late_binding,matching,knowing,central,omniscient",
     patterns: str = "calm,burst,slow,hang,fail,lost-orders",
     loads: str = "0.8,1.0,1.2",
     seconds: float = 30.0,
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_agents.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_agents.py
@@ -43,7 +43,7 @@
         self.name = name
         self.domain = domain
         self.executor = core.Executor(1, 0)
-        self._target = target
+        self.target = target
         self._loop = loop
         self._send = send
         self._find_seconds = find_seconds
@@ -95,7 +95,7 @@
                     self._tell(action)
 
     def _order(self, start: core.StartTask) -> None:
-        run = self._target.order(self._find_seconds(start.order.task))
+        run = self.target.order(self._find_seconds(start.order.task))
         self._running.add(start.key)
         end = functools.partial(self._end, start.key, run.outcome, run.seconds)
         self._loop.call_in(run.seconds, end)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_day.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_day.py
@@ -16,6 +16,7 @@
 from cowslipgate_bench.model import _sites
 from cowslipgate_bench.model import _targets
 from cowslipgate_bench.model import _traffic
+from cowslipgate_bench.model import _truths
 
 START_SECONDS = 2.0
 """Time before traffic, in which agents find the entries."""
@@ -61,6 +62,9 @@
     central: bool = False
     """Whether one entry without latencies serves all: the reference."""
 
+    knowing: bool = False
+    """Whether entries know true sizes and speeds."""
+
 
 @attrs.frozen
 class DayFigures:
@@ -125,6 +129,7 @@
                 self._loop,
                 functools.partial(self._send_to_agent, n),
                 self._take_answer,
+                self._make_estimates(),
             )
             for n in incarnations
         }
@@ -132,6 +137,13 @@
         for agent in self._agents.values():
             agent.start(incarnations)
 
+    def _make_estimates(self) -> core.Estimates | None:
+        if not self._day.knowing:
+            return None
+        return _truths.KnownEstimates(
+            lambda agent: self._agents[agent].target.get_present_speed()
+        )
+
     def _make_agents(self, site: _sites.Site) -> list[_agents.Agent]:
         source = random.Random(self._day.seed)
         struck = self._choose_struck(source)
@@ -193,11 +205,11 @@
         numbers = list(self._entries)
         entry = self._entries[numbers[request.entry % len(numbers)]]
         needs = core.Resources(64, 0, request.millicores)
-        task = core.TaskRequest(
-            msgspec.Raw(b"null"),
-            request.kind.name,
-            request.declared_seconds * 1_000,
-            needs,
+        tasks = tuple(
+            core.TaskRequest(
+                msgspec.Raw(b"null"), request.kind.name, size_ms, needs
+            )
+            for size_ms in self._list_declared(request)
         )
         site = self._day.site
         terms = core.JobTerms(
@@ -215,7 +227,7 @@
             f"job-{request.name}",
             _entries.TEAM,
             _agents.SERVICE,
-            core.JobRequest((task,) * len(request.seconds)),
+            core.JobRequest(tasks),
             now,
             now + datetime.timedelta(seconds=wait),
             entry.ledger.make_machine(),
@@ -224,6 +236,12 @@
         self._jobs[job.id] = self._outcomes[request.name]
         entry.submit(job)
 
+    def _list_declared(self, request: _traffic.Request) -> list[float]:
+        declared = [request.declared_seconds] * len(request.seconds)
+        if self._day.knowing:
+            declared = list(request.seconds)
+        return [seconds * 1_000 for seconds in declared]
+
     def _find_objective(self, request: _traffic.Request) -> float:
         site = self._day.site
         return site.latency_seconds + site.slowdown * max(request.seconds)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_entries.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_entries.py
@@ -28,6 +28,7 @@
     :param entries: number of entries that share the targets
     :param send: sends a message to an agent
     :param answer: takes the answer to a job
+    :param estimates: what is known of sizes and speeds, None to learn them
     """
 
     def __init__(
@@ -38,8 +39,9 @@
         loop: _loop.Loop,
         send: Send,
         answer: Answer,
+        estimates: core.Estimates | None = None,
     ) -> None:
-        self.ledger = core.Ledger(policy, incarnation, TIMING)
+        self.ledger = core.Ledger(policy, incarnation, TIMING, estimates)
         self._incarnation = incarnation
         self._entries = entries
         self._loop = loop
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
@@ -18,11 +18,20 @@
 CENTRAL = "central"
 """Matching by one entry without latencies: the reference."""
 
+OMNISCIENT = "omniscient"
+"""The same, told true sizes and speeds."""
+
+KNOWING = "knowing"
+"""Matching by all entries, each told true sizes and speeds: what better
+knowledge of them would bring."""
+
 POLICIES: dict[str, core.Policy] = {
     "in_turn": core.RoundRobin(),
     "late_binding": core.LateBinding(),
     "matching": core.Matching(),
     CENTRAL: core.Matching(),
+    OMNISCIENT: core.Matching(),
+    KNOWING: core.Matching(),
 }
 """The naive twin first."""
 
@@ -94,7 +103,8 @@
             load,
             plan.seconds,
             plan.seed,
-            central=policy == CENTRAL,
+            central=policy in (CENTRAL, OMNISCIENT),
+            knowing=policy in (OMNISCIENT, KNOWING),
         )
         yield Experiment(pattern, load, policy, _day.play_day(day))
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_targets.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_targets.py
@@ -14,6 +14,9 @@
 FAILING_SECONDS = 0.02
 """Time that a run takes which fails at once."""
 
+USELESS_SPEED = 0.001
+"""Speed of a target that ends nothing well, for whoever knows of it."""
+
 LOST_SECONDS = 0.2
 """Time until an agent knows for certain that a lost order runs nowhere."""
 
@@ -64,8 +67,7 @@
         """
         now = self.loop.elapsed
         alone = seconds / self.speed
-        struck = self.begin <= now < self.end
-        match self.trouble if struck else _sites.Trouble.NONE:
+        match self._find_trouble():
             case _sites.Trouble.SLOW:
                 return Run(alone * SLOW_FACTOR)
             case _sites.Trouble.HANG:
@@ -76,3 +78,16 @@
                 if self.source.random() < self.share:
                     return Run(LOST_SECONDS, core.Outcome.LOST)
         return Run(alone)
+
+    def get_present_speed(self) -> float:
+        """Return the speed that orders meet now, next to none in a trouble."""
+        match self._find_trouble():
+            case _sites.Trouble.SLOW:
+                return self.speed / SLOW_FACTOR
+            case _sites.Trouble.HANG | _sites.Trouble.FAIL:
+                return USELESS_SPEED
+        return self.speed
+
+    def _find_trouble(self) -> _sites.Trouble:
+        struck = self.begin <= self.loop.elapsed < self.end
+        return self.trouble if struck else _sites.Trouble.NONE
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
@@ -27,7 +27,8 @@
         model.POLICIES[policy],
         load,
         seconds,
-        central=policy == "central",
+        central=policy in ("central", "omniscient"),
+        knowing=policy in ("omniscient", "knowing"),
     )
     return model.play_day(day)
 
@@ -84,6 +85,17 @@
     assert central.refused == 0.0
 
 
+@pytest.mark.parametrize("pattern", ["burst", "slow", "fail", "hang"])
+def test_one_entry_that_knows_sizes_and_speeds_serves_no_worse(
+    pattern: str,
+) -> None:
+    learning, knowing = (
+        _play(pattern, policy, 1.2, 9.0)
+        for policy in ("central", "omniscient")
+    )
+    assert knowing.worth >= learning.worth
+
+
 def test_requests_at_a_target_that_hangs_are_answered() -> None:
     figures = _play("hang", seconds=9.0)
     assert figures.stalled > 0
