--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_followed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_followed.py
@@ -13,6 +13,9 @@
 from cowslipgate_entry.store import _followed
 
 OWN = core.Member(1, "tcp://127.0.0.1:1", "127.0.0.1:2", "ruwi")
+OUTAGE_SECONDS = 60
+"""An outage of the store that outlasts every lease."""
+
 OTHER = core.Member(2, "tcp://127.0.0.1:3", "127.0.0.1:4", "seeb")
 
 
@@ -170,6 +173,51 @@
     assert rig.members == [{OWN, OTHER}]
 
 
+def test_row_is_written_within_two_seconds_of_the_stores_return(
+    rig: Rig,
+) -> None:
+    for _ in range(20):
+        rig.answer("members", core.TableResult.UNREACHABLE)
+        rig.pass_time(1)
+    rig.answer("members", core.TableResult.UNREACHABLE)
+    before = len(rig.calls)
+    rig.pass_time(0.5)
+    (call,) = [c for c in rig.calls[before:] if c.channel == "members"]
+    assert isinstance(call, core.TableWrite)
+
+
+def test_entry_whose_row_is_old_after_a_long_outage_stays_a_member(
+    rig: Rig,
+) -> None:
+    rig.answer("members")
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    for _ in range(OUTAGE_SECONDS):
+        rig.pass_time(1)
+        rig.answer("members", core.TableResult.UNREACHABLE)
+    rig.pass_time(0.5)
+    rig.answer("members")
+    # The other entry has not come round to its renewal yet.
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    assert rig.members[-1] == {OWN, OTHER}
+
+
+def test_entry_that_is_gone_after_an_outage_lapses_two_seconds_later(
+    rig: Rig,
+) -> None:
+    rig.answer("members")
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    for _ in range(OUTAGE_SECONDS):
+        rig.pass_time(1)
+        rig.answer("members", core.TableResult.UNREACHABLE)
+    rig.pass_time(0.5)
+    rig.answer("members")
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    rig.pass_time(2)
+    rig.answer("members")
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    assert rig.members[-1] == {OWN}
+
+
 def test_stopping_entry_removes_its_row(rig: Rig) -> None:
     rig.send(_events.drain(), "members")
     written = rig.last("members")
