Keep the runs that a reborn target has taken; keep members after an outage

A task ran twice at the same time. Another target at the place takes none of the old orders, since they name their target; the same id does. Now the listings of the new life alone tell what is over: what it lists goes on, what was accepted before the listing was asked for and is in none is lost, and orders without an answer are stopped there as well, with the same token. Ruled out: an answer that came late (the target had answered), the entry's numbering.

After an outage of the store of more than 30 s an entry counted others as gone for 5 s. It takes nobody off its list at the first read and reads again 2 s later.

Noticed and left: an order refused for its fencing token counts against the target, which is then shut for 2 s.

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -130,9 +130,13 @@
         """Take in which target, and which life of it, is beside the agent."""
         actions: list[_run_records.RunAction] = []
         if self._instance and instance != self._instance:
-            actions = self._change_life(life, now)
+            # Orders name their target, so another one runs none of them.
+            actions = self.lose_target(_REPLACED, now)
+            self._begin_life(life)
+            self._fence = 0
         elif self._life and life > self._life:
-            actions = self._change_life(life, now)
+            self._begin_life(life)
+            actions = self._stop_uncertain()
         self._instance = instance
         return actions
 
@@ -257,10 +261,10 @@
         actions: list[_run_records.RunAction] = []
         if listing.life < self._life:
             return actions
-        if listing.life > self._life:
-            if self._life:
-                actions.extend(self._change_life(listing.life, now))
-            self._life = listing.life
+        if self._life and listing.life > self._life:
+            self._begin_life(listing.life)
+            actions.extend(self._stop_uncertain())
+        self._life = listing.life
         if listing.clock_ms < self._listed_ms:
             # Answers to watches may overtake each other.
             return actions
@@ -325,18 +329,24 @@
         # Twice as much outranks every token of an earlier life soon.
         self._fence = 2 * self._fence + 1
 
-    def _change_life(
-        self, life: int, now: datetime.datetime
-    ) -> list[_run_records.RunAction]:
-        actions = self.lose_target(_attempts.Reason.TARGET_REPLACED, now)
+    def _begin_life(self, life: int) -> None:
+        # An order that left before the rebirth was heard of may be taken by
+        # the new life, so its listings alone tell which runs are over. The
+        # token stays: the new life may have seen it.
         self._life = life
-        self._fence = 0
         self._cursor = 0
         self._clock_ms = 0
         self._clock_at = None
         self._listed_ms = 0
         self._unacknowledged = False
-        return actions
+
+    def _stop_uncertain(self) -> list[_run_records.RunAction]:
+        # A stop that the former life has taken bars nothing any more.
+        return [
+            self._stop(run)
+            for run in self._runs.values()
+            if run.machine.state in ("unanswered", "stopping")
+        ]
 
     def _stop(self, run: _Run) -> _run_records.CallStop:
         run.machine.fire("stop")
@@ -389,6 +399,7 @@
         return _run_records.EndRun(run.key, *outcome, run_ms, run.checkpoint)
 
 
+_REPLACED = _attempts.Reason.TARGET_REPLACED
 _INVALID = (_attempts.Outcome.FAILED, _attempts.Reason.MALFORMED_RESULT)
 _UNREACHABLE = (
     _attempts.Outcome.NOT_STARTED,
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/run_builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/run_builders.py
@@ -9,6 +9,7 @@
 LEASE = datetime.timedelta(seconds=1)
 LEASE_MS = 1_000
 LIFE = 1_700_000_000_000
+REBORN_CLOCK_MS = 1_000
 
 
 def build_order(attempt: int = 1, run: int = 10) -> core.Order:
@@ -67,6 +68,17 @@
     starts: list[core.RunName] = attrs.Factory(list)
     """Every run that was started."""
 
+    def be_reborn(self) -> None:
+        """Begin another life under the same id; what ran is gone."""
+        self.life += 1
+        self.clock_ms = REBORN_CLOCK_MS
+        self.fence = 0
+        self.lease_end_ms = 0
+        self.running.clear()
+        self.barred.clear()
+        self.ended.clear()
+        self.number = 0
+
     def advance(self, milliseconds: int) -> None:
         """Move the clock and end what has lost its lease."""
         self.clock_ms += milliseconds
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs_model.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs_model.py
@@ -88,6 +88,21 @@
             how = data.draw(strategies.sampled_from(ends))
             self.target.end(name, how)
 
+    @stateful.rule()
+    def be_reborn(self) -> None:
+        """Let the target begin another life before the book hears of it.
+
+        Orders on their way to the former life end with its connections.
+        """
+        self.target.be_reborn()
+        self.late.clear()
+
+    @stateful.rule()
+    def hear_beat(self) -> None:
+        """Let a heartbeat of the present life come."""
+        actions = self.book.hear_target("i-1", self.target.life, self.now)
+        self._perform(actions, "answered")
+
     @stateful.rule()
     def carry_out_late(self) -> None:
         """Carry out an order that nobody waits for any more."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -21,6 +21,11 @@
 """Time between a call that failed and the next."""
 
 
+RETURN_GRACE = datetime.timedelta(seconds=2)
+"""Time after an outage of the store in which every live entry renews its row:
+a call's limit of 1.3 s and the interval of tries."""
+
+
 class StoredMembers(circuits.BaseComponent):
     """Writes this entry's row and reads those of the others."""
 
@@ -35,6 +40,7 @@
         self._renewal = 0
         self._busy = False
         self._leaving = False
+        self._away = False
         self._next_renewal = clock.now()
 
     @circuits.handler("started", channel="*")
@@ -55,6 +61,7 @@
     def _on_table_answered(self, answer: core.TableAnswer) -> None:
         if answer.result is not core.TableResult.DONE:
             self._busy = False
+            self._away = True
             self._next_renewal = self._clock.now() + RETRY_INTERVAL
         elif isinstance(answer.call, core.TableRead):
             self._busy = False
@@ -86,7 +93,22 @@
         )
         live = self._watch.keep_live(others, self._clock.now())
         members = (self._member, *(lease.member for lease in live))
+        if self._away:
+            self._away = False
+            members += self._list_unheard(members)
+            self._next_renewal = self._clock.now() + RETURN_GRACE
         if set(members) != set(self._members):
             self._members = members
             event = _events.members_changed(members)
             self.fire(event, "dispatcher", "gateway")
+
+    def _list_unheard(
+        self, heard: tuple[core.Member, ...]
+    ) -> tuple[core.Member, ...]:
+        """Return known members that may not have renewed their rows yet."""
+        addresses = {member.address for member in heard}
+        return tuple(
+            member
+            for member in self._members
+            if member.address not in addresses
+        )
