--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload_faults.py
@@ -13,6 +13,9 @@
 REST_JOBS = 20
 SLOTS = 4
 WAVE_SLOTS = 16
+WAVE_TASK_MS = 45_000.0
+"""Run time of the wave's tasks, in milliseconds: longer than the test waits
+for the wave to be whole, so that none ends before it is cancelled."""
 
 
 @pytest.fixture(scope="module")
@@ -78,7 +81,7 @@
         deployment.submit(
             entry=n % 2,
             tasks=2,
-            true_ms=(5_000.0,),
+            true_ms=(WAVE_TASK_MS,),
             deadline_ms=60_000,
             label="hall",
         )
