Say once what a variant of the model is, and what an outage of the tests is

The experiment and its test each worked out from a name whether one entry decides and what it knows; the record Variant now holds it. Two tests of members played the same outage line by line. No test changed what it asks.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
@@ -15,25 +15,51 @@
 
 matplotlib.use("agg")
 
-CENTRAL = "central"
-"""Matching by one entry without latencies: the reference."""
-
-OMNISCIENT = "omniscient"
-"""The same, told true sizes and speeds."""
-
-KNOWING = "knowing"
-"""Matching by all entries, each told true sizes and speeds: what better
-knowledge of them would bring."""
-
-POLICIES: dict[str, core.Policy] = {
-    "in_turn": core.RoundRobin(),
-    "late_binding": core.LateBinding(),
-    "matching": core.Matching(),
-    CENTRAL: core.Matching(),
-    OMNISCIENT: core.Matching(),
-    KNOWING: core.Matching(),
+
+@attrs.frozen
+class Variant:
+    """Who decides how, and what is known."""
+
+    policy: core.Policy
+    """How targets are chosen."""
+
+    central: bool = False
+    """Whether one entry without latencies decides."""
+
+    knowing: bool = False
+    """Whether true sizes and speeds are known."""
+
+    def make_day(
+        self,
+        site: _sites.Site,
+        pattern: str,
+        load: float,
+        seconds: float,
+        seed: int = 1,
+    ) -> _day.Day:
+        """Return a day, see the fields of ``Day``."""
+        return _day.Day(
+            site,
+            _sites.PATTERNS[pattern],
+            self.policy,
+            load,
+            seconds,
+            seed,
+            self.central,
+            self.knowing,
+        )
+
+
+VARIANTS = {
+    "in_turn": Variant(core.RoundRobin()),
+    "late_binding": Variant(core.LateBinding()),
+    "matching": Variant(core.Matching()),
+    "knowing": Variant(core.Matching(), knowing=True),
+    "central": Variant(core.Matching(), central=True),
+    "omniscient": Variant(core.Matching(), central=True, knowing=True),
 }
-"""The naive twin first."""
+"""The naive twin first; ``central`` is the reference, the others that know
+show what better knowledge would bring."""
 
 COLUMNS = (
     "pattern",
@@ -96,15 +122,8 @@
     for pattern, load, policy in itertools.product(
         plan.patterns, plan.loads, plan.policies
     ):
-        day = _day.Day(
-            plan.site,
-            _sites.PATTERNS[pattern],
-            POLICIES[policy],
-            load,
-            plan.seconds,
-            plan.seed,
-            central=policy in (CENTRAL, OMNISCIENT),
-            knowing=policy in (OMNISCIENT, KNOWING),
+        day = VARIANTS[policy].make_day(
+            plan.site, pattern, load, plan.seconds, plan.seed
         )
         yield Experiment(pattern, load, policy, _day.play_day(day))
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
@@ -21,16 +21,8 @@
     load: float = 1.0,
     seconds: float = SHORT,
 ) -> model.DayFigures:
-    day = model.Day(
-        SITE,
-        model.PATTERNS[pattern],
-        model.POLICIES[policy],
-        load,
-        seconds,
-        central=policy in ("central", "omniscient"),
-        knowing=policy in ("omniscient", "knowing"),
-    )
-    return model.play_day(day)
+    variant = model.VARIANTS[policy]
+    return model.play_day(variant.make_day(SITE, pattern, load, seconds))
 
 
 def test_actions_are_called_in_the_order_of_their_instants() -> None:
@@ -62,7 +54,7 @@
     assert _play("burst") == _play("burst")
 
 
-@pytest.mark.parametrize("policy", list(model.POLICIES))
+@pytest.mark.parametrize("policy", list(model.VARIANTS))
 def test_calm_day_is_served_whole_by_every_policy(policy: str) -> None:
     figures = _play(policy=policy, load=0.5)
     assert figures.in_time + figures.late == 1.0
@@ -113,4 +105,4 @@
 
 
 def test_policies_are_those_of_the_product() -> None:
-    assert isinstance(model.POLICIES["matching"], core.Matching)
+    assert isinstance(model.VARIANTS["matching"].policy, core.Matching)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_followed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_followed.py
@@ -14,7 +14,7 @@
 
 OWN = core.Member(1, "tcp://127.0.0.1:1", "127.0.0.1:2", "ruwi")
 OUTAGE_SECONDS = 60
-"""An outage of the store that outlasts every lease."""
+"""An outage of the store that outlasts every lease, which is 30 s."""
 
 OTHER = core.Member(2, "tcp://127.0.0.1:3", "127.0.0.1:4", "seeb")
 
@@ -186,9 +186,8 @@
     assert isinstance(call, core.TableWrite)
 
 
-def test_entry_whose_row_is_old_after_a_long_outage_stays_a_member(
-    rig: Rig,
-) -> None:
+def _outlast_outage(rig: Rig) -> None:
+    """Let a long outage pass, up to the first read after it."""
     rig.answer("members")
     rig.answer("members", rows=(_lease(OTHER, 1),))
     for _ in range(OUTAGE_SECONDS):
@@ -196,6 +195,12 @@
         rig.answer("members", core.TableResult.UNREACHABLE)
     rig.pass_time(0.5)
     rig.answer("members")
+
+
+def test_entry_whose_row_is_old_after_a_long_outage_stays_a_member(
+    rig: Rig,
+) -> None:
+    _outlast_outage(rig)
     # The other entry has not come round to its renewal yet.
     rig.answer("members", rows=(_lease(OTHER, 1),))
     assert rig.members[-1] == {OWN, OTHER}
@@ -204,13 +209,7 @@
 def test_entry_that_is_gone_after_an_outage_lapses_two_seconds_later(
     rig: Rig,
 ) -> None:
-    rig.answer("members")
-    rig.answer("members", rows=(_lease(OTHER, 1),))
-    for _ in range(OUTAGE_SECONDS):
-        rig.pass_time(1)
-        rig.answer("members", core.TableResult.UNREACHABLE)
-    rig.pass_time(0.5)
-    rig.answer("members")
+    _outlast_outage(rig)
     rig.answer("members", rows=(_lease(OTHER, 1),))
     rig.pass_time(2)
     rig.answer("members")
