--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_lost_links.py
@@ -13,6 +13,7 @@
 LOST_SECONDS = 8
 WAIT_MS = 10_000
 HELD_POLLS = 3
+"""Rounds for which the entry holds a message up."""
 
 
 @pytest.fixture
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/run_builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/run_builders.py
@@ -10,6 +10,7 @@
 LEASE_MS = 1_000
 LIFE = 1_700_000_000_000
 REBORN_CLOCK_MS = 1_000
+"""Clock of a target's next life at its start, far below that of the first."""
 
 
 def build_order(attempt: int = 1, run: int = 10) -> core.Order:
