Blame no target for a token that was too low; remove rows nobody renews

Cause: an order that the target refused because its fencing token was too low was reported as BUSY, and BUSY counts against the health of a target. Two seconds after a rebirth the first orders of several jobs so put a healthy target into quarantine. It has a reason of its own now, which holds the agent as BUSY does (no hot loop) and blames nobody.

The live entry with the lowest key removes one at a time, 10 minutes after its last renewal; not at the first read after an outage, where live rows are old.

Ruled out: to exempt REPLACED (421) or BUSY (unanswered, no room) too: the first is a target that is gone, the second may be one that stalls. Left: an entry frozen for 10 minutes that wakes in the same instant may be without its row until its next renewal, at most 5 s.

Tests first, red before: test_refusals_count_but_those_for_an_old_token, test_refused_order_is_told[outranked], test_row_of_an_entry_that_never_ returns_is_removed and two beside it.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -181,6 +181,7 @@
 LASTING_SHARE = _staleness.LASTING_SHARE
 LateBinding = _late_binding.LateBinding
 Lease = _quotas.Lease
+LEASE_ABANDONED_AFTER = _quotas.LEASE_ABANDONED_AFTER
 LEASE_LAPSES_AFTER = _quotas.LEASE_LAPSES_AFTER
 LeaseWatch = _quotas.LeaseWatch
 LeastCompletion = _least_completion.LeastCompletion
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -78,7 +78,7 @@
 _REFUSALS = {
     _run_records.StartReply.REFUSED: _attempts.Reason.BUSY,
     _run_records.StartReply.UNHEALTHY: _attempts.Reason.TARGET_STATUS,
-    _run_records.StartReply.OUTRANKED: _attempts.Reason.BUSY,
+    _run_records.StartReply.OUTRANKED: _attempts.Reason.OUTRANKED,
     _run_records.StartReply.REPLACED: _attempts.Reason.TARGET_REPLACED,
 }
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -132,4 +132,7 @@
     """Tell whether a run that did not finish speaks against the target."""
     if held.stopping:
         return held.stalled
+    if report.reason is _attempts.Reason.OUTRANKED:
+        # The agent's token was too low; the next one is higher.
+        return False
     return report.outcome is not _LOST
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -514,7 +514,11 @@
 
 
 _HOLDING_REASONS = frozenset(
-    (_attempts.Reason.BUSY, _attempts.Reason.NOT_SERVING)
+    (
+        _attempts.Reason.BUSY,
+        _attempts.Reason.NOT_SERVING,
+        _attempts.Reason.OUTRANKED,
+    )
 )
 
 _EVENTS = {
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
@@ -15,6 +15,10 @@
 
 UNLIMITED_SLOTS = 1_000_000
 LEASE_LAPSES_AFTER = datetime.timedelta(seconds=30)
+LEASE_ABANDONED_AFTER = datetime.timedelta(minutes=10)
+"""Time without a renewal after which an entry will not come back: VMs are
+replaced within seconds, at other addresses; chosen for outages of minutes."""
+
 FLOOR_DIVISOR = 2
 
 
@@ -70,6 +74,17 @@
             if now - seen[lease.member.incarnation][1] <= LEASE_LAPSES_AFTER
         )
 
+    def list_abandoned(
+        self, leases: tuple[Lease, ...], now: datetime.datetime
+    ) -> tuple[Lease, ...]:
+        """Return those of the leases seen whose entries will not come back."""
+        limit = now - LEASE_ABANDONED_AFTER
+        return tuple(
+            lease
+            for lease in leases
+            if self._seen[lease.member.incarnation][1] < limit
+        )
+
 
 @attrs.define
 class QuotaBook:
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_health.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_health.py
@@ -62,6 +62,25 @@
     assert bench.executor.state == "serving"
 
 
+@pytest.mark.parametrize(
+    ("reason", "state"),
+    [
+        (core.Reason.OUTRANKED, "serving"),
+        (core.Reason.BUSY, "quarantined"),
+        (core.Reason.TARGET_STATUS, "quarantined"),
+        (core.Reason.TARGET_REPLACED, "quarantined"),
+    ],
+)
+def test_refusals_count_but_those_for_an_old_token(
+    reason: core.Reason, state: str
+) -> None:
+    bench = Bench()
+    refused = core.AttemptReport(0, core.Outcome.NOT_STARTED, reason)
+    for number in range(core.JOBS_TO_QUARANTINE):
+        bench.run(f"job-{number}", refused)
+    assert bench.executor.state == state
+
+
 def test_bad_jobs_between_good_ones_are_not_held_against_the_target() -> None:
     bench = Bench()
     for number in range(50):
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_quotas.py
@@ -162,6 +162,21 @@
     assert greedy.book.limits == other.book.limits == {TEAM: 6}
 
 
+def test_lease_is_abandoned_long_after_its_last_renewal() -> None:
+    watch = core.LeaseWatch()
+    member = core.Member(1, "tcp://127.0.0.1:1", "127.0.0.1:2", "seeb")
+    lease = core.Lease(member, 1)
+    now = builders.NOW
+    watch.keep_live((lease,), now)
+    now += core.LEASE_ABANDONED_AFTER
+    assert watch.list_abandoned((lease,), now) == ()
+    now += datetime.timedelta(seconds=1)
+    assert watch.list_abandoned((lease,), now) == (lease,)
+    renewed = core.Lease(member, 2)
+    watch.keep_live((renewed,), now)
+    assert watch.list_abandoned((renewed,), now) == ()
+
+
 def test_lease_lapses_by_the_reader_clock_only() -> None:
     watch = core.LeaseWatch()
     member = core.Member(1, "tcp://127.0.0.1:1", "127.0.0.1:2", "seeb")
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -128,6 +128,11 @@
             core.Outcome.NOT_STARTED,
             core.Reason.TARGET_STATUS,
         ),
+        (
+            core.StartReply.OUTRANKED,
+            core.Outcome.NOT_STARTED,
+            core.Reason.OUTRANKED,
+        ),
         (
             core.StartReply.REPLACED,
             core.Outcome.NOT_STARTED,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -55,7 +55,7 @@
     @circuits.handler("drain")
     def _on_drain(self) -> None:
         self._leaving = True
-        self._write(b"")
+        self._write(self._member, b"")
 
     @circuits.handler("table_answered")
     def _on_table_answered(self, answer: core.TableAnswer) -> None:
@@ -77,10 +77,10 @@
         self._next_renewal = self._clock.now() + RENEW_INTERVAL
         self._renewal += 1
         lease = core.Lease(self._member, self._renewal)
-        self._write(core.encode_lease(lease))
+        self._write(self._member, core.encode_lease(lease))
 
-    def _write(self, value: bytes) -> None:
-        key = core.name_lease(self._member)
+    def _write(self, member: core.Member, value: bytes) -> None:
+        key = core.name_lease(member)
         call = core.TableWrite(CHANNEL, core.ENTRIES_TABLE, key, value)
         self.fire(transport.call_table(call), "store")
 
@@ -97,11 +97,28 @@
             self._away = False
             members += self._list_unheard(members)
             self._next_renewal = self._clock.now() + RETURN_GRACE
+        else:
+            self._tidy(others, members)
         if set(members) != set(self._members):
             self._members = members
             event = _events.members_changed(members)
             self.fire(event, "dispatcher", "gateway")
 
+    def _tidy(
+        self, leases: tuple[core.Lease, ...], members: tuple[core.Member, ...]
+    ) -> None:
+        """Remove the row of one entry that will not come back, if any.
+
+        One live entry alone does so, to spare the store the others' calls.
+        """
+        first = min(members, key=core.name_lease)
+        if self._leaving or first != self._member:
+            return
+        abandoned = self._watch.list_abandoned(leases, self._clock.now())
+        if abandoned:
+            self._busy = True
+            self._write(abandoned[0].member, b"")
+
     def _list_unheard(
         self, heard: tuple[core.Member, ...]
     ) -> tuple[core.Member, ...]:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_followed.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_followed.py
@@ -186,6 +186,47 @@
     assert isinstance(call, core.TableWrite)
 
 
+def _abandon_row(rig: Rig, own: core.Member, gone: core.Member) -> None:
+    """Let a row stand unrenewed until its entry will not come back."""
+    rounds = core.LEASE_ABANDONED_AFTER // _stored_members.RENEW_INTERVAL
+    for number in range(rounds + 2):
+        rig.answer("members")
+        rig.answer("members", rows=(_lease(own, number), _lease(gone, 1)))
+        rig.pass_time(_stored_members.RENEW_INTERVAL.total_seconds())
+
+
+def test_row_of_an_entry_that_never_returns_is_removed(rig: Rig) -> None:
+    _abandon_row(rig, OWN, OTHER)
+    writes = [c for c in rig.calls if isinstance(c, core.TableWrite)]
+    removed = [call.key for call in writes if not call.value]
+    assert removed == [core.name_lease(OTHER)]
+    # The answer to the removal is followed by the renewals as before.
+    rig.answer("members")
+    rig.answer("members", rows=(_lease(OWN, 1),))
+    rig.pass_time(_stored_members.RENEW_INTERVAL.total_seconds())
+    assert rig.last("members").key == core.name_lease(OWN)
+
+
+def test_outage_of_the_store_makes_no_row_abandoned(rig: Rig) -> None:
+    rig.answer("members")
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    rig.pass_time(6)
+    rig.answer("members", core.TableResult.UNREACHABLE)
+    rig.pass_time(core.LEASE_ABANDONED_AFTER.total_seconds())
+    rig.answer("members")
+    # The other entry has not come round to its renewal yet.
+    rig.answer("members", rows=(_lease(OTHER, 1),))
+    writes = [c for c in rig.calls if isinstance(c, core.TableWrite)]
+    assert all(call.value for call in writes)
+
+
+def test_one_entry_alone_removes_what_others_left(rig: Rig) -> None:
+    first = core.Member(3, "tcp://127.0.0.1:0", "127.0.0.1:9", "seeb")
+    _abandon_row(rig, first, OTHER)
+    writes = [c for c in rig.calls if isinstance(c, core.TableWrite)]
+    assert all(call.value for call in writes)
+
+
 def _outlast_outage(rig: Rig) -> None:
     """Let a long outage pass, up to the first read after it."""
     rig.answer("members")
