--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -14,17 +14,8 @@
 
 CHANNEL = "members"
 
-SHORTEST_RENEWAL = datetime.timedelta(milliseconds=1_500)
-"""Time between two renewals of an entry's row, one write and one read, in a
-small fleet; a new entry is known to the others this much later at most."""
-
-LONGEST_RENEWAL = datetime.timedelta(seconds=5)
-"""The same in a large fleet: a sixth of the silence after which an entry
-lapses."""
-
-RENEWAL_PER_ENTRY = datetime.timedelta(milliseconds=90)
-"""What each entry adds to the interval: a row of some 300 bytes is read at
-3.3 KB/s, a seventh of what control may take on a node (letter 1)."""
+RENEW_INTERVAL = datetime.timedelta(seconds=5)
+"""Time between two renewals of an entry's row; one write and one read."""
 
 RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
 """Time between a call that failed and the next."""
@@ -83,8 +74,7 @@
         if self._leaving:
             return
         self._busy = True
-        interval = choose_renewal(len(self._members))
-        self._next_renewal = self._clock.now() + interval
+        self._next_renewal = self._clock.now() + RENEW_INTERVAL
         self._renewal += 1
         lease = core.Lease(self._member, self._renewal)
         self._write(self._member, core.encode_lease(lease))
@@ -139,9 +129,3 @@
             for member in self._members
             if member.address not in addresses
         )
-
-
-def choose_renewal(entries: int) -> datetime.timedelta:
-    """Return the time between two renewals among so many entries."""
-    wanted = RENEWAL_PER_ENTRY * entries
-    return min(LONGEST_RENEWAL, max(SHORTEST_RENEWAL, wanted))
