Add a fault soak: both programs as processes, faults from outside, a judge

make fault-soak plays seeds of overlapping faults on two entries, three agents, their targets and the store: processes killed, stopped, paused, all at once; the ways to the store, to targets and of callers silenced, cut one way, delayed, reset, broken within a message; a store that is busy, limited, silent, forbidden, slow by 60, loses answers, does writes late or forgets its history; targets that lose answers, run orders late, refuse, stall, fail, leave or send no heartbeat, with clocks 2% fast or slow; configurations stormed and grown by 200 routes. The judge asks callers, targets and the operator: no task twice at once, no more at a target than its room, nothing undone or run against an answer, nothing after an answer, no version back, no process that ends by itself. It shares the proxy and the watch of versions with the soak of the product's own interface.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,10 @@
 WORKERS := 4
 MINUTES := 5
 SEED := 1
+SEEDS := 10
+ROUNDS := 6
 
-.PHONY: setup test demo bench settings-page lint format check-format capacity measure-control soak
+.PHONY: setup test demo bench settings-page lint format check-format capacity measure-control soak fault-soak
 
 setup: $(VENV)/installed
 
@@ -25,6 +27,10 @@
 soak: setup
 	$(PYTHON) -m cowslipgate_bench soak --minutes $(MINUTES) --seed $(SEED)
 
+# One seed after the other, from SEED on.
+fault-soak: setup
+	$(PYTHON) -m cowslipgate_bench fault-soak $(SEED) $(SEEDS) $(ROUNDS)
+
 demo: setup
 	$(PYTHON) -m cowslipgate_bench demo
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -16,6 +16,7 @@
 from cowslipgate_bench import _table
 from cowslipgate_bench import _target
 from cowslipgate_bench import _workload
+from cowslipgate_bench import faultsoak
 
 app = cyclopts.App(name="cowslipgate-bench", help="Tools around cowslipgate.")
 
@@ -173,6 +174,17 @@
     _soak.print_soak(minutes, seed)
 
 
+@app.command
+def fault_soak(first: int = 1, count: int = 10, rounds: int = 6) -> None:
+    """Strike both programs behind the platform's protocols, seed by seed.
+
+    :param first: first seed
+    :param count: number of seeds
+    :param rounds: rounds of faults for each, of some 4 s
+    """
+    faultsoak.print_soak(range(first, first + count), rounds)
+
+
 @app.command
 def settings_page() -> None:
     """Write docs/SETTINGS.md from the settings' classes."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -98,8 +98,11 @@
     fault is in force.
     """
 
-    def __init__(self, proxy: "Proxy", upstream: int) -> None:
+    def __init__(
+        self, proxy: "Proxy", upstream: int, upstream_host: str = HOST
+    ) -> None:
         self._proxy = proxy
+        self._upstream_host = upstream_host
         self._faults: tuple[Fault, ...] = ()
         self._changed = asyncio.Event()
         self._connections: list[_Connection] = []
@@ -184,7 +187,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            upstream = await asyncio.open_connection(HOST, self.upstream)
+            upstream = await asyncio.open_connection(
+                self._upstream_host, self.upstream
+            )
         except OSError:
             writer.transport.abort()
             return
@@ -273,9 +278,9 @@
         self._thread.join()
         self._loop.close()
 
-    def open_link(self, upstream: int = 0) -> Link:
+    def open_link(self, upstream: int = 0, upstream_host: str = HOST) -> Link:
         """Return a link to the port ``upstream``, which may be set later."""
-        link = Link(self, upstream)
+        link = Link(self, upstream, upstream_host)
         self.run(link.listen())
         return link
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
@@ -18,6 +18,7 @@
 from cowslipgate_bench import _checker
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
+from cowslipgate_bench import _versions
 
 ENTRIES = 3
 AGENTS = 4
@@ -97,14 +98,14 @@
         with _deployment.deploy(
             pathlib.Path(folder), entries=ENTRIES, agents=AGENTS, slots=4
         ) as deployment:
-            watch = _VersionWatch(deployment, ledger)
+            watch = _versions.VersionWatch(ledger.reverted)
             with _Load(deployment, seed):
                 while time.monotonic() < until and not ledger.broken:
                     _run_round(deployment, chance, ledger)
-                    watch.look()
+                    watch.look(deployment.read_versions())
                     ledger.verdict = deployment.judge()
             ledger.verdict = _settle(deployment)
-            watch.look()
+            watch.look(deployment.read_versions())
             ledger.failed_starts = deployment.cluster.failed_starts
             ledger.forced = sum(status != 0 for status in deployment.stops)
     return ledger
@@ -133,25 +134,6 @@
     time.sleep(chance.uniform(*CALM_SECONDS))
 
 
-class _VersionWatch:
-    """Looks whether an entry ever shows an older configuration."""
-
-    def __init__(
-        self, deployment: _deployment.Deployment, ledger: Ledger
-    ) -> None:
-        self._deployment = deployment
-        self._ledger = ledger
-        self._versions: dict[str, int] = {}
-
-    def look(self) -> None:
-        """Compare each entry's version with the one that it showed before."""
-        for entry, version in self._deployment.read_versions().items():
-            known = self._versions.get(entry, 0)
-            if version < known:
-                self._ledger.reverted.append((entry, known, version))
-            self._versions[entry] = max(known, version)
-
-
 class _Load:
     """Callers that submit one job after another through the balancer."""
 
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -0,0 +1,323 @@
+"""Both programs as processes on one machine, with stand-ins around them.
+
+Each process has a loopback address of its own, as a VM would, so that every
+port can be the same everywhere.
+"""
+
+import base64
+from collections.abc import Callable
+import concurrent.futures
+import contextlib
+import http.client
+import itertools
+import os
+import pathlib
+import signal
+import subprocess
+import threading
+import time
+
+import attrs
+import circuits
+from circuits.core import pollers
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+
+from cowslipgate_platform.tests import calls
+from cowslipgate_platform.tests import store_standin
+from cowslipgate_platform.tests import target_standin
+from cowslipgate_platform.tests import wire_builders
+
+from cowslipgate_bench import _proxy
+from cowslipgate_bench.faultsoak import _nodes
+
+WAIT_SECONDS = 30.0
+"""Longest wait for a condition; a set-up beside three bench jobs took 6 s."""
+
+POLL_SECONDS = 0.02
+"""Time between two looks at it."""
+
+STOP_SECONDS = 20.0
+"""Longest wait for an orderly stop, which takes `grace_s` (6 s) at most."""
+
+CALLERS = 64
+"""Calls that may be under way at once."""
+
+SEEDS = 3
+"""Entries named in the settings of each process."""
+
+ADDRESSES_A_BLOCK = 250
+"""Loopback addresses that differ in their last byte."""
+
+BLOCK_STEP = 80
+"""Blocks of other processes between two of one process; three blocks are
+enough for a hundred deployments, each of which uses its addresses once."""
+
+_NUMBERS = itertools.count()
+
+
+class WaitTimeout(core.CowslipgateError):
+    """Something that a test waits for did not happen.
+
+    :param condition: what was waited for
+    """
+
+    def __init__(self, condition: str) -> None:
+        super().__init__(f"{condition} not in {WAIT_SECONDS} s")
+        self.condition = condition
+
+
+_STOP_STATUSES = {
+    # An entry ends with 1 when jobs are left after its time to stop.
+    _nodes.Role.ENTRY: (0, 1),
+    _nodes.Role.AGENT: (0,),
+}
+
+Answer = concurrent.futures.Future[calls.Reply]
+
+
+class Deployment:
+    """Entries, agents, their targets and the store.
+
+    :param folder: where settings and logs are written
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, entries: int, agents: int
+    ) -> None:
+        self._folder = folder
+        self._jobs = itertools.count(1)
+        self._pool = concurrent.futures.ThreadPoolExecutor(CALLERS)
+        self._clock = core.SystemClock()
+        self._cleanup = contextlib.ExitStack()
+        self._proxy = self._cleanup.enter_context(_proxy.Proxy())
+        self._root = circuits.BaseComponent(channel="root")
+        self._poller = pollers.EPoll().register(self._root)
+        self._store_ip = _choose_ip()
+        self.store = store_standin.Store(self._clock).register(self._root)
+        self._serve(self._store_ip, _nodes.STORE_PORT, store_standin.CHANNEL)
+        ips = [_choose_ip() for _ in range(entries)]
+        self._seeds = [f"{ip}:{_nodes.CONTROL_PORT}" for ip in ips[:SEEDS]]
+        self.entries = [self._make_entry(ip) for ip in ips]
+        self.targets: list[target_standin.Target] = []
+        self.agents = [self._make_agent() for _ in range(agents)]
+        self.version = 0
+        self.configure()
+        self.failures: list[str] = []
+        """Processes that ended by themselves or did not stop as told."""
+
+        self._paused: set[_nodes.Node] = set()
+        self._thread: threading.Thread | None = None
+
+    @property
+    def nodes(self) -> tuple[_nodes.Node, ...]:
+        """All processes."""
+        return (*self.entries, *self.agents)
+
+    def get_node(self, role: _nodes.Role, number: int) -> _nodes.Node:
+        """Return a process by its number among those of its role."""
+        entry = role is _nodes.Role.ENTRY
+        return (self.entries if entry else self.agents)[number]
+
+    def start(self) -> None:
+        """Start everything and wait until each entry sees each agent."""
+        self._thread, _ = self._root.start()
+        for node in self.nodes:
+            node.start()
+        self.wait_ready()
+
+    def close(self) -> None:
+        """End everything."""
+        for node in self.nodes:
+            if node.running:
+                node.kill()
+        self._pool.shutdown()
+        if self._thread is not None:
+            self._root.fire(transport.close_http(), "*")
+            self._root.stop()
+            self._thread.join()
+        self._cleanup.close()
+
+    def configure(self, added_routes: int = 0, **changes: object) -> None:
+        """Write the next configuration.
+
+        :param added_routes: routes beside the first one
+        :param changes: fields of the first route
+        """
+        self.version += 1
+        value = wire_builders.build_configuration(self.version)
+        first = value["routes"][0]
+        first.update(changes)
+        value["routes"] += [
+            first | {"name": f"r-more-{number}", "path_prefix": f"/{number}/"}
+            for number in range(added_routes)
+        ]
+        encoded = base64.b64encode(wire_builders.encode(value)).decode()
+        self.store.put("op", "config", encoded)
+
+    def pause(self, node: _nodes.Node) -> None:
+        """Hold a process still until the deployment is healed."""
+        node.send_signal(signal.SIGSTOP)
+        self._paused.add(node)
+
+    def stop(self, node: _nodes.Node) -> None:
+        """Have a process stop in order and start it again."""
+        # A paused process cannot follow a signal to stop, and one that is
+        # starting ends by it.
+        node.send_signal(signal.SIGCONT)
+        wait_until(lambda: calls.is_started(node.ip), f"{node.name} starting")
+        node.send_signal(signal.SIGTERM)
+        try:
+            status = node.process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            status = None
+            node.kill()
+        if status not in _STOP_STATUSES[node.role]:
+            self.failures.append(f"{node.name} stopped with {status}")
+        node.start()
+
+    def heal(self) -> None:
+        """End every fault; a process that has ended is started again."""
+        self.store.trouble = store_standin.StoreTrouble.NONE
+        for target in self.targets:
+            target.trouble = target_standin.TargetTrouble.NONE
+        for node in self.nodes:
+            node.work.heal()
+            node.store.heal()
+            if not node.running:
+                status = node.process.returncode
+                self.failures.append(f"{node.name} ended with {status}")
+                node.start()
+            elif node in self._paused:
+                node.send_signal(signal.SIGCONT)
+        self._paused.clear()
+
+    def wait_ready(self) -> None:
+        """Wait until each entry that runs sees each agent that runs."""
+        agents = sum(1 for node in self.agents if node.running)
+        wait_until(
+            lambda: all(
+                calls.count_agents(node.ip) == agents
+                for node in self.entries
+                if node.running
+            ),
+            f"{agents} agents at each entry",
+        )
+
+    def wait_configured(self) -> None:
+        """Wait until the newest configuration is in force everywhere."""
+        wait_until(
+            lambda: set(self.read_versions().values()) == {self.version},
+            f"version {self.version} at each entry",
+        )
+
+    def read_versions(self) -> dict[str, int]:
+        """Return the configuration of each entry that answers, by name."""
+        versions = {}
+        for node in self.entries:
+            if node in self._paused:
+                continue
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                versions[node.name] = calls.read_version(node.ip)
+        return versions
+
+    def wait_ended(self) -> None:
+        """Wait until nothing runs at any target."""
+        wait_until(
+            lambda: all(run.ended_at for run in self.list_runs()),
+            "the end of every run",
+        )
+
+    def make_job(
+        self, tasks: int, task_ms: int, **changes: object
+    ) -> calls.JobText:
+        """Return a job with a name that no other has."""
+        name = f"{next(self._jobs):016x}"
+        job = calls.JobText(name, tasks, task_ms)
+        return attrs.evolve(job, **changes)
+
+    def submit(self, entry: int, job: calls.JobText) -> Answer:
+        """Submit a job in the background."""
+        way = self.entries[entry].way
+        return self._pool.submit(calls.submit, way, job, self._clock)
+
+    def submit_patiently(self, entry: int, job: calls.JobText) -> Answer:
+        """Submit a job as callers do: again elsewhere if its entry dies."""
+        ways = [node.way for node in self.entries]
+        return self._pool.submit(
+            calls.submit_patiently, ways, entry, job, self._clock
+        )
+
+    def list_runs(self, name: str = "") -> list[target_standin.Run]:
+        """Return the runs of a job, or of all jobs, by their begin."""
+        runs = [run for target in self.targets for run in target.journal]
+        chosen = [run for run in runs if run.task.startswith(name)]
+        return sorted(chosen, key=lambda run: run.began_at)
+
+    def list_tracebacks(self) -> list[str]:
+        """Return the processes whose logs have a traceback."""
+        return [
+            f"{node.name} wrote a traceback"
+            for node in self.nodes
+            if node.log.exists() and "Traceback" in node.log.read_text()
+        ]
+
+    def _serve(self, ip: str, port: int, channel: str) -> None:
+        transport.HttpServer(
+            (ip, port), channel, self._clock, transport.ServerLimits()
+        ).register(self._root)
+
+    def _make_entry(self, ip: str) -> _nodes.Node:
+        link = self._proxy.open_link(_nodes.CALLERS_PORT, ip)
+        return self._make_node(_nodes.Role.ENTRY, ip, link)
+
+    def _make_agent(self) -> _nodes.Node:
+        ip = _choose_ip()
+        link = self._proxy.open_link(_nodes.TARGET_PORT, ip)
+        target = target_standin.Target(
+            f"side-{ip}",
+            transport.Address(_proxy.HOST, link.port),
+            transport.Address(ip, _nodes.CONTROL_PORT),
+            self._clock,
+        ).register(self._root)
+        self._serve(ip, _nodes.TARGET_PORT, target.channel)
+        transport.HttpClient(
+            target.beats_channel, self._poller, self._clock
+        ).register(self._root)
+        self.targets.append(target)
+        return self._make_node(_nodes.Role.AGENT, ip, link)
+
+    def _make_node(
+        self, role: _nodes.Role, ip: str, work: _proxy.Link
+    ) -> _nodes.Node:
+        store = self._proxy.open_link(_nodes.STORE_PORT, self._store_ip)
+        return _nodes.make_node(
+            self._folder, role, ip, self._seeds, work, store
+        )
+
+
+def _choose_ip() -> str:
+    """Return an address that no other test process uses."""
+    block, number = divmod(next(_NUMBERS), ADDRESSES_A_BLOCK)
+    first, last = divmod(os.getpid(), ADDRESSES_A_BLOCK)
+    second = 2 + first % BLOCK_STEP + BLOCK_STEP * block
+    return f"127.{second}.{last}.{number + 1}"
+
+
+def wait_until(check: Callable[[], bool], condition: str) -> None:
+    """Poll ``check`` until it is true; a lost connection counts as false.
+
+    :raises WaitTimeout: when it stays false
+    """
+    until = time.monotonic() + WAIT_SECONDS
+    while not _holds(check):
+        if time.monotonic() > until:
+            raise WaitTimeout(condition)
+        time.sleep(POLL_SECONDS)
+
+
+def _holds(check: Callable[[], bool]) -> bool:
+    try:
+        return check()
+    except (OSError, http.client.HTTPException):
+        return False
--- a/platform/src/cowslipgate_platform/tests/nodes.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_nodes.py
@@ -1,7 +1,7 @@
 """A process of the system on a loopback address of its own."""
 
-from collections.abc import Iterator, Sequence
-import contextlib
+from collections.abc import Sequence
+import enum
 import json
 import os
 import pathlib
@@ -12,15 +12,16 @@
 import attrs
 
 from cowslipgate_platform import _machine
-from cowslipgate_platform import _process
+from cowslipgate_platform.tests import calls
+import cowslipgate_transport as transport
+
+from cowslipgate_bench import _proxy
 
 # Ports as in the examples of the platform's pages.
 CALLERS_PORT = 8_161
-READY_PORT = 8_167
 CONTROL_PORT = 8_166
 TARGET_PORT = 8_165
 STORE_PORT = 8_169
-METRICS_PORT = _process.METRICS_PORT
 
 SETTINGS = """
 node_name = "{name}"
@@ -42,12 +43,19 @@
 """
 
 
+class Role(enum.StrEnum):
+    """What a process is."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
 @attrs.define(eq=False)
 class Node:
     """A process of the system with its settings."""
 
-    role: str
-    """entry or agent."""
+    role: Role
+    """What it is."""
 
     ip: str
     """Its address."""
@@ -58,6 +66,12 @@
     log: pathlib.Path
     """Where its lines go."""
 
+    work: _proxy.Link
+    """Way of callers to an entry, or of an agent to its target."""
+
+    store: _proxy.Link
+    """Way of the process to the store."""
+
     process: "subprocess.Popen[bytes] | None" = None
     """The process, or None before the start."""
 
@@ -72,6 +86,21 @@
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def name(self) -> str:
+        """Name of its VM."""
+        return self.settings.stem
+
+    @property
+    def way(self) -> transport.Address:
+        """Where callers reach it, or where it reaches its target."""
+        return transport.Address(_proxy.HOST, self.work.port)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self.process is not None and self.process.poll() is None
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.process.kill()
@@ -86,15 +115,6 @@
         """Send a signal to the process."""
         self.process.send_signal(number)
 
-    @contextlib.contextmanager
-    def pause(self) -> Iterator[None]:
-        """Hold the process still."""
-        self.send_signal(signal.SIGSTOP)
-        try:
-            yield
-        finally:
-            self.send_signal(signal.SIGCONT)
-
     def read_log(self) -> list[dict[str, object]]:
         """Return the lines that the process has written."""
         lines = self.log.read_text().splitlines()
@@ -103,15 +123,15 @@
 
 def make_node(
     folder: pathlib.Path,
-    role: str,
+    role: Role,
     ip: str,
     seeds: Sequence[str],
-    store: str,
+    work: _proxy.Link,
+    store: _proxy.Link,
 ) -> Node:
     """Write the settings of a process and return it, not yet started.
 
     :param seeds: control addresses of entries
-    :param store: address of the store
     """
     machine_class, ports, target = _KINDS[role]
     name = f"{machine_class}-{ip}"
@@ -123,27 +143,27 @@
             machine_class=machine_class,
             ip=ip,
             seeds=json.dumps(list(seeds)),
-            target=target.format(ip=ip),
+            target=target.format(address=f"{_proxy.HOST}:{work.port}"),
             listen="\n".join(listen),
-            store=store,
+            store=f"{_proxy.HOST}:{store.port}",
         )
     )
-    return Node(role, ip, path, folder / f"{name}.log")
+    return Node(role, ip, path, folder / f"{name}.log", work, store)
 
 
 _KINDS = {
-    "entry": (
+    Role.ENTRY: (
         "edge",
         {
             "front": CALLERS_PORT,
-            "ready": READY_PORT,
+            "ready": calls.READY_PORT,
             "control": CONTROL_PORT,
         },
         "",
     ),
-    "agent": (
+    Role.AGENT: (
         "side",
         {"control": CONTROL_PORT},
-        f'app = "{{ip}}:{TARGET_PORT}"\nservice = "huvo11a"',
+        'app = "{address}"\nservice = "huvo11a"',
     ),
 }
--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_fault_judge.py
@@ -0,0 +1,81 @@
+"""Tests that the judge of the fault soak sees what it is there for."""
+
+import datetime
+
+import attrs
+import pytest
+
+from cowslipgate_bench import faultsoak
+
+BEGAN = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
+JOB = faultsoak.JobText("0000000000000001", 1, 300)
+COMPLETED = {"state": "completed"}
+
+
+def _later(seconds: float) -> datetime.datetime:
+    return BEGAN + datetime.timedelta(seconds=seconds)
+
+
+def _run(begins: float, ends: float | None, number: int = 1) -> faultsoak.Run:
+    """Return a run of the job's task, times in seconds."""
+    task = f"{JOB.name}.0.0.0"
+    ended = None if ends is None else _later(ends)
+    due = _later(begins + 0.3)
+    return faultsoak.Run(
+        "side-1", task, number, _later(begins), due, ended, "done"
+    )
+
+
+def _reply(
+    status: int, body: object = None, tries: int = 1, left: bool = False
+) -> faultsoak.Reply:
+    """Return what a caller was told a second after the begin."""
+    return faultsoak.Reply(status, body, tries, left, _later(1))
+
+
+@pytest.mark.parametrize(
+    ("reply", "runs", "violation"),
+    [
+        (_reply(200, COMPLETED), [_run(0, 0.3)], ""),
+        (_reply(200, COMPLETED), [], "answered with a task undone"),
+        (_reply(200, {"state": "failed"}), [], ""),
+        (_reply(503), [], ""),
+        (_reply(503), [_run(0, 0.3)], "ran though it was refused"),
+        (_reply(503, tries=2), [_run(0, 0.3)], ""),
+        (_reply(0, tries=23), [], "got no answer in 23 tries"),
+        (_reply(0, left=True), [], ""),
+        (_reply(200, COMPLETED), [_run(0, None)], "runs on after the day"),
+        (
+            _reply(200, COMPLETED),
+            [_run(0, 0.3), _run(2.3, 2.6, 2)],
+            "started after its answer",
+        ),
+        (
+            _reply(200, COMPLETED),
+            [_run(0, 0.3), _run(0.2, 0.5, 2)],
+            "run 2 began before 1 ended",
+        ),
+        (_reply(200, COMPLETED), [_run(0, 0.3), _run(0.3, 0.6, 2)], ""),
+    ],
+)
+def test_judge_sees_what_callers_and_targets_saw(
+    reply: faultsoak.Reply, runs: list[faultsoak.Run], violation: str
+) -> None:
+    sent = faultsoak.Sent(JOB, reply)
+    found = faultsoak.find_violations([sent], runs)
+    assert len(found) == bool(violation)
+    assert violation in "".join(found)
+
+
+@pytest.mark.parametrize(("runs", "crowded"), [(8, False), (9, True)])
+def test_judge_sees_a_target_with_more_than_its_room(
+    runs: int, crowded: bool
+) -> None:
+    listed = [
+        attrs.evolve(_run(0, 0.3), task=f"{number:016x}.0.0.0")
+        for number in range(runs)
+    ]
+    found = faultsoak.find_violations((), listed)
+    assert [line.endswith("9 runs at once") for line in found] == (
+        [True] if crowded else []
+    )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pauses.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pauses.py
@@ -84,9 +84,10 @@
     cluster = deployment.cluster
     entry = cluster.entries[0]
     long = _start_long(deployment)
+    # The long task may have been sent more than once.
+    sent = cluster.read_counter(entry, "dispatched") + LATE_TASKS
     entry.link.hold(_proxy.Direction.BACKWARD, peer="agent-")
     job = deployment.submit(tasks=LATE_TASKS, true_ms=(1.0,))
-    sent = 1 + LATE_TASKS
     _cluster.wait_until(
         lambda: cluster.read_counter(entry, "dispatched") == sent,
         "the dispatch of the second job",
--- a/platform/src/cowslipgate_platform/tests/test_whole_path.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_whole_path.py
@@ -6,8 +6,7 @@
 
 import pytest
 
-from cowslipgate_platform.tests import calls
-from cowslipgate_platform.tests import deployment
+from cowslipgate_bench import faultsoak
 
 ENTRIES = 2
 AGENTS = 3
@@ -22,29 +21,29 @@
 
 
 @pytest.fixture
-def system(tmp_path: pathlib.Path) -> Iterator[deployment.Deployment]:
-    made = deployment.Deployment(tmp_path, ENTRIES, AGENTS)
+def system(tmp_path: pathlib.Path) -> Iterator[faultsoak.Deployment]:
+    made = faultsoak.Deployment(tmp_path, ENTRIES, AGENTS)
     try:
         made.start()
         yield made
-        assert made.find_overlaps() == []
+        assert faultsoak.find_violations((), made.list_runs()) == []
     finally:
         made.close()
 
 
-def _wait_begun(system: deployment.Deployment, name: str, tasks: int) -> None:
-    deployment.wait_until(
+def _wait_begun(system: faultsoak.Deployment, name: str, tasks: int) -> None:
+    faultsoak.wait_until(
         lambda: len(system.list_runs(name)) >= tasks, "the tasks' begin"
     )
 
 
-def test_jobs_are_answered_whole(system: deployment.Deployment) -> None:
+def test_jobs_are_answered_whole(system: faultsoak.Deployment) -> None:
     jobs = [system.make_job(4, TASK_MS) for _ in range(8)]
     replies = [
         system.submit(number % ENTRIES, job) for number, job in enumerate(jobs)
     ]
     for job, reply in zip(jobs, replies, strict=True):
-        assert reply.result() == calls.Reply(200, {"state": "completed"})
+        assert reply.result() == faultsoak.Reply(200, {"state": "completed"})
         # A slow machine's agent stops an order that is not answered in time
         # and has the task run elsewhere; no task is done twice.
         ends = [run.how for run in system.list_runs(job.name)]
@@ -53,7 +52,7 @@
 
 
 def test_job_of_a_killed_entry_runs_at_no_two_targets_at_once(
-    system: deployment.Deployment,
+    system: faultsoak.Deployment,
 ) -> None:
     # Were they not stopped, they would run on when the job comes again.
     replies = [
@@ -66,7 +65,7 @@
 
 
 def test_tasks_of_a_killed_agent_run_again(
-    system: deployment.Deployment,
+    system: faultsoak.Deployment,
 ) -> None:
     job = system.make_job(12, LONG_MS)
     reply = system.submit(0, job)
@@ -79,23 +78,23 @@
 
 
 def test_store_that_is_away_stops_nothing(
-    system: deployment.Deployment,
+    system: faultsoak.Deployment,
 ) -> None:
-    system.store.away = True
+    system.store.trouble = faultsoak.StoreTrouble.BUSY
     reply = system.submit(0, system.make_job(4, TASK_MS))
     assert reply.result().status == 200
-    assert calls.is_ready(system.entries[0])
-    system.configure(2, path_prefix="/other/")
-    system.store.away = False
+    assert faultsoak.is_ready(system.entries[0].ip)
+    system.configure(path_prefix="/other/")
+    system.store.trouble = faultsoak.StoreTrouble.NONE
     # In force again; the old route is gone.
-    deployment.wait_until(
+    faultsoak.wait_until(
         lambda: system.submit(0, system.make_job(1, 1)).result().status == 404,
         "the new configuration in force",
     )
 
 
 def test_stopping_entry_answers_what_it_has_taken(
-    system: deployment.Deployment,
+    system: faultsoak.Deployment,
 ) -> None:
     job = system.make_job(4, LONG_MS)
     reply = system.submit(0, job)
@@ -103,4 +102,4 @@
     node = system.entries[0]
     node.send_signal(signal.SIGTERM)
     assert reply.result().status == 200
-    assert node.process.wait(deployment.STOP_SECONDS) == 0
+    assert node.process.wait(faultsoak.STOP_SECONDS) == 0
