Put the bench's exceptions and its waits for conditions into one place each

Clean-up: the wait for a condition stood in _cluster and in the fault soak, exceptions in five modules, one with a bare string (DemoFailure), two that nothing raised (ProxyError, KnownRedError). _cluster loses 44 lines. No check of a test changed.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_bench.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_bench.py
@@ -16,6 +16,7 @@
 from cowslipgate_bench import _ideal
 from cowslipgate_bench import _load
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 from cowslipgate_bench import _workload
 
 SLOTS = 8
@@ -183,7 +184,7 @@
         domain = domains[number % len(domains)]
         cluster.start_agent(domain, target, *flags)
     changes = _make_configuration(options, trace)
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: cluster.patch(0, changes).status == http.HTTPStatus.OK,
         "the first configuration",
     )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_capacity.py
@@ -15,9 +15,11 @@
 import cowslipgate_core as core
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _exceptions
 from cowslipgate_bench import _message_sizes
 from cowslipgate_bench import _process_cost
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 SERVICE = "print"
 TEAM_TOKEN = "hall-token"
@@ -160,7 +162,7 @@
         with _cluster.Cluster(pathlib.Path(folder)) as cluster:
             cluster.start_table()
             cluster.start_entries([DOMAIN] * entries)
-            _cluster.wait_until(
+            _waits.wait_until(
                 lambda: cluster.patch(0, CONFIGURATION).status == 200,
                 "the first configuration",
             )
@@ -282,7 +284,7 @@
         response = connection.getresponse()
         response.read()
         if response.status != http.HTTPStatus.OK:
-            raise _cluster.UnexpectedStatus(response.status)
+            raise _exceptions.UnexpectedStatus(response.status)
         count += 1
     connection.close()
     done.append(count)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -1,6 +1,5 @@
 """Starts and stops a whole deployment as processes on loopback."""
 
-from collections.abc import Callable
 import contextlib
 import http.client
 import json
@@ -10,19 +9,18 @@
 import socket
 import subprocess
 import sys
-import time
 from typing import Any
 import uuid
 
 import attrs
 import cowslipgate_core as core
 
+from cowslipgate_bench import _exceptions
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 HOST = "127.0.0.1"
-WAIT_SECONDS = 30.0
-POLL_SECONDS = 0.05
 CALL_SECONDS = 60.0
 LOG_CHARACTERS = 500
 STOP_SECONDS = 20.0
@@ -30,32 +28,6 @@
 _RESERVED: list[socket.socket] = []
 
 
-class ClusterError(core.CowslipgateError):
-    """A deployment did not do what was asked."""
-
-
-@attrs.frozen
-class WaitTimeout(ClusterError):
-    """A condition did not come true in time."""
-
-    condition: str
-    """What was waited for."""
-
-    def __str__(self) -> str:
-        return f"{self.condition} did not happen in {WAIT_SECONDS} s"
-
-
-@attrs.frozen
-class UnexpectedStatus(ClusterError):
-    """A request was answered with another status than expected."""
-
-    status: int
-    """HTTP status of the answer."""
-
-    def __str__(self) -> str:
-        return f"unexpected HTTP status {self.status}"
-
-
 @attrs.frozen
 class Reply:
     """An HTTP answer."""
@@ -212,7 +184,9 @@
         so a start that fails is repeated, as a supervisor would.
         """
         node.process = self.run(node.name, list(node.command))
-        wait_until(lambda: self._is_up(node), f"the return of {node.name}")
+        _waits.wait_until(
+            lambda: self._is_up(node), f"the return of {node.name}"
+        )
 
     def _is_up(self, node: Node) -> bool:
         if node.process.poll() is not None:
@@ -312,10 +286,11 @@
         """Wait until each entry serves and sees ``agents`` serving."""
         condition = f"{agents} agents at each entry"
         try:
-            wait_until(lambda: self.is_ready(agents), condition)
-        except WaitTimeout as error:
+            _waits.wait_until(lambda: self.is_ready(agents), condition)
+        except _exceptions.WaitTimeout as error:
             seen = [self._describe_view(entry.port) for entry in self.entries]
-            raise WaitTimeout(f"{condition}, seen: {seen},") from error
+            condition += f", seen: {seen},"
+            raise _exceptions.WaitTimeout(condition, error.seconds) from error
 
     def is_ready(self, agents: int) -> bool:
         """Tell whether each entry serves and sees ``agents`` serving."""
@@ -431,25 +406,6 @@
     return int(process.stdout.readline())
 
 
-def wait_until(check: Callable[[], bool], condition: str) -> None:
-    """Poll ``check`` until it is true; a lost connection counts as false.
-
-    :raises WaitTimeout: when it stays false
-    """
-    until = time.monotonic() + WAIT_SECONDS
-    while not _holds(check):
-        if time.monotonic() > until:
-            raise WaitTimeout(condition)
-        time.sleep(POLL_SECONDS)
-
-
-def _holds(check: Callable[[], bool]) -> bool:
-    try:
-        return check()
-    except ConnectionError:
-        return False
-
-
 def stop_gracefully(process: subprocess.Popen[bytes]) -> int:
     """Send SIGTERM and return the exit status."""
     process.terminate()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_control_cost.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_control_cost.py
@@ -13,6 +13,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 AGENTS = 11
 CPU_LIMIT = 0.035
@@ -95,7 +96,7 @@
         options = _target.TargetOptions(SERVICE, 0)
         cluster.start_agent(DOMAINS[number % len(DOMAINS)], options)
     changes = {"services": {SERVICE: {}}}
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: cluster.patch(0, changes).status in (200, 412),
         "the first configuration",
     )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_demo.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_demo.py
@@ -12,7 +12,9 @@
 import cowslipgate_core as core
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _exceptions
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 TEAM_TOKEN = "hall-token"
 PRINT_TASKS = 40
@@ -22,10 +24,6 @@
 DOMAINS = ["kaai-zuid", "dokken-noord", "depot-berchem"]
 
 
-class DemoFailure(core.CowslipgateError):
-    """Something was not as promised."""
-
-
 def run_demo() -> None:
     """Run every step; exit non-zero at the first that fails."""
     with tempfile.TemporaryDirectory() as folder:
@@ -33,7 +31,7 @@
         with _cluster.Cluster(path) as cluster:
             try:
                 _run_steps(cluster, path)
-            except (DemoFailure, _cluster.ClusterError) as error:
+            except _exceptions.BenchError as error:
                 print(f"FAILED: {error}")
                 sys.exit(1)
     print("Everything was as promised.")
@@ -64,7 +62,7 @@
         "services": {"schapkaart": {"response_weight": 0.7}},
         "teams": {"hall": {"token_digests": [core.digest_token(TEAM_TOKEN)]}},
     }
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: cluster.patch(0, changes).status == http.HTTPStatus.OK,
         "the first configuration",
     )
@@ -161,7 +159,7 @@
             )
             for entry in cluster.entries
         ]
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: all(map(cluster.count_jobs, cluster.entries)),
             "a slow job in flight at each entry",
         )
@@ -186,4 +184,4 @@
 
 def _expect(condition: bool, message: str) -> None:
     if not condition:
-        raise DemoFailure(message)
+        raise _exceptions.BrokenPromise(message)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_deployment.py
@@ -18,6 +18,7 @@
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 TEAM_TOKEN = "hall-token"
 BACKGROUND_CALLS = 8
@@ -88,7 +89,7 @@
         killed_at = time.monotonic()
         entry.kill()
         self.cluster.restart(entry)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: bool(self.read_version(entry)[0]), "the entry's return"
         )
         missed_until = time.monotonic() + BALANCER_SECONDS
@@ -165,7 +166,7 @@
             starts = self.read_starts()
             return sum(t in starts for t in pending.tokens) >= count
 
-        _cluster.wait_until(check, f"{count} starts of {pending.tokens}")
+        _waits.wait_until(check, f"{count} starts of {pending.tokens}")
 
     def forgive(self, pending: Pending) -> None:
         """Excuse that a killed entry left a request without an answer."""
@@ -181,7 +182,7 @@
             self.submit(tasks=8).answer.result()
             return cluster.is_ready(len(cluster.agents))
 
-        _cluster.wait_until(check, "every target recovering")
+        _waits.wait_until(check, "every target recovering")
 
     def heal(self) -> None:
         """Remove every fault and wait until all agents serve again."""
@@ -273,7 +274,7 @@
                 f"--region={regions[number % len(regions)]}",
                 *_merge_flags(AGENT_FLAGS, agent_flags),
             )
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: _configure(cluster), "the first configuration"
         )
         cluster.wait_ready(agents)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_known_red.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_known_red.py
@@ -9,27 +9,12 @@
 
 import attrs
 
-import cowslipgate_core as core
+from cowslipgate_bench import _exceptions
 
 SEPARATOR = "|"
 FIELDS = 4
 
 
-class KnownRedError(core.CowslipgateError):
-    """The list of known failures cannot be used."""
-
-
-@attrs.frozen
-class MalformedEntry(KnownRedError):
-    """An entry of the list does not have its four fields."""
-
-    line: str
-    """The line."""
-
-    def __str__(self) -> str:
-        return f"expected test | command | seen | issue, got {self.line!r}"
-
-
 @attrs.frozen
 class KnownRed:
     """A test that fails for a fault that is known."""
@@ -58,7 +43,7 @@
             continue
         fields = [field.strip() for field in line.split(SEPARATOR)]
         if len(fields) != FIELDS or not all(fields):
-            raise MalformedEntry(line)
+            raise _exceptions.MalformedEntry(line)
         entries[fields[0]] = KnownRed(*fields)
     return entries
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -13,7 +13,6 @@
 from typing import Any
 
 import attrs
-import cowslipgate_core as core
 
 HOST = "127.0.0.1"
 READ_SIZE = 65_536
@@ -22,10 +21,6 @@
 _IDENTITY_PROPERTY = b"\x08Identity"
 
 
-class ProxyError(core.CowslipgateError):
-    """The proxy did not do what was asked."""
-
-
 class Direction(enum.Enum):
     """Which way bytes travel on a connection."""
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_soak.py
@@ -16,8 +16,8 @@
 
 from cowslipgate_bench import _chaos
 from cowslipgate_bench import _checker
-from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
+from cowslipgate_bench import _exceptions
 from cowslipgate_bench import _versions
 
 ENTRIES = 3
@@ -114,7 +114,7 @@
 def _settle(deployment: _deployment.Deployment) -> _checker.Verdict:
     try:
         return deployment.settle()
-    except _cluster.ClusterError:
+    except _exceptions.BenchError:
         print(deployment.describe())
         raise
 
@@ -180,7 +180,7 @@
     """Run, print the ledger and exit non-zero when a promise broke."""
     try:
         ledger = run_soak(datetime.timedelta(minutes=minutes), seed)
-    except _cluster.ClusterError as error:
+    except _exceptions.BenchError as error:
         print(f"FAILED with seed {seed}: {error}")
         sys.exit(1)
     print(ledger.describe())
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-from collections.abc import Callable
 import concurrent.futures
 import contextlib
 import http.client
@@ -15,7 +14,6 @@
 import signal
 import subprocess
 import threading
-import time
 
 import attrs
 import circuits
@@ -29,14 +27,9 @@
 from cowslipgate_platform.tests import wire_builders
 
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 from cowslipgate_bench.faultsoak import _nodes
 
-WAIT_SECONDS = 30.0
-"""Longest wait for a condition; a set-up beside three bench jobs took 6 s."""
-
-POLL_SECONDS = 0.02
-"""Time between two looks at it."""
-
 STOP_SECONDS = 20.0
 """Longest wait for an orderly stop, which takes `grace_s` (6 s) at most."""
 
@@ -56,17 +49,6 @@
 _NUMBERS = itertools.count()
 
 
-class WaitTimeout(core.CowslipgateError):
-    """Something that a test waits for did not happen.
-
-    :param condition: what was waited for
-    """
-
-    def __init__(self, condition: str) -> None:
-        super().__init__(f"{condition} not in {WAIT_SECONDS} s")
-        self.condition = condition
-
-
 _STOP_STATUSES = {
     # An entry ends with 1 when jobs are left after its time to stop.
     _nodes.Role.ENTRY: (0, 1),
@@ -165,7 +147,9 @@
         # A paused process cannot follow a signal to stop, and one that is
         # starting ends by it.
         node.send_signal(signal.SIGCONT)
-        wait_until(lambda: calls.is_started(node.ip), f"{node.name} starting")
+        _waits.wait_until(
+            lambda: calls.is_started(node.ip), f"{node.name} starting"
+        )
         node.send_signal(signal.SIGTERM)
         try:
             status = node.process.wait(STOP_SECONDS)
@@ -195,7 +179,7 @@
     def wait_ready(self) -> None:
         """Wait until each entry that runs sees each agent that runs."""
         agents = sum(1 for node in self.agents if node.running)
-        wait_until(
+        _waits.wait_until(
             lambda: all(
                 calls.count_agents(node.ip) == agents
                 for node in self.entries
@@ -206,7 +190,7 @@
 
     def wait_configured(self) -> None:
         """Wait until the newest configuration is in force everywhere."""
-        wait_until(
+        _waits.wait_until(
             lambda: set(self.read_versions().values()) == {self.version},
             f"version {self.version} at each entry",
         )
@@ -223,7 +207,7 @@
 
     def wait_ended(self) -> None:
         """Wait until nothing runs at any target."""
-        wait_until(
+        _waits.wait_until(
             lambda: all(run.ended_at for run in self.list_runs()),
             "the end of every run",
         )
@@ -302,22 +286,3 @@
     first, last = divmod(os.getpid(), ADDRESSES_A_BLOCK)
     second = 2 + first % BLOCK_STEP + BLOCK_STEP * block
     return f"127.{second}.{last}.{number + 1}"
-
-
-def wait_until(check: Callable[[], bool], condition: str) -> None:
-    """Poll ``check`` until it is true; a lost connection counts as false.
-
-    :raises WaitTimeout: when it stays false
-    """
-    until = time.monotonic() + WAIT_SECONDS
-    while not _holds(check):
-        if time.monotonic() > until:
-            raise WaitTimeout(condition)
-        time.sleep(POLL_SECONDS)
-
-
-def _holds(check: Callable[[], bool]) -> bool:
-    try:
-        return check()
-    except (OSError, http.client.HTTPException):
-        return False
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
@@ -14,6 +14,7 @@
 import attrs
 from cowslipgate_platform.tests import calls
 
+from cowslipgate_bench import _exceptions
 from cowslipgate_bench import _versions
 from cowslipgate_bench.faultsoak import _deployment
 from cowslipgate_bench.faultsoak import _faults
@@ -112,7 +113,7 @@
         for _ in range(rounds):
             played.play_round()
         played.judge()
-    except _deployment.WaitTimeout as error:
+    except _exceptions.WaitTimeout as error:
         played.ledger.violations.append(str(error))
     finally:
         system.close()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/control_builders.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/control_builders.py
@@ -10,6 +10,7 @@
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 DOMAINS = ["kaai-zuid", "dokken-noord", "depot-berchem"]
 SERVICE = "schapkaart"
@@ -33,7 +34,7 @@
             options = _target.TargetOptions(SERVICE, 0, slots=slots)
             cluster.start_agent(DOMAINS[0], options)
         changes = build_document()
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.patch(0, changes).status in (200, 412),
             "the first configuration",
         )
@@ -110,7 +111,7 @@
 
 def wait_version(cluster: _cluster.Cluster, port: int, version: int) -> None:
     """Wait until a version is in force at an entry."""
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: get_status(cluster, port)["configuration_version"] == version,
         f"version {version} at port {port}",
     )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_agent_life.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_agent_life.py
@@ -11,6 +11,7 @@
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 from cowslipgate_bench.tests import control_builders
 
 LOST_SECONDS = 2
@@ -41,7 +42,7 @@
 
     def wait_started(self, count: int) -> None:
         """Wait until targets have started a number of tasks."""
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: len(self.get_events("start")) >= count, f"{count} starts"
         )
 
@@ -68,7 +69,7 @@
         options = _target.TargetOptions(control_builders.SERVICE, 0, slots=1)
         cluster.start_agent(control_builders.DOMAINS[0], options, *AGENT_FLAGS)
         document = control_builders.build_document()
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.patch(0, document).status in (200, 412),
             "the first configuration",
         )
@@ -83,7 +84,7 @@
     deployment.wait_started(1)
     deployment.agent.send_signal(signal.SIGTERM)
     for entry in (0, 1):
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda entry=entry: deployment.get_states(entry) == ["leaving"],
             "leaving is announced",
         )
@@ -119,7 +120,7 @@
     deployment.submit(0, true_ms=60_000)
     deployment.wait_started(1)
     deployment.cluster.entries[0].kill()
-    _cluster.wait_until(lambda: deployment.get_events("stop"), "a stop")
+    _waits.wait_until(lambda: deployment.get_events("stop"), "a stop")
     assert deployment.submit(1).result().status == 200
 
 
@@ -128,9 +129,9 @@
     deployment.submit(0, true_ms=60_000)
     deployment.wait_started(1)
     entry.send_signal(signal.SIGSTOP)
-    _cluster.wait_until(lambda: deployment.get_events("stop"), "a stop")
+    _waits.wait_until(lambda: deployment.get_events("stop"), "a stop")
     entry.send_signal(signal.SIGCONT)
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: deployment.submit(0).result().status == 200, "a whole answer"
     )
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_answers.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_answers.py
@@ -13,6 +13,7 @@
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 
 BACKWARD = _proxy.Direction.BACKWARD
 FORWARD = _proxy.Direction.FORWARD
@@ -93,7 +94,7 @@
         sock.sendall(callers.encode_request(options, tokens))
         deployment.wait_started(_deployment.Pending(tokens, None), 8)
     callers.record(_checker.Submission(tokens, gone=True))
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: deployment.cluster.count_jobs(entry) == 0, "the job ending"
     )
     verdict = deployment.settle()
@@ -167,7 +168,7 @@
     deployment.wait_started(busy, 8)
     entry = deployment.cluster.entries[0]
     job = deployment.submit(label="wave")
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: deployment.cluster.count_jobs(entry) == 2, "the job waiting"
     )
     deployment.cancel("wave")
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_caller_drain.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_caller_drain.py
@@ -10,6 +10,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 TEAM_TOKEN = "hall-token"
 CALLERS = 8
@@ -65,7 +66,7 @@
         cluster.start_table()
         cluster.start_entries(["kaai-zuid", "dokken-noord"])
         cluster.start_agent("kaai-zuid", _target.TargetOptions("print", 0))
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.patch(0, DOCUMENT).status in (200, 412),
             "the configuration",
         )
@@ -77,16 +78,16 @@
         threads = [threading.Thread(target=c.run) for c in callers]
         for thread in threads:
             thread.start()
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: all(caller.complete for caller in callers), "a full load"
         )
         leaving, staying = cluster.entries
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.count_jobs(leaving), "a job in flight"
         )
         leaving.process.send_signal(signal.SIGTERM)
         status = leaving.process.wait(_cluster.STOP_SECONDS)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.count_jobs(staying), "a job at the other entry"
         )
         stop.set()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cancellation_wave.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cancellation_wave.py
@@ -3,7 +3,7 @@
 import concurrent.futures
 import pathlib
 
-from cowslipgate_bench import _cluster
+from cowslipgate_bench import _waits
 from cowslipgate_bench.tests import control_builders as builders
 
 JOBS = 60
@@ -26,7 +26,7 @@
                 )
                 for number in range(JOBS)
             ]
-            _cluster.wait_until(
+            _waits.wait_until(
                 lambda: sum(map(cluster.count_jobs, owners)) == JOBS,
                 "every job in flight",
             )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_claims.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_claims.py
@@ -8,6 +8,7 @@
 import uuid
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _waits
 from cowslipgate_bench.tests import control_builders as builders
 import cowslipgate_core as core
 import pytest
@@ -109,7 +110,7 @@
     token = builders.TOKENS["hall"]
     headers = {"Idempotency-Key": key, "Authorization": f"Bearer {token}"}
     connection.request("POST", builders.JOBS_PATH, body, headers)
-    _cluster.wait_until(lambda: _is_claimed(cluster, key), "the claim")
+    _waits.wait_until(lambda: _is_claimed(cluster, key), "the claim")
     connection.close()
     _run_another(cluster)
     assert builders.count_starts(cluster) == before + 1
@@ -122,7 +123,7 @@
     builders.set_faults(cluster, write_ms=SLOW_WRITE_MS)
     with concurrent.futures.ThreadPoolExecutor() as pool:
         answer = pool.submit(_submit, cluster, key, label="office")
-        _cluster.wait_until(lambda: _is_claimed(cluster, key), "the claim")
+        _waits.wait_until(lambda: _is_claimed(cluster, key), "the claim")
         reply = cluster.call(
             "POST",
             f"/v1/services/{builders.SERVICE}/cancellations",
@@ -163,7 +164,7 @@
         with concurrent.futures.ThreadPoolExecutor() as pool:
             answer = pool.submit(_submit, cluster, key)
             if status == 409:
-                _cluster.wait_until(
+                _waits.wait_until(
                     lambda: _is_claimed(cluster, key), "the claim"
                 )
             cluster.entries[0].process.kill()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_cluster.py
@@ -4,6 +4,7 @@
 import socket
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _waits
 import pytest
 
 
@@ -15,7 +16,7 @@
             raise errors.pop()
         return True
 
-    _cluster.wait_until(check, "an answer")
+    _waits.wait_until(check, "an answer")
     assert errors == []
 
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_configuration_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_configuration_faults.py
@@ -5,6 +5,7 @@
 import signal
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _waits
 from cowslipgate_bench.tests import control_builders as builders
 
 
@@ -31,14 +32,14 @@
                         _change(1000 + version),
                     )
                 )
-                _cluster.wait_until(
+                _waits.wait_until(
                     lambda v=version: _get_stored_version(cluster) == v + 1,
                     "the write",
                 )
             replies = [patch.result() for patch in patches]
         assert [reply.status for reply in replies] == [200, 200]
         assert [len(reply.body["lapsed"]) for reply in replies] == [1, 1]
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: _sees_version(cluster, other.port, 3), "version at agent"
         )
         builders.set_faults(cluster, mode="down")
@@ -48,7 +49,7 @@
         with concurrent.futures.ThreadPoolExecutor() as pool:
             job = builders.build_job(tasks=4)
             answer = pool.submit(builders.submit, cluster, frozen.port, job)
-            _cluster.wait_until(
+            _waits.wait_until(
                 lambda: _sees_version(cluster, frozen.port, 3), "news"
             )
             other.process.send_signal(signal.SIGCONT)
@@ -74,7 +75,7 @@
         old.process.kill()
         old.process.wait()
         fresh = cluster.start_entry("fresh", "seeb", old.port)
-        _cluster.wait_until(lambda: _answers(cluster, fresh.port), "status")
+        _waits.wait_until(lambda: _answers(cluster, fresh.port), "status")
         builders.wait_version(cluster, fresh.port, 1)
         job = builders.build_job(tasks=2)
         assert builders.submit(cluster, fresh.port, job).status == 200
@@ -94,7 +95,7 @@
         cluster.table_port = _cluster.choose_ports(1)[0]
         cluster.start_entries(builders.DOMAINS[:1])
         port = cluster.entries[0].port
-        _cluster.wait_until(lambda: _answers(cluster, port), "status")
+        _waits.wait_until(lambda: _answers(cluster, port), "status")
         reply = builders.submit(cluster, port, builders.build_job())
         assert reply.status == 503
         assert reply.body["error"]["type"] == "no_configuration"
@@ -116,7 +117,7 @@
                 "key",
                 _change(7),
             )
-            _cluster.wait_until(
+            _waits.wait_until(
                 lambda: _get_stored_version(cluster) == 2, "the write"
             )
             accepting.process.kill()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_known_red.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_known_red.py
@@ -1,5 +1,6 @@
 """Tests of the list of known failures."""
 
+from cowslipgate_bench import _exceptions
 from cowslipgate_bench import _known_red
 import pytest
 
@@ -13,7 +14,7 @@
 
 @pytest.mark.parametrize("line", ["a.py::test_b", LINE + " | more", "a||b|c"])
 def test_malformed_entry_is_refused(line: str) -> None:
-    with pytest.raises(_known_red.MalformedEntry):
+    with pytest.raises(_exceptions.MalformedEntry):
         _known_red.parse_known_red(line)
 
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_patch_answers.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_patch_answers.py
@@ -6,6 +6,7 @@
 import uuid
 
 from cowslipgate_bench import _cluster
+from cowslipgate_bench import _waits
 from cowslipgate_bench.tests import control_builders as builders
 import pytest
 
@@ -117,7 +118,7 @@
     builders.set_faults(cluster, mode="lose_answers")
     with concurrent.futures.ThreadPoolExecutor() as pool:
         answer = pool.submit(_send, cluster, version, key, 12)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: _get_version(cluster) == version + 1, "the write"
         )
         builders.set_faults(cluster, mode="limited")
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pauses.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pauses.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 
 ENTRIES = 2
 SLOTS = 8
@@ -75,7 +75,7 @@
         stopped = {line["task"] for line in journal if line["event"] == "stop"}
         return tasks <= stopped
 
-    _cluster.wait_until(check, "the agent giving up the entry")
+    _waits.wait_until(check, "the agent giving up the entry")
 
 
 def test_dispatch_sent_before_a_pause_starts_nothing_after_it(
@@ -88,7 +88,7 @@
     sent = cluster.read_counter(entry, "dispatched") + LATE_TASKS
     entry.link.hold(_proxy.Direction.BACKWARD, peer="agent-")
     job = deployment.submit(tasks=LATE_TASKS, true_ms=(1.0,))
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: cluster.read_counter(entry, "dispatched") == sent,
         "the dispatch of the second job",
     )
@@ -115,7 +115,7 @@
     target.link.hold(_proxy.Direction.FORWARD)
     tasks = SLOTS * len(cluster.agents)
     job = deployment.submit(tasks=tasks, true_ms=(1.0,))
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: target.link.count_connections() > 0, "requests leaving"
     )
     agent.send_signal(signal.SIGSTOP)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_protection.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_protection.py
@@ -12,6 +12,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _target
+from cowslipgate_bench import _waits
 
 TEAM_TOKEN = "hall-token"
 CLUSTER_TOKEN = "members-token"
@@ -32,7 +33,7 @@
     cluster.start_entries(["kaai-zuid", "dokken-noord"], *entry_flags)
     options = _target.TargetOptions("print", 0)
     cluster.start_agent("kaai-zuid", options, *agent_flags)
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: cluster.patch(0, DOCUMENT).status in (200, 412),
         "the configuration",
     )
@@ -140,7 +141,7 @@
     port = plain.entries[0].port
     with concurrent.futures.ThreadPoolExecutor() as pool:
         slow = pool.submit(_submit, plain, SLOW_JOB, port)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: plain.count_jobs(plain.entries[0]), "a job in flight"
         )
         reply = plain.call(method, path, body, token, port)
@@ -231,7 +232,7 @@
     name = f'cowslipgate_messages_malformed_total{{reason="{reason}"}}'
     before = _read_metric(plain, entry.port, name)
     send(own["address"], int(own["address"].rpartition(":")[2]))
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: _read_metric(plain, entry.port, name) > before, "counted"
     )
     after = plain.call("GET", "/v1/status", port=entry.port).body
@@ -275,7 +276,7 @@
         trace = roots[0]["context"]["trace_id"]
         return [s for s in spans if s["context"]["trace_id"] == trace]
 
-    _cluster.wait_until(lambda: bool(find()), "the job's spans")
+    _waits.wait_until(lambda: bool(find()), "the job's spans")
     assert sorted(span["name"] for span in find()) == [
         "agent to target",
         "answer",
@@ -293,7 +294,7 @@
     large = {"tasks": [{"payload": {"fill": "x" * 7_000_000}}]}
     with concurrent.futures.ThreadPoolExecutor() as pool:
         first = [pool.submit(_submit, plain, slots, port) for _ in range(2)]
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: plain.count_jobs(plain.entries[0]) == 2, "busy slots"
         )
         rest = [pool.submit(_submit, plain, large, port) for _ in range(5)]
@@ -331,7 +332,7 @@
         cluster.start_agent("kaai-zuid", options, token)
         ports = [entry.port for entry in cluster.entries]
         name = "cowslipgate_key_denials_total"
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: all(_read_metric(cluster, p, name) for p in ports),
             "the stranger was denied",
         )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_quota_bounds.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_quota_bounds.py
@@ -6,6 +6,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 from cowslipgate_bench.tests import control_builders as builders
 
 QUOTA = 6
@@ -112,7 +113,7 @@
 def _wait_members(
     cluster: _cluster.Cluster, entry: _cluster.Node, count: int
 ) -> None:
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: _count_members(cluster, entry) == count, f"{count} members"
     )
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_regions.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_regions.py
@@ -6,6 +6,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
+from cowslipgate_bench import _waits
 
 REGIONS = ("north", "south")
 JOBS = 10
@@ -14,7 +15,7 @@
 def _wait_agents(
     cluster: _cluster.Cluster, agents: list[list[str]], what: str
 ) -> None:
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: [cluster.list_agents(e) for e in cluster.entries] == agents,
         what,
     )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_starts.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_starts.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 
 BACKWARD = _proxy.Direction.BACKWARD
 FORWARD = _proxy.Direction.FORWARD
@@ -114,7 +114,7 @@
     resets = link.resets
     link.break_message(direction, peer="agent-")
     jobs = [deployment.submit(tasks=4) for _ in range(4)]
-    _cluster.wait_until(lambda: link.resets > resets + 1, "two resets")
+    _waits.wait_until(lambda: link.resets > resets + 1, "two resets")
     link.heal()
     answers = [job.answer.result() for job in jobs]
     assert [answer.status for answer in answers] == [200] * 4
@@ -143,7 +143,7 @@
             for name, number in before.items()
         )
 
-    _cluster.wait_until(have_lapsed, "every lease of the link lapsing")
+    _waits.wait_until(have_lapsed, "every lease of the link lapsing")
     _expect_kept(deployment)
 
 
@@ -158,7 +158,7 @@
     members = len(cluster.entries)
     entry.send_signal(signal.SIGSTOP)
     # Agents give up a silent entry earlier than the other entries do.
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: len(cluster.list_members(other)) < members,
         "the other entry forgetting the paused one",
     )
@@ -173,7 +173,7 @@
     cluster = deployment.cluster
     entry = cluster.entries[1]
     entry.link.cut(peer="agent-0")
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: cluster.list_agents(entry) == ["agent-1"],
         "the entry losing the agent",
     )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_stops.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_stops.py
@@ -14,6 +14,7 @@
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 
 
 @pytest.fixture
@@ -45,7 +46,7 @@
     entry.send_signal(signal.SIGTERM)
     door = [deployment.submit(port=balancer) for _ in range(30)]
     assert all(job.answer.result().complete for job in flight)
-    _cluster.wait_until(lambda: entry.process.poll() is not None, "the exit")
+    _waits.wait_until(lambda: entry.process.poll() is not None, "the exit")
     later = [deployment.submit(port=balancer) for _ in range(10)]
     statuses = {job.answer.result().status for job in door + later}
     assert statuses <= {200, 503}
@@ -67,7 +68,7 @@
         # An answer to a later request shows that the entry read the half.
         deployment.cluster.count_jobs(entry)
         entry.send_signal(signal.SIGTERM)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: not _is_healthy(entry), "the health check failing"
         )
         sock.sendall(request[len(request) // 2 :])
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_subset.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_subset.py
@@ -7,6 +7,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
+from cowslipgate_bench import _waits
 
 AGENT = "agent-0"
 AGENT_FLAGS = ("--heartbeat=100ms", "--entry-lost-after=700ms")
@@ -37,7 +38,7 @@
         chosen = _find_chosen(cluster)
         other = second if chosen is first else first
         assert _cluster.stop_gracefully(chosen.process) == 0
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.list_agents(other) == [AGENT],
             "the agent's move to the other entry",
         )
@@ -45,11 +46,11 @@
         job = deployment.submit(entry=number, tasks=1, true_ms=(1_500.0,))
         deployment.wait_started(job)
         cluster.restart(chosen)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.list_agents(chosen) == [AGENT],
             "the agent's return to the entry that ranks first",
         )
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: not cluster.list_agents(other),
             "the agent leaving the other entry",
         )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_unfit_jobs.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_unfit_jobs.py
@@ -4,6 +4,7 @@
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
+from cowslipgate_bench import _waits
 
 UNFIT_JOBS = 300
 FIT_JOBS = 20
@@ -20,7 +21,7 @@
         (entry,) = cluster.entries
         port = cluster.agents[1].port
         _cluster.call_http(port, "DELETE", "/v1/target", None)
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.is_ready(1), "the larger target leaving"
         )
         # An absent target may return, so these wait for their deadline.
@@ -30,7 +31,7 @@
             )
             for _ in range(UNFIT_JOBS)
         ]
-        _cluster.wait_until(
+        _waits.wait_until(
             lambda: cluster.count_jobs(entry) == UNFIT_JOBS,
             "the unfit jobs waiting",
         )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_whole_path.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_whole_path.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cowslipgate_bench import _waits
 from cowslipgate_bench import faultsoak
 
 ENTRIES = 2
@@ -32,7 +33,7 @@
 
 
 def _wait_begun(system: faultsoak.Deployment, name: str, tasks: int) -> None:
-    faultsoak.wait_until(
+    _waits.wait_until(
         lambda: len(system.list_runs(name)) >= tasks, "the tasks' begin"
     )
 
@@ -87,7 +88,7 @@
     system.configure(path_prefix="/other/")
     system.store.trouble = faultsoak.StoreTrouble.NONE
     # In force again; the old route is gone.
-    faultsoak.wait_until(
+    _waits.wait_until(
         lambda: system.submit(0, system.make_job(1, 1)).result().status == 404,
         "the new configuration in force",
     )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload_faults.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
+from cowslipgate_bench import _waits
 
 WAVE_JOBS = 1_000
 REST_JOBS = 20
@@ -87,12 +87,12 @@
         )
         for n in range(WAVE_JOBS)
     ]
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: sum(map(cluster.count_jobs, cluster.entries)) == WAVE_JOBS,
         "the whole wave waiting",
     )
     rest = [deployment.submit(entry=n % 2) for n in range(REST_JOBS)]
-    _cluster.wait_until(
+    _waits.wait_until(
         lambda: (
             sum(map(cluster.count_jobs, cluster.entries))
             == WAVE_JOBS + REST_JOBS
