--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -138,6 +138,7 @@
     seconds: float = 30.0,
     seed: int = 1,
     folder: pathlib.Path | None = None,
+    bound: bool = False,
 ) -> None:
     """Play policies, patterns and loads on a model, without processes.
 
@@ -148,6 +149,7 @@
     :param seconds: seconds of traffic of each day
     :param seed: seed of each day
     :param folder: where JSON lines and a plot are written
+    :param bound: work out too what no schedule exceeds, 15 s for a day
     """
     from cowslipgate_bench import model
 
@@ -166,6 +168,8 @@
     print(model.format_table(experiments))
     if folder is not None:
         model.write_report(experiments, folder)
+    if bound:
+        print(*model.format_bounds(plan), sep="\n")
 
 
 @app.command
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_day.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_day.py
@@ -109,6 +109,41 @@
     """Time until it was answered whole."""
 
 
+def find_objective(site: _sites.Site, request: _traffic.Request) -> float:
+    """Return the seconds within which a request is to be answered."""
+    return site.latency_seconds + site.slowdown * max(request.seconds)
+
+
+def make_targets(day: Day, loop: _loop.Loop) -> list[_targets.Target]:
+    """Return the targets of a day with what strikes them."""
+    struck = _choose_struck(day)
+    speeds, cores = _sites.RACK_SPEEDS, _sites.RACK_MILLICORES
+    return [
+        _targets.Target(
+            speeds[number % len(speeds)],
+            cores[number % len(cores)],
+            loop,
+            random.Random(day.seed * 1_000 + number),
+            day.pattern.trouble if number in struck else _sites.Trouble.NONE,
+            day.pattern.share,
+            START_SECONDS + day.seconds / 3,
+            START_SECONDS + 2 * day.seconds / 3,
+        )
+        for number in range(day.site.targets)
+    ]
+
+
+def _choose_struck(day: Day) -> set[int]:
+    numbers = list(range(day.site.targets))
+    match day.pattern.trouble:
+        case _sites.Trouble.NONE:
+            return set()
+        case _sites.Trouble.LOST_ORDERS:
+            return set(numbers)
+    count = max(1, round(day.pattern.share * len(numbers)))
+    return set(random.Random(day.seed).sample(numbers, count))
+
+
 class _World:
     """Everything of one day."""
 
@@ -145,11 +180,8 @@
         )
 
     def _make_agents(self, site: _sites.Site) -> list[_agents.Agent]:
-        source = random.Random(self._day.seed)
-        struck = self._choose_struck(source)
         agents = []
-        for number in range(site.targets):
-            target = self._make_target(number, number in struck)
+        for number, target in enumerate(make_targets(self._day, self._loop)):
             name = f"agent-{number:02}"
             agents.append(
                 _agents.Agent(
@@ -163,31 +195,6 @@
             )
         return agents
 
-    def _choose_struck(self, source: random.Random) -> set[int]:
-        pattern = self._day.pattern
-        numbers = list(range(self._day.site.targets))
-        match pattern.trouble:
-            case _sites.Trouble.NONE:
-                return set()
-            case _sites.Trouble.LOST_ORDERS:
-                return set(numbers)
-        count = max(1, round(pattern.share * len(numbers)))
-        return set(source.sample(numbers, count))
-
-    def _make_target(self, number: int, struck: bool) -> _targets.Target:
-        day = self._day
-        speeds, cores = _sites.RACK_SPEEDS, _sites.RACK_MILLICORES
-        return _targets.Target(
-            speeds[number % len(speeds)],
-            cores[number % len(cores)],
-            self._loop,
-            random.Random(day.seed * 1_000 + number),
-            day.pattern.trouble if struck else _sites.Trouble.NONE,
-            day.pattern.share,
-            START_SECONDS + day.seconds / 3,
-            START_SECONDS + 2 * day.seconds / 3,
-        )
-
     def play(self) -> DayFigures:
         """Play the day."""
         day = self._day
@@ -221,7 +228,7 @@
             datetime.timedelta(seconds=site.latency_seconds),
             site.slowdown,
         )
-        wait = DEADLINE_FACTOR * self._find_objective(request)
+        wait = DEADLINE_FACTOR * find_objective(site, request)
         now = self._loop.now()
         job = core.Job(
             f"job-{request.name}",
@@ -242,10 +249,6 @@
             declared = list(request.seconds)
         return [seconds * 1_000 for seconds in declared]
 
-    def _find_objective(self, request: _traffic.Request) -> float:
-        site = self._day.site
-        return site.latency_seconds + site.slowdown * max(request.seconds)
-
     def _find_seconds(self, task: str) -> float:
         job, index, _ = task.split(".")
         return self._jobs[job].request.seconds[int(index)]
@@ -279,7 +282,7 @@
     def _measure(self) -> DayFigures:
         outcomes = list(self._outcomes.values())
         ratios = [
-            outcome.seconds / self._find_objective(outcome.request)
+            outcome.seconds / find_objective(self._day.site, outcome.request)
             for outcome in outcomes
         ]
         in_time = sum(1 for ratio in ratios if ratio <= 1.0)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_experiment.py
@@ -10,6 +10,7 @@
 import matplotlib
 from matplotlib import figure
 
+from cowslipgate_bench.model import _bound
 from cowslipgate_bench.model import _day
 from cowslipgate_bench.model import _sites
 
@@ -61,6 +62,9 @@
 """The naive twin first; ``central`` is the reference, the others that know
 show what better knowledge would bring."""
 
+BOUND_COLUMNS = 7
+"""Columns up to that of the worth, the only one that a bound has."""
+
 COLUMNS = (
     "pattern",
     "load",
@@ -128,6 +132,18 @@
         yield Experiment(pattern, load, policy, _day.play_day(day))
 
 
+def format_bounds(plan: Plan) -> Iterator[str]:
+    """Return for each day of a grid a row with what no schedule exceeds."""
+    for pattern, load in itertools.product(plan.patterns, plan.loads):
+        day = VARIANTS["omniscient"].make_day(
+            plan.site, pattern, load, plan.seconds, plan.seed
+        )
+        worth = f"{_bound.bound_worth(day):.3f}"
+        blank = [""] * (len(COLUMNS) - BOUND_COLUMNS)
+        cells = [pattern, f"{load:g}", "bound", "", "", "", worth, *blank]
+        yield f"| {' | '.join(cells)} |"
+
+
 def format_row(experiment: Experiment) -> str:
     """Return the row of one day."""
     figures = experiment.figures
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_model.py
@@ -106,3 +106,27 @@
 
 def test_policies_are_those_of_the_product() -> None:
     assert isinstance(model.VARIANTS["matching"].policy, core.Matching)
+
+
+def _bound(pattern: str, load: float, seconds: float = SHORT) -> float:
+    variant = model.VARIANTS["matching"]
+    return model.bound_worth(
+        variant.make_day(SITE, pattern, load, seconds), rounds=20
+    )
+
+
+def test_calm_day_can_be_served_whole() -> None:
+    assert _bound("calm", 0.5) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize("pattern", ["burst", "slow", "fail", "hang"])
+def test_no_schedule_earns_more_than_the_bound(pattern: str) -> None:
+    bound = _bound(pattern, 1.5, 3.0)
+    for policy in ("matching", "omniscient"):
+        assert _play(pattern, policy, 1.5, 3.0).worth <= bound
+
+
+def test_bound_falls_below_one_under_overload() -> None:
+    bounds = [_bound("calm", load) for load in (0.5, 3.0, 6.0)]
+    assert bounds == sorted(bounds, reverse=True)
+    assert bounds[-1] < 0.8
