--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -89,6 +89,7 @@
         """Processes that ended by themselves or did not stop as told."""
 
         self._paused: set[_nodes.Node] = set()
+        self._lost: set[_nodes.Node] = set()
         self._thread: threading.Thread | None = None
 
     @property
@@ -142,8 +143,15 @@
         node.send_signal(signal.SIGSTOP)
         self._paused.add(node)
 
+    def lose(self, node: _nodes.Node) -> None:
+        """Kill a process that is back when the deployment is healed."""
+        node.kill()
+        self._lost.add(node)
+
     def stop(self, node: _nodes.Node) -> None:
         """Have a process stop in order and start it again."""
+        if not node.running:
+            return
         # A paused process cannot follow a signal to stop, and one that is
         # starting ends by it.
         node.send_signal(signal.SIGCONT)
@@ -168,13 +176,18 @@
         for node in self.nodes:
             node.work.heal()
             node.store.heal()
-            if not node.running:
-                status = node.process.returncode
-                self.failures.append(f"{node.name} ended with {status}")
-                node.start()
-            elif node in self._paused:
+            if node in self._paused and node.running:
                 node.send_signal(signal.SIGCONT)
+            if not node.running:
+                self._start_again(node)
         self._paused.clear()
+        self._lost.clear()
+
+    def _start_again(self, node: _nodes.Node) -> None:
+        if node not in self._lost:
+            status = node.process.returncode
+            self.failures.append(f"{node.name} ended with {status}")
+        node.start()
 
     def wait_ready(self) -> None:
         """Wait until each entry that runs sees each agent that runs."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
@@ -38,6 +38,17 @@
     """Number of the process among these."""
 
 
+@attrs.frozen
+class LoseNode:
+    """SIGKILL a process, which is back when the round ends."""
+
+    role: _nodes.Role
+    """What the process is."""
+
+    number: int
+    """Number of the process among these."""
+
+
 @attrs.frozen
 class StopNode:
     """SIGTERM a process and start it again."""
@@ -136,6 +147,7 @@
 
 Fault = (
     KillNode
+    | LoseNode
     | StopNode
     | PauseNode
     | KillAll
@@ -147,23 +159,37 @@
     | Configure
 )
 
+# Kinds that stand more than once are drawn more often: those after which a
+# task may run at two targets.
 _KINDS = (
     KillNode,
     KillNode,
+    LoseNode,
+    LoseNode,
     StopNode,
     PauseNode,
     PauseNode,
     KillAll,
     FaultWork,
     FaultWork,
+    FaultWork,
     FaultStoreLink,
     TroubleStore,
     TroubleTarget,
     TroubleTarget,
+    TroubleTarget,
+    TroubleTarget,
+    CrashTarget,
     CrashTarget,
     Configure,
 )
 
+_TROUBLES = (
+    *list(target_standin.TargetTrouble)[1:],
+    target_standin.TargetTrouble.LATE,
+    target_standin.TargetTrouble.LOSES_ANSWERS,
+)
+
 
 def draw_fault(chance: random.Random, entries: int, agents: int) -> Fault:
     """Return the next fault of a schedule."""
@@ -173,7 +199,7 @@
     number = chance.randrange(count)
     if kind is KillAll:
         return KillAll()
-    if kind in (KillNode, StopNode, PauseNode):
+    if kind in (KillNode, LoseNode, StopNode, PauseNode):
         return kind(role, number)
     if kind in (FaultWork, FaultStoreLink):
         return kind(role, number, _draw_link_fault(chance))
@@ -181,7 +207,7 @@
         troubles = list(store_standin.StoreTrouble)[1:]
         return TroubleStore(chance.choice(troubles))
     if kind is TroubleTarget:
-        trouble = chance.choice(list(target_standin.TargetTrouble)[1:])
+        trouble = chance.choice(_TROUBLES)
         share = chance.uniform(*LOST_SHARES)
         return TroubleTarget(chance.randrange(agents), trouble, share)
     if kind is CrashTarget:
@@ -215,6 +241,11 @@
     system.get_node(fault.role, fault.number).restart()
 
 
+@inject.register
+def _lose_node(fault: LoseNode, system: _deployment.Deployment) -> None:
+    system.lose(system.get_node(fault.role, fault.number))
+
+
 @inject.register
 def _stop_node(fault: StopNode, system: _deployment.Deployment) -> None:
     system.stop(system.get_node(fault.role, fault.number))
