--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
@@ -29,8 +29,14 @@
 MAX_TASKS = 6
 """Most tasks of a job; a dozen jobs fill the room of three targets."""
 
-MAX_TASK_MS = 600
-"""Longest run time, in milliseconds; tasks of both sites mostly take less."""
+TASK_MS = (10, 600)
+"""Run times in milliseconds; tasks of both sites mostly take less."""
+
+LONG_TASK_MS = (1_000, 3_000)
+"""Run times that outlast the 1.3 s until a caller comes again."""
+
+LONG_SHARE = 0.2
+"""Share of the jobs with such tasks."""
 
 FAULT_SECONDS = (0.2, 3.0)
 """Time that faults last: up to the double of the 1.5 s after which agents
@@ -168,9 +174,9 @@
 
     def _submit(self) -> _Waiting:
         chance = self._chance
-        job = self._system.make_job(
-            chance.randint(1, MAX_TASKS), chance.randint(10, MAX_TASK_MS)
-        )
+        long = chance.random() < LONG_SHARE
+        task_ms = chance.randint(*(LONG_TASK_MS if long else TASK_MS))
+        job = self._system.make_job(chance.randint(1, MAX_TASKS), task_ms)
         if chance.random() < IMPATIENT_SHARE:
             patience = chance.uniform(*PATIENCE_SECONDS)
             job = attrs.evolve(job, patience_seconds=patience)
