Give the links' rig of test_links real time to make a connection

The rig let 20 ms of its manual clock pass in each round while rounds took 20 us, since a ZeroMQ descriptor stays readable and the poller then does not wait: 2,000 rounds were over after 0.05 s of real time (against a peer that accepts and never answers), and every five seconds of the manual clock the agent made the connection anew. Ruled out: load alone as a reproduction (5 runs of the file beside 14 busy processes with the old and the new rig, none failed). No check changed.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_links.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 import datetime
 import threading
+import time
 
 import circuits
 from circuits.core import events
@@ -19,9 +20,15 @@
 from cowslipgate_agent import _settings
 
 ENTRY = 7
-ROUNDS = 2_000
+ROUNDS = 20_000
 ROUND_SECONDS = 0.005
+IDLE_SECONDS = 0.000_5
+"""Least time of a round in which nothing happens: 10 s in all."""
+
 SETTLE_ROUNDS = 10
+DUE_AFTER = datetime.timedelta(seconds=1.2)
+"""Time after which an idle link has reported; its heartbeat is 1 s."""
+
 FLAGS = {
     "name": "agent-1",
     "domain": "kaai-zuid",
@@ -49,11 +56,15 @@
         _discovery.BalancerDiscovery(balancer).register(self.root)
         self._introduce()
         self.run_until(lambda: self.links.get_link(ENTRY), "a link")
+        self._due_at = self.clock.now() + DUE_AFTER
         self.run_until(self._hear_report, "the first report")
 
     def _hear_report(self) -> bool:
-        self.clock.advance(datetime.timedelta(milliseconds=20))
-        self.root.fire(_events.tick(), _links.CHANNEL)
+        # A report is due by then. Were more time let pass, the agent would
+        # connect anew before a slow machine has made the connection.
+        if self.clock.now() < self._due_at:
+            self.clock.advance(datetime.timedelta(milliseconds=20))
+            self.root.fire(_events.tick(), _links.CHANNEL)
         return bool(self.reports)
 
     def _introduce(self) -> None:
@@ -70,6 +81,7 @@
         if not len(self.root):
             event = events.generate_events(threading.RLock(), ROUND_SECONDS)
             self.root.fire(event, "*")
+            time.sleep(IDLE_SECONDS)
         self.root.tick()
         while self.router.getsockopt(zmq.EVENTS) & zmq.POLLIN:
             self.identity, *frames = self.router.recv_multipart()
