--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_message_socket.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 import threading
+import time
 
 import circuits
 from circuits.core import events
@@ -11,8 +12,11 @@
 
 import cowslipgate_transport as transport
 
-ROUNDS = 2_000
+ROUNDS = 20_000
 ROUND_SECONDS = 0.005
+IDLE_SECONDS = 0.000_5
+"""Least time of a round in which nothing happens: 10 s in all."""
+
 WAIT_MS = 10_000
 LOOPBACK = "tcp://127.0.0.1:0"
 PEER = b"peer"
@@ -57,6 +61,7 @@
                     threading.RLock(), ROUND_SECONDS
                 )
                 self.root.fire(event, "*")
+                time.sleep(IDLE_SECONDS)
             self.root.tick()
         raise AssertionError(f"never: {what}")
 
