Have every timer wait on the steady clock: a clock that goes back stopped them

The timer of circuits waits by the time of day. When that went back by 20 s at 26.0 s, no tick fired in the processes on these VMs for 20 s: agents sent no heartbeats and looked at no deadline, while their watches, which follow answers, kept the leases. edge-dokken-noord-1 heard nothing of side-kaai-zuid-3 for 3.5 s, counted its runs as ended (AgentLost at 29.48 s) and ran the tasks elsewhere; the agent, which should have given the entry up after 1.5 s, had no tick to see it. Calls' timeouts, drains and renewals of rows stood still as well.

Ruled out: incarnations from clocks that are back (all were higher), stalled runs (no withdrawal in the job's repeats), callers that come again (the same entry sent both).

cowslipgate_transport.Timer waits on the monotonic clock; all programs use it.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_process.py
@@ -70,7 +70,7 @@
     _links.Links(settings, executor, incarnation, clock, poller).register(
         process
     )
-    circuits.Timer(
+    transport.Timer(
         TICK_SECONDS,
         _events.tick(),
         _runner.CHANNEL,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -3,7 +3,6 @@
 import ipaddress
 import sys
 
-import circuits
 from circuits.core import pollers
 import zmq
 
@@ -122,7 +121,7 @@
     transport.HttpClient("store", poller, clock).register(process)
     token = {"Authorization": f"Bearer {settings.cluster_token}"}
     transport.HttpClient("discovery", poller, clock, token).register(process)
-    circuits.Timer(
+    transport.Timer(
         TICK_SECONDS,
         _events.tick(),
         "dispatcher",
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -12,6 +12,7 @@
 from cowslipgate_transport import _message_socket
 from cowslipgate_transport import _metrics_page
 from cowslipgate_transport import _table_events
+from cowslipgate_transport import _timer
 
 Address = _http_calls.Address
 Answer = _http_exchanges.Answer
@@ -72,4 +73,5 @@
 SettingsRejected = _changes.SettingsRejected
 Summary = _exposition.Summary
 table_answered = _table_events.table_answered
+Timer = _timer.Timer
 Traffic = _message_socket.Traffic
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_file_watch.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_file_watch.py
@@ -7,6 +7,8 @@
 
 import circuits
 
+from cowslipgate_transport import _timer
+
 CHANNEL = "files"
 
 LOOK_SECONDS = 1.0
@@ -35,7 +37,7 @@
         self._stamp = self._read_stamp()
         self._signalled = False
         signal.signal(signal.SIGHUP, self._note_signal)
-        circuits.Timer(
+        _timer.Timer(
             LOOK_SECONDS, look_at_file(), CHANNEL, persist=True
         ).register(self)
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -16,6 +16,7 @@
 import cowslipgate_core as core
 from cowslipgate_transport import _http_calls
 from cowslipgate_transport import _http_pool
+from cowslipgate_transport import _timer
 
 CONNECT_TIMEOUT = datetime.timedelta(seconds=3)
 MAX_ANSWER_BYTES = core.MAX_RESULT_BYTES + 65_536
@@ -280,6 +281,6 @@
         # An idle client has no timer, since each firing costs processor time.
         if not self._watching and self._pool.busy:
             self._watching = True
-            circuits.Timer(TICK_SECONDS, check_calls(), self.channel).register(
+            _timer.Timer(TICK_SECONDS, check_calls(), self.channel).register(
                 self
             )
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -17,6 +17,7 @@
 from cowslipgate_transport import _http_refusals
 from cowslipgate_transport import _request_parser
 from cowslipgate_transport import _tcp_server
+from cowslipgate_transport import _timer
 
 READ_SIZE = 65_536
 BACKLOG = 1_024
@@ -55,7 +56,7 @@
         self._parser = _request_parser.RequestParser(
             self._server, channel
         ).register(self)
-        circuits.Timer(
+        _timer.Timer(
             TICK_SECONDS,
             _http_exchanges.check_connections(),
             channel,
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_logs.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_logs.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from cowslipgate_transport import _changes
+from cowslipgate_transport import _timer
 
 CHANNEL = "logs"
 
@@ -131,9 +132,7 @@
         self._log(change)
         if not self._writing:
             self._writing = True
-            circuits.Timer(FLUSH_SECONDS, write_lines(), CHANNEL).register(
-                self
-            )
+            _timer.Timer(FLUSH_SECONDS, write_lines(), CHANNEL).register(self)
 
     @circuits.handler("write_lines")
     def _on_write_lines(self) -> None:
@@ -144,9 +143,7 @@
             self._on_changed(_changes.LinesDropped(dropped))
         elif len(self._buffer):
             self._writing = True
-            circuits.Timer(FLUSH_SECONDS, write_lines(), CHANNEL).register(
-                self
-            )
+            _timer.Timer(FLUSH_SECONDS, write_lines(), CHANNEL).register(self)
 
     def write(self, change: _changes.Change) -> None:
         """Write the line for a change at once, at the start or the end."""
