Send the member list only to agents that lack a member

Cause: an entry lists itself first, and the digest of an agent's list depended on the order. With several entries the digest of one never matched that of another, so each heartbeat of an entry carried the whole list: 35 members, some 4 KB, on 1,280 links a second, and the agent chose its entries anew each time (35 hashes).

Ruled out: gossip (not part of this deployment); the product's own interface sorts its members by address and had no such fault.

Change: the digest sorts the incarnations, and both sides compute it when the list changes in place of at each heartbeat.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -92,7 +92,7 @@
         self._clock = clock
         self._poller = poller
         self._context = zmq.Context.instance()
-        self._members: tuple[core.Member, ...] = ()
+        self._set_members(())
         self._links: dict[int, Link] = {}
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
@@ -271,7 +271,11 @@
             # An outdated list may still name an earlier incarnation.
             if incarnation > current.get(member.address, 0):
                 self._open(member)
+        self._set_members(members)
+
+    def _set_members(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
+        self._members_digest = core.digest_members(members)
 
     def _record_choice(
         self, members: tuple[core.Member, ...], wanted: set[int]
@@ -343,7 +347,7 @@
             self._close(incarnation)
             # The digest of an empty list makes the next entry that answers
             # send the current members.
-            self._members = ()
+            self._set_members(())
 
     def _close(self, incarnation: int) -> None:
         self._links.pop(incarnation).socket.close()
@@ -374,7 +378,7 @@
             announcement.resources if announcement else core.Resources(),
             executor.measure_load(incarnation),
             executor.configuration_version,
-            core.digest_members(self._members),
+            self._members_digest,
             executor.get_link(incarnation),
             announcement.room if announcement else msgspec.UNSET,
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
@@ -119,8 +119,12 @@
 
 
 def digest_members(members: tuple[_reports.Member, ...]) -> str:
-    """Return a 64-bit digest in hexadecimal of the members' incarnations."""
-    text = ",".join(str(member.incarnation) for member in members)
+    """Return a 64-bit digest in hexadecimal of the members' incarnations.
+
+    Their order does not matter, as each entry lists itself first.
+    """
+    incarnations = sorted(member.incarnation for member in members)
+    text = ",".join(map(str, incarnations))
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -38,6 +38,7 @@
         self._machine = core.StateMachine(core.load_chart("entry"))
         self._configuration: core.Configuration | None = None
         self._members: tuple[core.Member, ...] = (member,)
+        self._members_digest = core.digest_members(self._members)
         self._limits = _quota_limits.QuotaLimits(clock.now())
         self._acknowledgements = core.Acknowledgements()
         self._sender = _agent_sender.AgentSender(
@@ -77,6 +78,7 @@
     @circuits.handler("members_changed")
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
+        self._members_digest = core.digest_members(members)
 
     @circuits.handler("limits_changed")
     def _on_limits_changed(
@@ -233,9 +235,9 @@
         self._perform(self._ledger.handle_report(report, now))
         sender = core.encode_identity(report.agent, report.incarnation)
         self._handle_version(report.configuration_version, sender)
-        current = core.digest_members(self._members)
+        with_members = report.members_digest != self._members_digest
         heartbeat = attrs.evolve(
-            self._make_heartbeat(report.members_digest != current),
+            self._make_heartbeat(with_members),
             acknowledged=self._acknowledgements.take(report.agent),
         )
         self._ledger.counters.heartbeats += 2
