--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -315,6 +315,7 @@
 subtract_resources = _room.subtract_resources
 SUSPECT_HEARTBEATS = _heartbeats.SUSPECT_HEARTBEATS
 SystemClock = _clock.SystemClock
+ANY_VERSION = _tables.ANY_VERSION
 TableAnswer = _tables.TableAnswer
 TableCall = _tables.TableCall
 TableFollow = _tables.TableFollow
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
@@ -10,6 +10,10 @@
 import attrs
 
 
+ANY_VERSION = -1
+"""Version in a write that replaces the row whatever its version is."""
+
+
 @attrs.frozen
 class TableRow:
     """A row of a table in the store."""
@@ -57,7 +61,7 @@
 
 @attrs.frozen(eq=False)
 class TableWrite:
-    """A call that writes a row unconditionally."""
+    """A call that writes a row."""
 
     channel: str
     """Channel of the component that receives the answer."""
@@ -71,6 +75,9 @@
     value: bytes
     """New value, or empty to remove the row."""
 
+    expected: int = ANY_VERSION
+    """Version that the row must have for the write to take effect."""
+
 
 TableCall = TableRead | TableFollow | TableWrite
 
@@ -79,6 +86,7 @@
     """Result of a call of the store."""
 
     DONE = "done"
+    CONFLICT = "conflict"
     EXPIRED = "expired"
     REFUSED = "refused"
     UNREACHABLE = "unreachable"
@@ -92,7 +100,8 @@
     """The call that is answered."""
 
     result: TableResult
-    """Result; EXPIRED means that the store no longer keeps the changes."""
+    """Result; EXPIRED means that the store no longer keeps the changes,
+    CONFLICT that a write had no effect since the row had another version."""
 
     rows: tuple[TableRow, ...] = ()
     """Rows that were read or have changed."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -58,7 +58,10 @@
 
     @circuits.handler("table_answered")
     def _on_table_answered(self, answer: core.TableAnswer) -> None:
-        if answer.result is not core.TableResult.DONE:
+        if answer.result is core.TableResult.CONFLICT:
+            # The entry whose row was to be removed is back.
+            self._busy = False
+        elif answer.result is not core.TableResult.DONE:
             self._busy = False
             self._store_failed = True
             self._next_renewal = self._clock.now() + RETRY_INTERVAL
@@ -78,9 +81,16 @@
         lease = core.Lease(self._member, self._renewal)
         self._write(self._member, core.encode_lease(lease))
 
-    def _write(self, member: core.Member, value: bytes) -> None:
+    def _write(
+        self,
+        member: core.Member,
+        value: bytes,
+        expected: int = core.ANY_VERSION,
+    ) -> None:
         key = core.name_lease(member)
-        call = core.TableWrite(CHANNEL, core.ENTRIES_TABLE, key, value)
+        call = core.TableWrite(
+            CHANNEL, core.ENTRIES_TABLE, key, value, expected
+        )
         self.fire(transport.call_table(call), "store")
 
     def _handle_rows(self, rows: tuple[core.TableRow, ...]) -> None:
@@ -97,28 +107,38 @@
             members += self._list_unseen(members)
             self._next_renewal = self._clock.now() + RECOVERY_GRACE
         else:
-            self._remove_abandoned(others, members)
+            versions = {row.key: row.version for row in rows}
+            self._remove_abandoned(others, members, versions)
         if set(members) != set(self._members):
             self._members = members
             event = _events.members_changed(members)
             self.fire(event, "dispatcher", "gateway")
 
     def _remove_abandoned(
-        self, leases: tuple[core.Lease, ...], members: tuple[core.Member, ...]
+        self,
+        leases: tuple[core.Lease, ...],
+        members: tuple[core.Member, ...],
+        versions: dict[str, int],
     ) -> None:
         """Remove one row of an entry that will not come back, if there is one.
 
         Only the live entry with the lowest key does so, to save store calls.
+        A row that was renewed since it was read stays.
+
+        :param versions: versions of the rows that were read, by key
         """
         first = min(members, key=core.name_lease)
         if self._leaving or first != self._member:
             return
-        abandoned = self._expiry_detector.list_abandoned(
+        for lease in self._expiry_detector.list_abandoned(
             leases, self._clock.now()
-        )
-        if abandoned:
-            self._busy = True
-            self._write(abandoned[0].member, b"")
+        ):
+            # A row under another key was written by another program.
+            version = versions.get(core.name_lease(lease.member))
+            if version is not None:
+                self._busy = True
+                self._write(lease.member, b"", version)
+                return
 
     def _list_unseen(
         self, seen: tuple[core.Member, ...]
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import datetime
 
+import attrs
 import circuits
 import cowslipgate_core as core
 import cowslipgate_transport as transport
@@ -221,6 +222,36 @@
     assert harness.last("members").key == core.name_lease(OWN)
 
 
+def test_removal_spares_a_row_that_was_renewed_since_it_was_read(
+    harness: StoreHarness,
+) -> None:
+    _abandon_row(harness, OWN, OTHER)
+    removal = harness.last("members")
+    # The version of the row that was read, see ``_lease``.
+    assert (removal.value, removal.expected) == (b"", 1)
+    harness.answer("members", core.TableResult.CONFLICT)
+    harness.pass_time(_stored_members.RENEW_INTERVAL.total_seconds())
+    renewal = harness.last("members")
+    assert renewal.key == core.name_lease(OWN)
+    assert renewal.expected == core.ANY_VERSION
+    harness.answer("members")
+    harness.answer("members", rows=(_lease(OWN, 1), _lease(OTHER, 2)))
+    assert harness.members[-1] == {OWN, OTHER}
+
+
+def test_abandoned_lease_in_a_row_of_another_key_is_left_alone(
+    harness: StoreHarness,
+) -> None:
+    misplaced = attrs.evolve(_lease(OTHER, 1), key="elsewhere")
+    rounds = core.LEASE_ABANDONED_AFTER // _stored_members.RENEW_INTERVAL
+    for number in range(rounds + 2):
+        harness.answer("members")
+        harness.answer("members", rows=(_lease(OWN, number), misplaced))
+        harness.pass_time(_stored_members.RENEW_INTERVAL.total_seconds())
+    writes = [c for c in harness.calls if isinstance(c, core.TableWrite)]
+    assert all(call.value for call in writes)
+
+
 def test_outage_of_the_store_makes_no_row_abandoned(
     harness: StoreHarness,
 ) -> None:
