Pin all that leaves a process in one committed file

Only the settings had a page that a test compares.

Change: make interfaces writes docs/INTERFACES.txt from the classes: messages with their fields in order and the values of their enumerations, rows, log events with levels and fields, metrics, settings and state charts. A test compares; the file changes only on purpose.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEEDS := 10
 ROUNDS := 6
 
-.PHONY: setup test demo bench settings-page lint format check-format capacity measure-control soak fault-soak
+.PHONY: setup test demo bench settings-page lint format check-format capacity measure-control soak fault-soak interfaces
 
 setup: $(VENV)/installed
 
@@ -54,3 +54,6 @@
 
 settings-page: setup
 	$(PYTHON) -m cowslipgate_bench settings-page
+
+interfaces: setup
+	$(PYTHON) -m cowslipgate_bench interfaces
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/__main__.py
@@ -11,6 +11,7 @@
 from cowslipgate_bench import _capacity_page
 from cowslipgate_bench import _control_cost
 from cowslipgate_bench import _demo
+from cowslipgate_bench import _interfaces
 from cowslipgate_bench import _settings_page
 from cowslipgate_bench import _soak
 from cowslipgate_bench import _table
@@ -191,6 +192,12 @@
     faultsoak.print_soak(range(first, first + count), rounds)
 
 
+@app.command
+def interfaces() -> None:
+    """Generate docs/INTERFACES.txt, all that leaves a process."""
+    _interfaces.write_interfaces()
+
+
 @app.command
 def settings_page() -> None:
     """Generate docs/SETTINGS.md from the classes of the settings."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_pages.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cowslipgate_agent import _changes as _agent_changes
+from cowslipgate_bench import _interfaces
 from cowslipgate_bench import _settings_page
 from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.observation import _changes
@@ -24,6 +25,11 @@
     assert _read("SETTINGS.md") == _settings_page.render_page()
 
 
+def test_what_leaves_a_process_is_as_committed() -> None:
+    """A change here needs a reason: other versions and readers see it."""
+    assert _read("INTERFACES.txt") == _interfaces.render_interfaces()
+
+
 @pytest.mark.parametrize(
     "kind", [*core.Failure, *_requests.PatchProblem], ids=str
 )
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -222,6 +222,7 @@
 MAX_TASKS = _configuration.MAX_TASKS
 MAX_UNACKNOWLEDGED = _outcomes.MAX_UNACKNOWLEDGED
 compute_horizon = _matching.compute_horizon
+MESSAGE_TYPES = _wire.MESSAGE_TYPES
 Member = _reports.Member
 Membership = _membership.Membership
 merge_patch = _configuration.merge_patch
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_wire.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_wire.py
@@ -14,7 +14,7 @@
 from cowslipgate_core.messages import _documents
 from cowslipgate_core.messages import _reports
 
-_CLASSES = (
+MESSAGE_TYPES = (
     _reports.Report,
     _attempts.Results,
     _attempts.Dispatch,
@@ -33,9 +33,11 @@
     _cancels.CancelRequest,
     _cancels.CancelReply,
 )
+"""Types of the messages; the kind of a message is the name of its type."""
 
 _DECODERS = {
-    cls.__name__.encode(): msgspec.msgpack.Decoder(cls) for cls in _CLASSES
+    cls.__name__.encode(): msgspec.msgpack.Decoder(cls)
+    for cls in MESSAGE_TYPES
 }
 
 _ENCODER = msgspec.msgpack.Encoder()
