--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -33,4 +33,6 @@
     module = _MODULES.get(name)
     if module is None:
         raise AttributeError(name)
-    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+    value = getattr(importlib.import_module(f"{__name__}.{module}"), name)
+    globals()[name] = value
+    return value
