Place tasks near their entry while the objective is kept there

Ruled out: fewer links (an entry would see too few targets in a burst); only links nearby (a domain whose entries are dark would lose its targets, and 32 targets of random kinds differ by a tenth from domain to domain).

Change: 0.6 of an agent's links go to entries of its failure domain. An entry fills targets of its own domain first with tasks that keep their objective there; what is left, late, or without an objective goes to the fastest target anywhere, as before. An idle agent that was heard costs the ledger's tick one comparison, and a send reads the socket's monitor no more.

Tests: test_near_targets (pattern: 35 entries in five domains), four cases of test_subsets.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -34,6 +34,7 @@
     :param incarnation: number of this entry process
     :param timing: timeouts and inquiry intervals
     :param estimates: speeds of targets; new ones by default
+    :param domain: failure domain of the entry; empty to prefer no targets
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         incarnation: int = 0,
         timing: _timing.Timing = _timing.Timing(),
         estimates: _estimates.Estimates | None = None,
+        domain: str = "",
     ) -> None:
         self._incarnation = incarnation
         self._timing = timing
@@ -55,6 +57,7 @@
             self.estimates.get_present_speed,
             policy.queue_allowance,
             timing.agent_suspect_after,
+            domain,
         )
         self._agents = self._roster.agents
         self._assigner = _assignment.Assigner(
@@ -284,7 +287,8 @@
                 )
             actions.extend(self._resolve_failed_job(job, now))
         for name, record in list(self._agents.items()):
-            actions.extend(self._check_agent(name, record, now))
+            if not self._is_idle_and_heard(record, now):
+                actions.extend(self._check_agent(name, record, now))
         return _ledger_actions.merge_withdraws(actions)
 
     def assign(
@@ -487,6 +491,16 @@
         )
         return [_ledger_actions.AnswerJob(job, answer)]
 
+    def _is_idle_and_heard(
+        self, record: _roster.AgentRecord, now: datetime.datetime
+    ) -> bool:
+        # Most agents of a large fleet are so, and an idle one is allowed at
+        # least the silence of a busy one.
+        silence = now - record.last_received_at
+        return (
+            not record.outstanding and silence <= self._timing.agent_lost_after
+        )
+
     def _check_agent(
         self, name: str, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_membership.py
@@ -3,12 +3,18 @@
 import collections
 import datetime
 import hashlib
+import math
 
 import attrs
 
 from cowslipgate_core.membership import _gossip
 from cowslipgate_core.messages import _reports
 
+NEAR_SHARE = 0.6
+"""Share of an agent's links in its failure domain. Traffic between domains
+costs more, and the other links serve while a domain has more or less work
+than its targets can do, or has lost its entries."""
+
 MAX_CANDIDATES = 64
 """Bound on the candidates kept at once."""
 
@@ -133,23 +139,41 @@
     members: tuple[_reports.Member, ...],
     count: int,
     region: str = "",
+    domain: str = "",
 ) -> tuple[_reports.Member, ...]:
     """Return the entries that an agent connects to.
 
     All but one are in the agent's region, so that the agent still gets work
     when regions lose contact. The one outside lets other regions use its
-    target. If there are too few of one kind, the other makes up the count.
+    target. Of those inside, ``NEAR_SHARE`` are in the agent's failure domain.
+    If there are too few of one kind, the others make up the count.
 
     :param region: region of the agent
+    :param domain: failure domain of the agent; empty to prefer none
     """
     ranked = sorted(members, key=lambda member: _rank(agent, member))
-    local = _alternate_domains([m for m in ranked if m.region == region])
-    remote = _alternate_domains([m for m in ranked if m.region != region])
     split = max(1, count - 1)
+    local = _put_near_first(
+        [m for m in ranked if m.region == region], domain, split
+    )
+    remote = _alternate_domains([m for m in ranked if m.region != region])
     ordered = local[:split] + remote[:1] + local[split:] + remote[1:]
     return tuple(ordered[:count])
 
 
+def _put_near_first(
+    ranked: list[_reports.Member], domain: str, count: int
+) -> list[_reports.Member]:
+    """Order entries so that ``NEAR_SHARE`` of the first ``count`` are near.
+
+    Other domains take turns in the rest.
+    """
+    own = [member for member in ranked if domain and member.domain == domain]
+    near = own[: math.ceil(count * NEAR_SHARE)]
+    others = _alternate_domains([m for m in ranked if m not in own])
+    return near + others + own[len(near) :]
+
+
 def _alternate_domains(
     ranked: list[_reports.Member],
 ) -> list[_reports.Member]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -110,6 +110,11 @@
     fill = functools.partial(
         _fill_targets, policy, fitting, ordered, pool, allowances, now, entries
     )
+    if not pool.all_near:
+        assignments += _fill_near(
+            policy, fitting, pool, allowances, now, entries, find
+        )
+        fitting[:] = _ready_jobs.list_ready(fitting, allowances)
     assignments += fill(find)
     if any(job.terms.preferred_label for job in fitting):
         # The first pass skipped targets for them while one near their data
@@ -118,6 +123,30 @@
     return assignments
 
 
+def _fill_near(
+    policy: LateBinding,
+    fitting: list[_backlog.WaitingJob],
+    pool: _targets.Pool,
+    allowances: dict[str, int],
+    now: datetime.datetime,
+    entries: int,
+    find: TaskFinder,
+) -> list[_placement.Assignment]:
+    """Fill targets of the entry's failure domain that meet an objective.
+
+    Bytes between domains cost more, and a job with an objective gains nothing
+    from a target that is faster still.
+    """
+    jobs = [
+        job
+        for job in fitting
+        if job.due_at is not None and not is_late(job, pool, now)
+    ]
+    return _fill_targets(
+        policy, jobs, jobs, pool, allowances, now, entries, find, True
+    )
+
+
 def _fill_targets(
     policy: LateBinding,
     fitting: list[_backlog.WaitingJob],
@@ -127,14 +156,20 @@
     now: datetime.datetime,
     entries: int,
     find: TaskFinder,
+    near_only: bool = False,
 ) -> list[_placement.Assignment]:
-    """Fill the open targets in one pass, the fastest first."""
+    """Fill the open targets in one pass, the fastest first.
+
+    :param near_only: whether to pass over targets of other failure domains
+    """
     assignments = []
     # No task fits these offers here, nor on slower targets.
     exhausted: set[_resources.Resources] = set()
     for target in pool.iterate_open(now):
         if not fitting:
             break
+        if near_only and not target.near:
+            continue
         if policy.max_backlog_time:
             waiting = _ready_jobs.list_ready(ordered, allowances)
             if is_unneeded(policy, target, pool, waiting, now, entries):
@@ -145,6 +180,8 @@
             if target.occupied and is_probed(policy, target, pool):
                 break
             found = _find_task(fitting, target, pool, find, now)
+            if found is None and not near_only:
+                found = _find_any_task(fitting, target, pool, now)
             if found is None:
                 if not any(job.is_selective for job in fitting):
                     exhausted.add(target.offer)
@@ -225,25 +262,44 @@
     find: TaskFinder,
     now: datetime.datetime,
 ) -> tuple[_backlog.WaitingJob, int] | None:
-    jobs = [
-        job
-        for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]
-        if job.may_use(target)
-        and not _has_room_near_data(job, target, pool, now)
-    ]
-    for job in jobs:
+    """Return the first job with a task that the policy gives the target."""
+    for job in _list_usable(jobs, target, pool, now):
         position = find(job, target)
         if position is not None:
             return job, position
+    return None
+
+
+def _find_any_task(
+    jobs: list[_backlog.WaitingJob],
+    target: _targets.TargetView,
+    pool: _targets.Pool,
+    now: datetime.datetime,
+) -> tuple[_backlog.WaitingJob, int] | None:
+    """Return the longest task that fits if every faster target is idle."""
     if pool.is_faster_busy(target):
         return None
-    for job in jobs:
+    for job in _list_usable(jobs, target, pool, now):
         position = _find_longest(job, target)
         if position is not None:
             return job, position
     return None
 
 
+def _list_usable(
+    jobs: list[_backlog.WaitingJob],
+    target: _targets.TargetView,
+    pool: _targets.Pool,
+    now: datetime.datetime,
+) -> list[_backlog.WaitingJob]:
+    return [
+        job
+        for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]
+        if job.may_use(target)
+        and not _has_room_near_data(job, target, pool, now)
+    ]
+
+
 def _has_room_near_data(
     job: _backlog.WaitingJob,
     target: _targets.TargetView,
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
@@ -55,6 +55,7 @@
     :param queue_allowance: tasks that may queue at a target beyond its slots
     :param suspect_after: time without a message after which an agent is
         suspect and gets no new work
+    :param domain: failure domain of the entry; empty if all count as near
     """
 
     def __init__(
@@ -62,10 +63,12 @@
         get_speed: Callable[[str, datetime.datetime], float],
         queue_allowance: int,
         suspect_after: datetime.timedelta,
+        domain: str = "",
     ) -> None:
         self._get_speed = get_speed
         self._queue_allowance = queue_allowance
         self._suspect_after = suspect_after
+        self._domain = domain
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
         self._loads_updated_at: dict[str, datetime.datetime] = {}
@@ -171,6 +174,7 @@
                 on_probation=report.state == _targets.PROBATION,
                 room=report.room,
                 used=used,
+                near=self._domain in ("", report.domain),
             )
             pool.add(view)
             return
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
@@ -53,6 +53,9 @@
     used: _resources.Resources = _resources.Resources()
     """Part of the room that the tasks of all entries take."""
 
+    near: bool = True
+    """Whether it is in the failure domain of the entry."""
+
     @property
     def free(self) -> int:
         """Expected number of free slots; negative if tasks are queued."""
@@ -91,6 +94,7 @@
         self._open_ranks: list[int] = []
         self._views_on_probation: dict[str, TargetView] = {}
         self._faster_capacities: list[float] = []
+        self._all_near = True
         self._fastest_speeds: dict[_resources.Resources, float] = {}
         self._queue_allowance = queue_allowance
         self.typical_needs = _resources.Resources()
@@ -106,6 +110,11 @@
         """Targets, the fastest first as of the last ranking."""
         return self._ranked
 
+    @property
+    def all_near(self) -> bool:
+        """Whether every target is in the failure domain of the entry."""
+        return self._all_near
+
     def __contains__(self, agent: str) -> bool:
         return agent in self._views
 
@@ -123,6 +132,7 @@
         self._ranked.append(target)
         self._faster_capacities.append(self._faster_capacities[-1])
         self._fastest_speeds.clear()
+        self._all_near = self._all_near and target.near
         self.update(target)
 
     def remove(self, agent: str) -> None:
@@ -141,6 +151,7 @@
         self._ranked = sorted(
             self._views.values(), key=lambda view: (-view.speed, view.agent)
         )
+        self._all_near = all(view.near for view in self._ranked)
         self._fastest_speeds.clear()
         self._open_ranks.clear()
         self._views_on_probation.clear()
--- /dev/null
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
@@ -0,0 +1,104 @@
+"""Tests of the preference for targets in the entry's failure domain.
+
+Pattern: 35 entries in five domains, each with links to targets of all of
+them, where every byte between domains costs. A task stays near while a target
+there keeps the objective; when the domain is full it goes elsewhere at once,
+and a task that is late takes the fastest target anywhere.
+"""
+
+import datetime
+
+import cowslipgate_core as core
+from cowslipgate_core.tests import builders
+import pytest
+
+NEEDS = core.Resources(0, 0, 5_000)
+ROOM = core.Resources(65_536, 0, 32_000)
+TASKS_A_TARGET = 6
+TERMS = core.JobTerms(
+    objective=datetime.timedelta(milliseconds=60), slowdown=1.6
+)
+SECONDS = 0.12
+SLOW = 0.7
+FAST = 1.7
+
+
+def _build_view(
+    agent: str, speed: float, near: bool, used: int = 0
+) -> core.TargetView:
+    return core.TargetView(
+        agent,
+        ROOM,
+        core.UNBOUNDED_SLOTS,
+        used,
+        speed,
+        room=ROOM,
+        used=core.Resources(0, 0, used * NEEDS.millicores),
+        near=near,
+    )
+
+
+def _place(
+    near_used: int,
+    tasks: int = 1,
+    waited_ms: int = 0,
+    terms: core.JobTerms = TERMS,
+) -> list[str]:
+    """Return the agents chosen for a job's tasks, in order."""
+    pool = core.Pool(
+        [
+            _build_view("near-slow", SLOW, True, near_used),
+            _build_view("far-fast", FAST, False),
+        ]
+    )
+    pool.typical_needs = NEEDS
+    pool.rank_targets()
+    waiting = [
+        core.WaitingTask("job-1", number, SECONDS, NEEDS, SECONDS)
+        for number in range(tasks)
+    ]
+    job = core.WaitingJob("job-1", "hall", builders.NOW, waiting, terms=terms)
+    chosen = core.choose_assignments(
+        core.Matching(),
+        [job],
+        pool,
+        {"hall": 100},
+        builders.NOW + datetime.timedelta(milliseconds=waited_ms),
+    )
+    return [assignment.agent for assignment in chosen]
+
+
+def test_task_stays_near_while_a_target_there_keeps_the_objective() -> None:
+    # 171 ms are within 60 + 192 ms.
+    assert _place(near_used=0) == ["near-slow"]
+
+
+def test_tasks_beyond_the_room_nearby_go_elsewhere_at_once() -> None:
+    agents = _place(near_used=TASKS_A_TARGET - 2, tasks=8)
+    assert agents.count("near-slow") == 2
+    assert agents.count("far-fast") == TASKS_A_TARGET
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "terms"),
+    [
+        pytest.param(120, TERMS, id="only the fast one keeps the objective"),
+        pytest.param(300, TERMS, id="no target keeps the objective"),
+        pytest.param(0, core.DEFAULT_TERMS, id="no objective"),
+    ],
+)
+def test_task_that_gains_by_speed_takes_the_fastest_target(
+    waited_ms: int, terms: core.JobTerms
+) -> None:
+    assert _place(0, waited_ms=waited_ms, terms=terms) == ["far-fast"]
+
+
+@pytest.mark.parametrize(("domain", "near"), [("ruwi", False), ("", True)])
+def test_ledger_tells_near_targets_by_their_domain(
+    domain: str, near: bool
+) -> None:
+    ledger = core.Ledger(core.Matching(), domain=domain)
+    ledger.handle_report(builders.build_report(), builders.NOW)
+    pool = ledger.find_pool("print")
+    assert [view.near for view in pool.ranked] == [near]
+    assert pool.all_near is near
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_subsets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_subsets.py
@@ -77,3 +77,41 @@
     mean = AGENTS * 3 / len(NORTH)
     assert len(links) == len(NORTH)
     assert max(links.values()) < 1.3 * mean
+
+
+LARGE_DOMAINS = tuple(f"domain-{number}" for number in range(5))
+LARGE = tuple(
+    core.Member(
+        number, f"tcp://127.0.0.1:{number}", "", LARGE_DOMAINS[number % 5], "r"
+    )
+    for number in range(1, 36)
+)
+
+
+@pytest.mark.parametrize(
+    ("members", "near"),
+    [
+        pytest.param(LARGE, 5, id="seven entries in each of five domains"),
+        pytest.param(
+            tuple(m for m in LARGE if m.domain != LARGE_DOMAINS[0]),
+            0,
+            id="own domain dark",
+        ),
+        pytest.param(
+            tuple(m for m in LARGE if m.domain == LARGE_DOMAINS[0]),
+            7,
+            id="all others dark",
+        ),
+        pytest.param(LARGE[:6], 1, id="fewer entries than links"),
+    ],
+)
+def test_most_links_stay_in_the_domain_and_none_is_unused(
+    members: tuple[core.Member, ...], near: int
+) -> None:
+    for number in range(AGENTS):
+        chosen = core.choose_entries(
+            f"agent-{number}", members, 8, "r", LARGE_DOMAINS[0]
+        )
+        assert len(set(chosen)) == min(8, len(members))
+        own = [m for m in chosen if m.domain == LARGE_DOMAINS[0]]
+        assert len(own) == near
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_message_socket.py
@@ -137,7 +137,8 @@
         else:
             self.sent_bytes += sum(len(frame) for frame in frames)
         # The descriptor is edge-triggered and sending may clear it.
-        self._receive_all()
+        if self._has_messages():
+            self._receive_all()
 
     @circuits.handler("_read")
     def _on_readable(self, descriptor: int) -> None:
@@ -145,15 +146,18 @@
 
     def _receive_all(self) -> None:
         self._receive_monitor_events()
-        while not self._socket.closed and (
-            self._socket.getsockopt(_EVENTS) & _POLLIN
-        ):
+        while self._has_messages():
             try:
                 frames = self._socket.recv_multipart(_NOBLOCK)
             except zmq.ZMQError:
                 return
             self._handle_frames(frames)
 
+    def _has_messages(self) -> bool:
+        return not self._socket.closed and bool(
+            self._socket.getsockopt(_EVENTS) & _POLLIN
+        )
+
     def _receive_monitor_events(self) -> None:
         monitor = self._monitor
         if monitor is None or monitor.closed:
