Leave a target alone that closes its connections, and renew no idle link

Cause 1: an agent repeated a stop at once when the connection broke.

Cause 2: an entry with 37 agents asks idle ones for a heartbeat every 1.51 s, and an agent takes any silence over 1.5 s for a delay: each answer renewed the link, refused orders under way as stale and brought a second heartbeat (open finding of docs/PLATFORM.md). And each tick measured the load of each link twice.

Change: a stop is repeated at the next tick unless it timed out; two broken calls in a row put the target to unreachable until it answers or announces itself; answers to watches announce it at most once a second.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -11,6 +11,10 @@
     """The target is draining or has left."""
 
 
+class target_disconnected(circuits.Event):
+    """The target closed a connection unanswered, or nothing listens there."""
+
+
 class target_heartbeat_received(circuits.Event):
     """A target sent a heartbeat; the argument is a TargetHeartbeat."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -36,6 +36,14 @@
 RETRY_INTERVAL = datetime.timedelta(milliseconds=100)
 """Time between a failed watch and the next."""
 
+ANNOUNCE_INTERVAL = datetime.timedelta(seconds=1)
+"""Least time between two announcements that follow from answers; an answer
+shows that a target lives whose heartbeats are lost."""
+
+BROKEN_CALLS = 2
+"""Calls in a row whose connection broke, after which a target gets no tasks;
+a single one may have met the end of an idle connection."""
+
 STARTUP_GRACE = datetime.timedelta(milliseconds=200)
 """Time added to a lease after the start of the process; by then every run
 that an earlier process of the agent ordered has ended."""
@@ -84,6 +92,9 @@
         self._next_watch = clock.now()
         self._earlier_runs_end_at = clock.now() + lease + STARTUP_GRACE
         self._runs_known = False
+        self._refused_stops: set[core.RunName] = set()
+        self._announce_at = clock.now()
+        self._broken_calls = 0
         self._beat: TargetHeartbeat | None = None
 
     @property
@@ -146,10 +157,12 @@
         if len(self._tracker) and self._tracker.has_expired(now):
             reason = core.Reason.LEASE_LAPSED
             self._perform(self._tracker.end_all_runs(reason, now))
+        self._repeat_stops(now)
         self._send_due_watch()
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
+        self._broken_calls = 0
         sent_at = self._watches.pop(answer.call.id, None)
         if sent_at is not None:
             self._handle_watch_reply(answer, sent_at)
@@ -164,6 +177,7 @@
     @circuits.handler("http_failed")
     def _on_http_failed(self, failure: transport.CallFailure) -> None:
         now = self._clock.now()
+        self._count_broken_call(failure.problem, now)
         if self._watches.pop(failure.call.id, None) is not None:
             if not self._watches:
                 self._next_watch = now + RETRY_INTERVAL
@@ -176,9 +190,38 @@
             )
             self._perform(actions)
         elif order is not None:
-            self._perform(self._tracker.handle_stop_failure(order.name, now))
+            self._repeat_stop(order.name, failure.problem, now)
         self._send_due_watch()
 
+    def _count_broken_call(
+        self, problem: transport.CallProblem, now: datetime.datetime
+    ) -> None:
+        if problem is transport.CallProblem.UNREACHABLE:
+            self._broken_calls = BROKEN_CALLS
+        elif problem is transport.CallProblem.CLOSED:
+            self._broken_calls += 1
+        if self._broken_calls >= BROKEN_CALLS:
+            self._broken_calls = 0
+            self._announce_at = now
+            self.fire(_events.target_disconnected(), "runner")
+
+    def _repeat_stop(
+        self,
+        name: core.RunName,
+        problem: transport.CallProblem,
+        now: datetime.datetime,
+    ) -> None:
+        # A target that closes each connection would be called without pause.
+        if problem is transport.CallProblem.TIMEOUT:
+            self._perform(self._tracker.handle_stop_failure(name, now))
+        else:
+            self._refused_stops.add(name)
+
+    def _repeat_stops(self, now: datetime.datetime) -> None:
+        names, self._refused_stops = self._refused_stops, set()
+        for name in sorted(names, key=str):
+            self._perform(self._tracker.handle_stop_failure(name, now))
+
     def _handle_watch_reply(
         self, answer: transport.CallAnswer, sent_at: datetime.datetime
     ) -> None:
@@ -189,13 +232,15 @@
             self._next_watch = now + RETRY_INTERVAL
             self.fire(_events.target_message_invalid(error))
             return
+        were_known = self._tracker.runs_known
         actions = _handle_reply(reply, self._tracker, sent_at, now)
         if not isinstance(reply, core.Listing):
             self._next_watch = now + RETRY_INTERVAL
         self._perform(actions)
         if self._tracker.runs_known:
             self._report_runs_known()
-        self._announce()
+        if now >= self._announce_at or not were_known:
+            self._announce()
         self._send_due_watch()
 
     def _handle_watch_failure(
@@ -224,7 +269,7 @@
         if self._codec.decode_stop(answer):
             self._tracker.handle_stop_reply(order.name, now)
         else:
-            self._perform(self._tracker.handle_stop_failure(order.name, now))
+            self._refused_stops.add(order.name)
 
     def _report_runs_known(self) -> None:
         if not self._runs_known:
@@ -235,6 +280,7 @@
         beat = self._beat
         if beat is None or not self._tracker.runs_known:
             return
+        self._announce_at = self._clock.now() + ANNOUNCE_INTERVAL
         self.fire(_events.target_announced(beat.announcement), "runner")
         if beat.draining:
             self.fire(_events.target_left(), "runner")
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -22,6 +22,11 @@
 (1,300 ms) later, when none of their tasks may run any more."""
 
 
+LONGEST_SILENCE = 0.8
+"""Share of ``link_expires_after`` that an idle link may be silent; the rest
+is for ticks and transit."""
+
+
 @attrs.define(eq=False)
 class Link:
     """The connection to one entry."""
@@ -197,7 +202,7 @@
         # The entry may count the attempts in delayed messages as lost. A new
         # link number makes the executor refuse them.
         elapsed = self._clock.now() - link.received_at
-        if elapsed > self._settings.entry_lost_after:
+        if elapsed > self._settings.link_expires_after:
             self._executor.connect(incarnation)
             self._send_report(incarnation, link)
 
@@ -209,12 +214,14 @@
 
     def _update_interval(self, beat: core.Beat, link: Link) -> None:
         asked = datetime.timedelta(milliseconds=beat.heartbeat_ms)
-        link.interval = max(asked, self._settings.heartbeat)
+        # A longer silence would renew the link at each heartbeat.
+        longest = self._settings.link_expires_after * LONGEST_SILENCE
+        link.interval = max(min(asked, longest), self._settings.heartbeat)
 
     def _get_interval(self, incarnation: int) -> datetime.timedelta:
         # Entries detect a lost link sooner while it carries work.
         link = self._links[incarnation]
-        if link.departure or self._executor.measure_load(incarnation).own:
+        if link.departure or self._executor.count_own(incarnation):
             return self._settings.heartbeat
         return link.interval
 
@@ -222,7 +229,7 @@
         members = {member.incarnation for member in self._members}
         for incarnation, link in list(self._links.items()):
             limit = self._settings.entry_lost_after
-            if not self._executor.measure_load(incarnation).own:
+            if not self._executor.count_own(incarnation):
                 limit = core.compute_lost_timeout(limit, link.interval)
             received_at = max(link.received_at, link.opened_at)
             if now - received_at <= limit and not self._is_reconnect_overdue(
@@ -252,6 +259,7 @@
             members,
             self._settings.entries,
             self._settings.region,
+            self._settings.domain,
         )
         wanted = {member.incarnation: member for member in chosen}
         self._record_choice(members, set(wanted))
@@ -309,6 +317,7 @@
             self._members,
             self._settings.entries,
             self._settings.region,
+            self._settings.domain,
         )
         links = [self._links.get(member.incarnation) for member in chosen]
         return bool(links) and not any(
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
@@ -42,6 +42,12 @@
         self._perform(self._executor.leave(self._clock.now()))
         self._report_state_change(before)
 
+    @circuits.handler("target_disconnected")
+    def _on_target_disconnected(self) -> None:
+        before = self._read_state()
+        self._perform(self._executor.disconnect(self._clock.now()))
+        self._report_state_change(before)
+
     @circuits.handler("entry_message_received")
     def _on_entry_message_received(self, message: object) -> None:
         before = self._read_state()
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
@@ -80,6 +80,16 @@
     )
     """Time without a message of an entry after which its tasks are stopped."""
 
+    link_expires_after: datetime.timedelta = core.setting(
+        core.parse_duration,
+        "a duration such as 20s",
+        "silence after which an entry's delayed orders are refused",
+        "20s",
+    )
+    """Silence of an entry after which orders sent before it are refused: less
+    than the time after which an entry that stopped sending to this agent
+    counts its attempts as lost."""
+
     target_lapse: datetime.timedelta = core.setting(
         core.parse_duration,
         "a duration such as 6s",
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
@@ -33,6 +33,7 @@
     "balancer": "127.0.0.1:1",
     "heartbeat": "1s",
     "entry_lost_after": "5s",
+    "link_expires_after": "5s",
     "entries": "1",
 }
 
@@ -79,6 +80,7 @@
         )
         self.identity = b""
         self.answering = True
+        self.beat = core.Beat(incarnation, 1, ())
         self.received: list[object] = []
         self.sent = 0
         self.delay_polls = 0
@@ -112,7 +114,7 @@
             self.received.append(message)
             self.identity = identity
             if self.answering and isinstance(message, core.Report):
-                self.send(core.Beat(self.incarnation, 1, ()))
+                self.send(self.beat)
 
 
 class LinksHarness:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 import datetime
 
-import circuits
 import cowslipgate_core as core
 from cowslipgate_core.tests import run_builders
 import cowslipgate_transport as transport
@@ -13,177 +12,50 @@
 from cowslipgate_agent import _leased_calls
 from cowslipgate_agent import _runner
 from cowslipgate_agent import _runtimes
+from cowslipgate_agent.tests import leased_builders
 
-ADDRESS = transport.Address("127.0.0.1", 1)
-KEY = core.AttemptKey(7, 1)
-ORDER = run_builders.build_order()
-NAME = core.RunName(ORDER.name, ORDER.run)
+NAME = core.RunName(leased_builders.ORDER.name, leased_builders.ORDER.run)
 TARGET_LAPSE = datetime.timedelta(seconds=6)
-SPAN = datetime.timedelta(milliseconds=50)
-
-
-class PlainCodec(_runtimes.RuntimeCodec):
-    """Codec that passes typed records through without encoding them."""
-
-    def __init__(self) -> None:
-        self.sent: list[core.RunAction] = []
-        self.replies: dict[bytes, object] = {}
-
-    def _encode(self, action: core.RunAction) -> _runtimes.RuntimeRequest:
-        self.sent.append(action)
-        return _runtimes.RuntimeRequest("POST", "/", {}, b"")
-
-    encode_watch = _encode
-    encode_start = _encode
-    encode_stop = _encode
-
-    def decode_watch(self, answer: transport.CallAnswer) -> core.WatchReply:
-        """Return the reply that a test has prepared."""
-        return self.replies[answer.body]
-
-    def decode_start(
-        self, answer: transport.CallAnswer
-    ) -> _runtimes.StartAnswer:
-        """Return the reply that a test has prepared."""
-        return self.replies[answer.body]
-
-    def decode_stop(self, answer: transport.CallAnswer) -> bool:
-        """Return whether the status is 200."""
-        return answer.status == 200
-
-
-class LeasedCallsHarness(circuits.BaseComponent):
-    """The component with a record of its events, and a manual clock."""
-
-    channel = "harness"
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.clock = core.ManualClock()
-        self.codec = PlainCodec()
-        self.calls: list[transport.Call] = []
-        self.ended: list[core.AttemptReport] = []
-        self.recorded_events: list[str] = []
-        _leased_calls.LeasedCalls(
-            self.codec, ADDRESS, run_builders.LEASE, self.clock
-        ).register(self)
-
-    @circuits.handler("call_http", channel="target")
-    def _on_call_http(self, call: transport.Call) -> None:
-        self.calls.append(call)
-
-    @circuits.handler("task_ended", channel="runner")
-    def _on_task_ended(
-        self, key: core.AttemptKey, report: core.AttemptReport
-    ) -> None:
-        self.ended.append(report)
-
-    @circuits.handler("target_announced", channel="runner")
-    def _on_target_announced(self, announcement: core.Announcement) -> None:
-        self.recorded_events.append("announced")
-
-    @circuits.handler("target_left", channel="runner")
-    def _on_target_left(self) -> None:
-        self.recorded_events.append("left")
-
-    @circuits.handler("target_runs_known", channel="links")
-    def _on_target_runs_known(self) -> None:
-        self.recorded_events.append("runs known")
-
-    def send(self, event: circuits.Event) -> None:
-        """Fire an event at the component and process what follows."""
-        self.fire(event, "target")
-        while len(self):
-            self.flush()
-
-    def answer(self, call: transport.Call, reply: object) -> None:
-        """Answer a call."""
-        self.clock.advance(SPAN)
-        body = str(len(self.codec.replies)).encode()
-        self.codec.replies[body] = reply
-        answered = transport.CallAnswer(call, 200, {}, body)
-        self.send(transport.http_answered(answered))
-
-    def fail(
-        self, call: transport.Call, problem: transport.CallProblem
-    ) -> None:
-        """Fail a call whose request was sent."""
-        failure = transport.CallFailure(call, problem, sent=True)
-        self.send(transport.http_failed(failure))
-
-    def pass_time(self, milliseconds: int) -> None:
-        """Advance the clock and fire a tick."""
-        self.clock.advance(datetime.timedelta(milliseconds=milliseconds))
-        self.send(_events.tick())
 
 
 @pytest.fixture
-def harness() -> Iterator[LeasedCallsHarness]:
+def harness() -> Iterator[leased_builders.LeasedCallsHarness]:
     """Return a harness that has received nothing from its target."""
-    harness = LeasedCallsHarness()
+    harness = leased_builders.LeasedCallsHarness()
     while len(harness):
         harness.flush()
     yield harness
 
 
-def _build_beat(
-    incarnation: int = run_builders.INCARNATION,
-    number: int = 1,
-    draining: bool = False,
-) -> _leased_calls.TargetHeartbeat:
-    room = core.Resources(1_000, 0, 32_000)
-    announcement = core.Announcement(
-        "print", "http://127.0.0.1:1", 9, 9, room, room, str(incarnation)
-    )
-    return _leased_calls.TargetHeartbeat(
-        "i-1", incarnation, number, announcement, draining
-    )
-
-
-def _restart_target(harness: LeasedCallsHarness) -> None:
+def _restart_target(harness: leased_builders.LeasedCallsHarness) -> None:
     incarnation = run_builders.INCARNATION + 9
-    harness.send(_events.target_heartbeat_received(_build_beat(incarnation)))
+    harness.send(
+        _events.target_heartbeat_received(
+            leased_builders.build_beat(incarnation)
+        )
+    )
     harness.answer(
         harness.calls[-1], run_builders.build_listing(incarnation=incarnation)
     )
 
 
-def _connect_target(harness: LeasedCallsHarness) -> None:
-    harness.send(_events.target_heartbeat_received(_build_beat()))
-    harness.answer(harness.calls[-1], run_builders.build_listing())
-
-
-def _start(harness: LeasedCallsHarness) -> transport.Call:
-    start = core.StartTask(KEY, ORDER)
-    harness.send(_events.start_task(start, _build_beat().announcement))
-    sent = harness.codec.sent
-    return harness.calls[
-        [isinstance(s, core.CallStart) for s in sent].index(True)
-    ]
-
-
-def _find_watch(harness: LeasedCallsHarness) -> transport.Call:
-    """Return the latest watch."""
-    return [
-        call
-        for call, sent in zip(harness.calls, harness.codec.sent, strict=True)
-        if isinstance(sent, core.CallWatch)
-    ][-1]
-
-
 def test_target_is_announced_once_its_runs_are_known(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    harness.send(_events.target_heartbeat_received(_build_beat()))
+    harness.send(
+        _events.target_heartbeat_received(leased_builders.build_beat())
+    )
     assert harness.recorded_events == []
     harness.answer(harness.calls[-1], run_builders.build_listing())
     assert harness.recorded_events == ["runs known", "announced"]
 
 
 def test_run_of_an_earlier_agent_is_stopped_before_the_announcement(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    harness.send(_events.target_heartbeat_received(_build_beat()))
+    harness.send(
+        _events.target_heartbeat_received(leased_builders.build_beat())
+    )
     unknown_run = core.RunName("b.0.0.0", 4)
     harness.answer(
         harness.calls[-1], run_builders.build_listing(running=(unknown_run,))
@@ -194,7 +66,7 @@
 
 
 def test_agent_without_a_target_knows_all_runs_after_a_lease(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
     harness.pass_time(1_000)
     assert harness.recorded_events == []
@@ -202,9 +74,11 @@
     assert harness.recorded_events == ["runs known"]
 
 
-def test_end_of_a_run_is_reported(harness: LeasedCallsHarness) -> None:
-    _connect_target(harness)
-    call = _start(harness)
+def test_end_of_a_run_is_reported(
+    harness: leased_builders.LeasedCallsHarness,
+) -> None:
+    leased_builders.connect_target(harness)
+    call = leased_builders.start_task(harness)
     accepted = _runtimes.StartAnswer(core.StartReply.ACCEPTED, 5_050)
     harness.answer(call, accepted)
     done = core.ListedEnd(1, NAME, core.RunEnd.DONE)
@@ -217,50 +91,58 @@
 
 
 def test_order_without_an_answer_is_stopped(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    call = _start(harness)
+    leased_builders.connect_target(harness)
+    call = leased_builders.start_task(harness)
     harness.fail(call, transport.CallProblem.TIMEOUT)
     assert any(isinstance(s, core.CallStop) for s in harness.codec.sent)
     assert harness.ended == []
 
 
 def test_stop_without_an_answer_is_sent_again(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    _start(harness)
-    harness.send(_events.stop_task(core.StopTask(KEY, "job-1.0.1")))
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
+    harness.send(
+        _events.stop_task(core.StopTask(leased_builders.KEY, "job-1.0.1"))
+    )
     harness.fail(harness.calls[-1], transport.CallProblem.TIMEOUT)
     stops = [s for s in harness.codec.sent if isinstance(s, core.CallStop)]
     assert len(stops) == 2
 
 
 def test_unreachable_target_has_lost_its_runs(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    _start(harness)
-    harness.fail(_find_watch(harness), transport.CallProblem.UNREACHABLE)
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
+    harness.fail(
+        leased_builders.find_watch(harness), transport.CallProblem.UNREACHABLE
+    )
     assert [(r.outcome, r.reason) for r in harness.ended] == [
         (core.Outcome.LOST, core.Reason.TARGET_UNREACHABLE)
     ]
 
 
 def test_target_reachable_again_in_the_same_incarnation_serves_again() -> None:
-    harness = LeasedCallsHarness()
+    harness = leased_builders.LeasedCallsHarness()
     executor = core.Executor(1, 0)
     _runner.Runner(executor, harness.clock, TARGET_LAPSE).register(harness)
-    _connect_target(harness)
+    leased_builders.connect_target(harness)
     assert executor.state == "serving"
-    order = core.Dispatch(7, 1, 0, (ORDER,))
+    order = core.Dispatch(7, 1, 0, (leased_builders.ORDER,))
     harness.fire(_events.entry_message_received(order), "runner")
     harness.send(_events.tick())
-    harness.fail(_find_watch(harness), transport.CallProblem.UNREACHABLE)
+    harness.fail(
+        leased_builders.find_watch(harness), transport.CallProblem.UNREACHABLE
+    )
     assert executor.slots == 0
     harness.pass_time(1_500)
-    harness.send(_events.target_heartbeat_received(_build_beat()))
+    harness.send(
+        _events.target_heartbeat_received(leased_builders.build_beat())
+    )
     harness.answer(harness.calls[-1], run_builders.build_listing(7_000))
     assert executor.slots > 0
 
@@ -270,15 +152,19 @@
     [(1_050, []), (1_150, [core.Reason.LEASE_LAPSED])],
 )
 def test_runs_are_lost_when_the_agent_was_paused_for_a_lease(
-    harness: LeasedCallsHarness, milliseconds: int, reasons: list[core.Reason]
+    harness: leased_builders.LeasedCallsHarness,
+    milliseconds: int,
+    reasons: list[core.Reason],
 ) -> None:
-    _connect_target(harness)
-    _start(harness)
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
     harness.pass_time(milliseconds)
     assert [r.reason for r in harness.ended] == reasons
 
 
-def _list_watches(harness: LeasedCallsHarness) -> list[transport.Call]:
+def _list_watches(
+    harness: leased_builders.LeasedCallsHarness,
+) -> list[transport.Call]:
     return [
         call
         for call, sent in zip(harness.calls, harness.codec.sent, strict=True)
@@ -287,10 +173,10 @@
 
 
 def test_end_is_reported_soon_though_the_answer_to_a_watch_is_lost(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    _start(harness)
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
     before = len(_list_watches(harness))
     harness.pass_time(20)
     assert len(_list_watches(harness)) == before
@@ -298,15 +184,15 @@
     assert len(_list_watches(harness)) == before + 1
     done = core.ListedEnd(1, NAME, core.RunEnd.DONE)
     listing = run_builders.build_listing(5_200, ended=(done,))
-    harness.answer(_find_watch(harness), listing)
+    harness.answer(leased_builders.find_watch(harness), listing)
     assert [r.outcome for r in harness.ended] == [core.Outcome.FINISHED]
 
 
 def test_watches_in_progress_are_limited_while_none_is_answered(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    _start(harness)
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
     before = len(_list_watches(harness))
     for _ in range(12):
         harness.pass_time(50)
@@ -319,10 +205,10 @@
 
 
 def test_answers_to_watches_may_overtake_each_other(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    call = _start(harness)
+    leased_builders.connect_target(harness)
+    call = leased_builders.start_task(harness)
     accepted = _runtimes.StartAnswer(core.StartReply.ACCEPTED, 5_050)
     harness.answer(call, accepted)
     harness.pass_time(40)
@@ -336,33 +222,43 @@
 
 
 def test_overtaken_heartbeat_changes_nothing(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
+    leased_builders.connect_target(harness)
     harness.send(
-        _events.target_heartbeat_received(_build_beat(number=3, draining=True))
+        _events.target_heartbeat_received(
+            leased_builders.build_beat(number=3, draining=True)
+        )
     )
     before = len(harness.recorded_events)
-    harness.send(_events.target_heartbeat_received(_build_beat(number=2)))
+    harness.send(
+        _events.target_heartbeat_received(leased_builders.build_beat(number=2))
+    )
     assert len(harness.recorded_events) == before
     assert harness.recorded_events[-1] == "left"
 
 
 def test_heartbeat_numbers_restart_with_a_new_incarnation(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
-    harness.send(_events.target_heartbeat_received(_build_beat(number=9)))
+    leased_builders.connect_target(harness)
+    harness.send(
+        _events.target_heartbeat_received(leased_builders.build_beat(number=9))
+    )
     before = len(harness.recorded_events)
     _restart_target(harness)
     assert harness.recorded_events[before:] == ["announced"]
 
 
 def test_heartbeat_of_an_earlier_incarnation_changes_nothing(
-    harness: LeasedCallsHarness,
+    harness: leased_builders.LeasedCallsHarness,
 ) -> None:
-    _connect_target(harness)
+    leased_builders.connect_target(harness)
     _restart_target(harness)
     before = len(harness.recorded_events)
-    harness.send(_events.target_heartbeat_received(_build_beat(draining=True)))
+    harness.send(
+        _events.target_heartbeat_received(
+            leased_builders.build_beat(draining=True)
+        )
+    )
     assert len(harness.recorded_events) == before
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -108,6 +108,10 @@
         """Return whether an entry has held attempts or kept outcomes."""
         return bool(self._slots.count(entry) or self._outcomes.count(entry))
 
+    def count_own(self, entry: int) -> int:
+        """Return the number of attempts held for an entry."""
+        return self._slots.count(entry)
+
     def measure_load(self, entry: int) -> _resources.Load:
         """Return the load as reported to one entry."""
         own = self._slots.count(entry)
@@ -148,6 +152,16 @@
         self._target.leave()
         return self._advance(now)
 
+    def disconnect(
+        self, now: datetime.datetime
+    ) -> list[_executor_actions.ExecutorAction]:
+        """Start nothing until the target's next announcement.
+
+        The target closed a connection without an answer or refused it.
+        """
+        self._target.disconnect()
+        return self._advance(now)
+
     def dispatch(
         self, dispatch: _attempts.Dispatch, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -81,6 +81,10 @@
         """Stop taking work, because the target or the agent is leaving."""
         self._machine.fire("leave")
 
+    def disconnect(self) -> None:
+        """Stop taking work until the next announcement."""
+        self._fire_allowed("disconnect")
+
     def check(
         self, now: datetime.datetime, lapse_after: datetime.timedelta
     ) -> None:
