--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_logs.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_logs.py
@@ -17,6 +17,7 @@
 from cowslipgate_transport import _changes
 from cowslipgate_transport import _timer
 
+LOGGER = "cowslipgate"
 CHANNEL = "logs"
 
 FLUSH_SECONDS = 0.2
@@ -122,7 +123,6 @@
     ) -> None:
         super().__init__()
         self._source = source
-        self._logger = logbook.Logger("cowslipgate")
         self._buffer = Buffer(stream or sys.stderr)
         template = _JSON_FORMAT if form == "json" else _CONSOLE_FORMAT
         self._handler = _BufferHandler(self._buffer, level.upper(), template)
@@ -151,26 +151,26 @@
         self._buffer.flush(until_empty=True)
 
     def _log(self, change: _changes.Change) -> None:
+        level = _changes.get_level(change)
+        if level < self._handler.level:
+            return
         kind = type(change).__name__
-        fields = attrs.asdict(change)
-        record_fields = self._source | {"event": kind} | fields
-
-        def inject(record: logbook.LogRecord) -> None:
-            stamp = {
-                "time": record.time.strftime(_ISO_FORMAT),
-                "level": record.level_name.lower(),
-            }
-            line = msgspec.json.encode(stamp | record_fields)
-            record.extra["line"] = line.decode()
-            record.extra["fields"] = "".join(
-                f" {key}={value!r}" for key, value in fields.items()
-            )
-
-        with (
-            self._handler.applicationbound(),
-            logbook.Processor(inject).applicationbound(),
-        ):
-            self._logger.log(_changes.get_level(change), kind)
+        fields = attrs.asdict(change, recurse=False)
+        # Without the stacks of handlers and processors that a logger visits.
+        record = logbook.LogRecord(LOGGER, level, kind)
+        record.heavy_init()
+        stamp = {
+            "time": record.time.strftime(_ISO_FORMAT),
+            "level": record.level_name.lower(),
+        }
+        line = msgspec.json.encode(
+            stamp | self._source | {"event": kind} | fields
+        )
+        record.extra["line"] = line.decode()
+        record.extra["fields"] = "".join(
+            f" {key}={value!r}" for key, value in fields.items()
+        )
+        self._handler.emit(record)
 
 
 def _make_poll(stream: TextIO) -> "select.poll | None":
