--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
@@ -10,6 +10,8 @@
 
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 NEEDS = core.Resources(0, 0, 5_000)
@@ -44,13 +46,22 @@
     waited_ms: int = 0,
     terms: core.JobTerms = TERMS,
 ) -> list[str]:
-    """Return the agents chosen for a job's tasks, in order."""
-    pool = core.Pool(
-        [
-            _build_view("near-slow", SLOW, True, near_used),
-            _build_view("far-fast", FAST, False),
-        ]
-    )
+    """Choose among a slow target nearby and a fast one elsewhere."""
+    views = [
+        _build_view("near-slow", SLOW, True, near_used),
+        _build_view("far-fast", FAST, False),
+    ]
+    return _choose(views, tasks, waited_ms, terms)
+
+
+def _choose(
+    views: list[core.TargetView],
+    tasks: int,
+    waited_ms: int,
+    terms: core.JobTerms,
+) -> list[str]:
+    """Return the agents chosen for a job's equal tasks, in order."""
+    pool = core.Pool(views)
     pool.typical_needs = NEEDS
     pool.rank_targets()
     waiting = [
@@ -93,6 +104,51 @@
     assert _place(0, waited_ms=waited_ms, terms=terms) == ["far-fast"]
 
 
+_TARGETS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from((0.3, SLOW, 1.0, FAST)),
+        strategies.booleans(),
+        strategies.integers(0, TASKS_A_TARGET),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(
+    targets=_TARGETS,
+    tasks=strategies.integers(1, 30),
+    waited_ms=strategies.integers(0, 180),
+)
+def test_near_room_that_keeps_the_objective_is_filled_and_none_is_stranded(
+    targets: list[tuple[float, bool, int]], tasks: int, waited_ms: int
+) -> None:
+    views = [
+        _build_view(f"agent-{number}", speed, near, used)
+        for number, (speed, near, used) in enumerate(targets)
+    ]
+    chosen = _choose(views, tasks, waited_ms, TERMS)
+    left = 0.06 + 1.6 * SECONDS - waited_ms / 1_000
+    places = [
+        (TASKS_A_TARGET - used) * (left * speed >= SECONDS)
+        for speed, _, used in targets
+    ]
+    near_places = sum(
+        count
+        for count, (_, near, _) in zip(places, targets, strict=True)
+        if near
+    )
+    placed = [chosen.count(view.agent) for view in views]
+    near_placed = sum(
+        min(count, most)
+        for count, most, view in zip(placed, places, views, strict=True)
+        if view.near
+    )
+    assert near_placed == min(tasks, near_places)
+    assert len(chosen) >= min(tasks, sum(places))
+
+
 @pytest.mark.parametrize(("domain", "near"), [("ruwi", False), ("", True)])
 def test_ledger_tells_near_targets_by_their_domain(
     domain: str, near: bool
