--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -263,7 +263,11 @@
     now: datetime.datetime,
 ) -> tuple[_backlog.WaitingJob, int] | None:
     """Return the first job with a task that the policy gives the target."""
-    for job in _list_usable(jobs, target, pool, now):
+    for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]:
+        if not job.may_use(target):
+            continue
+        if _has_room_near_data(job, target, pool, now):
+            continue
         position = find(job, target)
         if position is not None:
             return job, position
@@ -279,25 +283,7 @@
     """Return the longest task that fits if every faster target is idle."""
     if pool.is_faster_busy(target):
         return None
-    for job in _list_usable(jobs, target, pool, now):
-        position = _find_longest(job, target)
-        if position is not None:
-            return job, position
-    return None
-
-
-def _list_usable(
-    jobs: list[_backlog.WaitingJob],
-    target: _targets.TargetView,
-    pool: _targets.Pool,
-    now: datetime.datetime,
-) -> list[_backlog.WaitingJob]:
-    return [
-        job
-        for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]
-        if job.may_use(target)
-        and not _has_room_near_data(job, target, pool, now)
-    ]
+    return _find_task(jobs, target, pool, _find_longest, now)
 
 
 def _has_room_near_data(
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_event_loop.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_event_loop.py
@@ -1,17 +1,17 @@
-"""Event loop of a process: fewer rounds than that of circuits."""
+"""Event loop that polls timers and sockets only when no event is queued."""
 
 import circuits
 
 MAX_FLUSHES = 16
-"""Flushes between two looks at the sockets, which bounds how long events that
-cause further events keep new messages waiting."""
+"""Flushes between two polls, which bounds how long events that cause further
+events delay new messages."""
 
 
 class Process(circuits.BaseComponent):
-    """Root component that waits for sockets only when no event is queued.
+    """Root component of a process, with this event loop.
 
-    The loop of circuits asks timers and sockets for news after each flush,
-    also while the events of that flush have caused others.
+    That of circuits polls after each flush, even if the flushed events have
+    fired others.
     """
 
     def tick(self, timeout: float = -1) -> None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_event_loop.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_event_loop.py
@@ -17,13 +17,13 @@
 
 
 class Chain(circuits.BaseComponent):
-    """Handles a chain of events and counts the looks at the sockets."""
+    """Handles a chain of events and counts the polls."""
 
     channel = CHANNEL
 
     def __init__(self) -> None:
         super().__init__()
-        self.looks = 0
+        self.polls = 0
         self.handled = 0
 
     @circuits.handler("link")
@@ -34,7 +34,7 @@
 
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
-        self.looks += 1
+        self.polls += 1
         event.reduce_time_left(0)
 
 
@@ -48,18 +48,18 @@
     pytest.fail("the chain did not end")
 
 
-def test_events_caused_by_events_wait_for_no_look_at_the_sockets() -> None:
+def test_events_fired_by_events_need_no_poll() -> None:
     root = transport.Process()
     chain = Chain().register(root)
     _run(root, chain, LENGTH)
-    assert chain.looks == 1
+    assert chain.polls == 1
 
 
-def test_an_endless_chain_leaves_the_sockets_their_turn() -> None:
+def test_an_endless_chain_is_interrupted_by_polls() -> None:
     root = transport.Process()
     chain = Chain().register(root)
     _run(root, chain, 500)
-    assert chain.looks >= 10
+    assert chain.polls >= 10
 
 
 def test_countdowns_keep_the_lookup_of_handlers(
