Rank entries in the test of subsets as the agent does

Whether both agreed was decided by the random ports: with the entry of the other domain first in the hash, the agent rightly stays where it is.

Ruled out: a fault of the agent or of member lists (the agent's entry lists the restarted one, and the agent keeps the nearer one).

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_subset.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_subset.py
@@ -4,6 +4,7 @@
 
 import cowslipgate_core as core
 import msgspec
+import pytest
 
 from cowslipgate_bench import _cluster
 from cowslipgate_bench import _deployment
@@ -13,18 +14,27 @@
 AGENT_FLAGS = ("--heartbeat=100ms", "--entry-lost-after=700ms")
 
 
-def _find_chosen(cluster: _cluster.Cluster) -> _cluster.Node:
-    """Return the entry that ranks first for the agent."""
+def _find_chosen(cluster: _cluster.Cluster, domain: str) -> _cluster.Node:
+    """Return the entry that ranks first for the agent in a domain."""
     body = cluster.call("GET", "/v1/members").body
     members = msgspec.convert(body, tuple[core.Member, ...])
-    (member,) = core.choose_entries(AGENT, members, 1)
+    (member,) = core.choose_entries(
+        AGENT, members, 1, members[0].region, domain
+    )
     port = int(member.http.rpartition(":")[2])
     (node,) = [entry for entry in cluster.entries if entry.port == port]
     return node
 
 
+@pytest.mark.parametrize(
+    "domain",
+    [
+        pytest.param(_deployment.DOMAINS[0], id="domain of an entry"),
+        pytest.param(_deployment.DOMAINS[2], id="domain of no entry"),
+    ],
+)
 def test_agent_leaves_an_entry_that_drops_out_of_its_subset(
-    tmp_path: pathlib.Path,
+    domain: str, tmp_path: pathlib.Path
 ) -> None:
     with _deployment.deploy(
         tmp_path, entries=2, agents=1, agent_flags=AGENT_FLAGS
@@ -32,10 +42,10 @@
         cluster = deployment.cluster
         (agent,) = cluster.agents
         assert _cluster.stop_gracefully(agent.process) == 0
-        agent.command += ("--entries=1",)
+        agent.command += ("--entries=1", f"--domain={domain}")
         cluster.restart(agent)
         first, second = cluster.entries
-        chosen = _find_chosen(cluster)
+        chosen = _find_chosen(cluster, domain)
         other = second if chosen is first else first
         assert _cluster.stop_gracefully(chosen.process) == 0
         _waits.wait_until(
