Refuse waiting jobs that can no longer be done in time

Ruled out: refusing such jobs when they arrive. An entry that has just started knows few agents yet, so nothing shows that they can't be served.

Change: a job, none of which may have run, is refused (overloaded, nothing ran, Retry-After) once less time is left than half of the mean run time of one of its tasks on the fastest known target. Sizes count only where finished tasks weigh as much as the declaration.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -285,6 +285,15 @@
                         now,
                     )
                 )
+            elif self._is_hopeless(job, now):
+                actions.extend(
+                    self.fail(
+                        job,
+                        _jobs.Failure.OVERLOADED,
+                        "it can't be done in time; try later or allow more",
+                        now,
+                    )
+                )
             actions.extend(self._resolve_failed_job(job, now))
         for name, record in list(self._agents.items()):
             if not self._is_idle_and_heard(record, now):
@@ -307,6 +316,14 @@
         chosen = self._assigner.choose(now, quotas, entries, services or {})
         return self._send(chosen, now)
 
+    def _is_hopeless(self, job: _jobs.Job, now: datetime.datetime) -> bool:
+        """Return whether a job, none of which ran, will miss its deadline."""
+        if job.active or not job.waiting:
+            return False
+        if job.derive_started() is not _jobs.Started.NONE:
+            return False
+        return not self._assigner.can_end(job, now)
+
     def _send(
         self, chosen: list[_placement.Assignment], now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -12,6 +12,7 @@
 from cowslipgate_core.placement import _copies
 from cowslipgate_core.placement import _estimates
 from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _prospects
 from cowslipgate_core.placement import _roster
 from cowslipgate_core.placement import _stalls
 from cowslipgate_core.placement import _weights
@@ -133,6 +134,22 @@
             task = state.tasks[attempt.index]
             state.waiting_job.remaining_seconds -= task.seconds
 
+    def can_end(self, job: _jobs.Job, now: datetime.datetime) -> bool:
+        """Return whether a waiting job may end before its deadline.
+
+        Without any target nothing is known.
+        """
+        pool = self._roster.find_pool(job.service)
+        state = self._states.get(job.id)
+        if pool is None or state is None:
+            return True
+        needs = state.waiting_job.needs
+        speed = min(pool.get_fastest(need) for need in needs)
+        if speed <= 0:
+            return True
+        sizes = self._estimates.estimate_tasks(job.team, job.request.tasks)
+        return _prospects.can_end(sizes, speed, job.deadline - now)
+
     def is_stalled(
         self, attempt: _jobs.Attempt, now: datetime.datetime
     ) -> bool:
