Log each stalled run that is withdrawn

An open finding of docs/PLATFORM.md (a task at a hanging target that was not moved for 2.68 s) can't be traced: the logs tell neither when an entry asks to stop a run nor how long it had allowed.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -238,6 +238,26 @@
     """Agents known to this entry."""
 
 
+@attrs.frozen
+class RunStalled(Change):
+    """A run was asked to stop as it takes far longer than expected."""
+
+    request: str
+    """Caller's id of the request, or empty."""
+
+    job: str
+    """Id of the job."""
+
+    task: int
+    """Index of the task in the job."""
+
+    agent: str
+    """Agent that the run is at."""
+
+    elapsed_ms: int
+    """Time since it was sent, in milliseconds."""
+
+
 @attrs.frozen
 class JobEnded(Change):
     """A job was answered; ``*_ms`` fields are milliseconds."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
@@ -1,4 +1,4 @@
-"""Component that logs the end of each job."""
+"""Component that logs stalled runs and the end of each job."""
 
 import datetime
 
@@ -43,7 +43,7 @@
 
 
 class JobLog(circuits.BaseComponent):
-    """Logs one line when a job is refused and one when it is answered."""
+    """Logs a line for each job refused or answered and each stalled run."""
 
     channel = CHANNEL
 
@@ -103,6 +103,8 @@
 
     @circuits.handler("send_message", channel=_dispatcher.AGENTS_CHANNEL)
     def _on_send_message(self, identity: bytes, message: object) -> None:
+        if isinstance(message, core.Withdraw) and message.stalled:
+            self._log_stalled(message.attempts)
         if not isinstance(message, core.Dispatch):
             return
         now = self._clock.now()
@@ -126,6 +128,21 @@
             if progress is not None:
                 _record_report(progress, report, message.agent)
 
+    def _log_stalled(self, sequences: tuple[int, ...]) -> None:
+        for sequence in sequences:
+            attempt = self._dispatcher.ledger.attempts.get(sequence)
+            if attempt is None:
+                continue
+            elapsed = self._clock.now() - attempt.sent_at
+            change = _changes.RunStalled(
+                attempt.job.terms.request,
+                attempt.job.id,
+                attempt.index,
+                attempt.agent,
+                _count_milliseconds(elapsed),
+            )
+            self._log_change(change)
+
     def _find_progress(self, sequence: int) -> _JobProgress | None:
         attempt = self._dispatcher.ledger.attempts.get(sequence)
         return self._progress_by_job.get(attempt.job.id) if attempt else None
