Close connections that their caller reset, without an error

Change: such a connection is closed. test_reset_connection_is_closed_without_an_error failed before.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_request_parser.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_request_parser.py
@@ -18,6 +18,19 @@
     """A request could not be parsed; the argument is its socket."""
 
 
+class _Http(web_http.HTTP):
+    """Parser of circuits.web that bears connections reset by their caller."""
+
+    @circuits.handler("read", override=True)
+    def _on_read(self, sock: socket.socket, data: bytes) -> object:
+        try:
+            return super()._on_read(sock, data)
+        except OSError:
+            # The socket has no peer left whose name could be read.
+            self._buffers.pop(sock, None)
+            return self.fire(net_events.close(sock))
+
+
 class RequestParser(circuits.BaseComponent):
     """Passes whole requests to circuits.web and its answers to the server.
 
@@ -28,7 +41,7 @@
     def __init__(self, server: sockets.TCPServer, channel: str) -> None:
         super().__init__(channel=f"{channel}-web")
         self._owner = channel
-        self._http = web_http.HTTP(server, channel=self.channel)
+        self._http = _Http(server, channel=self.channel)
         self._http.register(self)
 
     def parse(self, sock: socket.socket, data: bytes) -> None:
