Pass over images that were moved, and estimate no sizes with time to spare

Cause: modules look for their data beside the path of their source, which an image stores; an image that was copied to another place named files of the first. The check for hopeless jobs estimated the sizes of every waiting job at each tick, though nearly all have more time left than their longest task takes.

Change: the tag of an image names its path; sizes are estimated only once less time is left than the upper run time of the longest waiting task.

--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -145,10 +145,13 @@
             return True
         needs = state.waiting_job.needs
         speed = min(pool.get_fastest(need) for need in needs)
-        if speed <= 0:
+        left = job.deadline - now
+        # With more time there is no need to estimate the sizes again.
+        longest = state.waiting_job.longest_seconds
+        if speed <= 0 or left.total_seconds() * speed > longest:
             return True
         sizes = self._estimates.estimate_tasks(job.team, job.request.tasks)
-        return _prospects.can_end(sizes, speed, job.deadline - now)
+        return _prospects.can_end(sizes, speed, left)
 
     def is_stalled(
         self, attempt: _jobs.Attempt, now: datetime.datetime
--- a/packages/cowslipgate-core/src/cowslipgate_startup/_images.py
+++ b/packages/cowslipgate-core/src/cowslipgate_startup/_images.py
@@ -28,12 +28,12 @@
     """
 
     def __init__(self) -> None:
+        # Code and path of the source, by the name of the module.
         self._modules: dict[str, tuple[bytes, str]] = {}
-        # Code and path of its source, by the name of the module.
-        self._extensions: dict[str, str] = {}
         # Path of the shared library, by the name of the module.
-        self._generated: dict[tuple[str, str], bytes] = {}
+        self._extensions: dict[str, str] = {}
         # Code by file name and source text.
+        self._generated: dict[tuple[str, str], bytes] = {}
 
     def find_spec(
         self,
@@ -62,16 +62,19 @@
             return builtins.compile(source, filename, mode)
         return marshal.loads(code)
 
-    def load(self, content: bytes) -> None:
-        """Read the content of an image file.
+    def load(self, path: pathlib.Path) -> None:
+        """Read an image file.
+
+        An image of another interpreter, one that was moved and a damaged one
+        are passed over.
 
-        An image of another interpreter or a damaged one stays empty.
+        :raises OSError: when the file cannot be read
         """
         try:
-            tag, *parts = marshal.loads(content)
+            tag, *parts = marshal.loads(path.read_bytes())
         except (EOFError, TypeError, ValueError):
             return
-        if tag == _make_tag():
+        if tag == _make_tag(path):
             self._modules, self._extensions, self._generated = parts
 
 
@@ -128,7 +131,7 @@
     """
     image = Image()
     try:
-        image.load(path.read_bytes())
+        image.load(path)
     except OSError:
         return
     sys.meta_path.insert(0, image)
@@ -156,7 +159,7 @@
         elif isinstance(loader, _Loader):
             code = marshal.dumps(loader.get_code(name))
             modules[name] = code, loader.path
-    content = _make_tag(), modules, extensions, recorder.generated
+    content = _make_tag(path), modules, extensions, recorder.generated
     path.write_bytes(marshal.dumps(content))
 
 
@@ -182,6 +185,7 @@
     return hash(int.from_bytes(text.encode()))
 
 
-def _make_tag() -> tuple[str, str]:
-    # The code of the standard library belongs to one interpreter.
-    return sys.version, sys.base_prefix
+def _make_tag(path: pathlib.Path) -> tuple[str, str, str]:
+    # The code of the standard library belongs to one interpreter, and modules
+    # look for their data beside the path of their source.
+    return sys.version, sys.base_prefix, str(path.absolute())
