--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -46,6 +46,9 @@
     reported_at: datetime.datetime
     """When the last report was sent."""
 
+    sent_at: datetime.datetime
+    """When the last report or outcome was sent."""
+
     opened_at: datetime.datetime
     """When the current socket was opened."""
 
@@ -121,7 +124,7 @@
             self._next_discovery = now + DISCOVERY_INTERVAL
             self.fire(_events.discover_entries(), "discovery")
         for incarnation, link in self._links.items():
-            if now - link.reported_at >= self._get_interval(incarnation):
+            if self._is_report_due(incarnation, link, now):
                 self._send_report(incarnation, link)
 
     @circuits.handler("target_runs_known")
@@ -139,6 +142,7 @@
         link = self._links.get(action.entry)
         if link is None:
             return
+        link.sent_at = self._clock.now()
         for reports in core.split_reports(action.reports):
             results = core.Results(
                 self._settings.name,
@@ -218,24 +222,35 @@
         longest = self._settings.link_expires_after * LONGEST_SILENCE
         link.interval = max(min(asked, longest), self._settings.heartbeat)
 
-    def _get_interval(self, incarnation: int) -> datetime.timedelta:
-        # Entries detect a lost link sooner while it carries work.
-        link = self._links[incarnation]
-        if link.departure or self._executor.count_own(incarnation):
-            return self._settings.heartbeat
-        return link.interval
+    def _is_report_due(
+        self, incarnation: int, link: Link, now: datetime.datetime
+    ) -> bool:
+        since = now - link.reported_at
+        if since >= link.interval:
+            return True
+        heartbeat = self._settings.heartbeat
+        if since < heartbeat:
+            return False
+        if link.departure:
+            return True
+        # Both sides detect a lost link sooner while it carries work. Orders
+        # and outcomes show as well that it stands.
+        exchanged_at = min(link.sent_at, link.received_at)
+        return now - exchanged_at >= heartbeat and bool(
+            self._executor.count_own(incarnation)
+        )
 
     def _check_lost_entries(self, now: datetime.datetime) -> None:
+        silent = [
+            (incarnation, link)
+            for incarnation, link in self._links.items()
+            if self._is_reconnect_overdue(link, now)
+            or self._is_silent(incarnation, link, now)
+        ]
+        if not silent:
+            return
         members = {member.incarnation for member in self._members}
-        for incarnation, link in list(self._links.items()):
-            limit = self._settings.entry_lost_after
-            if not self._executor.count_own(incarnation):
-                limit = core.compute_lost_timeout(limit, link.interval)
-            received_at = max(link.received_at, link.opened_at)
-            if now - received_at <= limit and not self._is_reconnect_overdue(
-                link, now
-            ):
-                continue
+        for incarnation, link in silent:
             if incarnation not in members:
                 self._drop(incarnation)
                 continue
@@ -244,6 +259,17 @@
                 self.fire(_events.entry_dropped(incarnation), "runner")
             self._reconnect(link)
 
+    def _is_silent(
+        self, incarnation: int, link: Link, now: datetime.datetime
+    ) -> bool:
+        limit = self._settings.entry_lost_after
+        silence = now - max(link.received_at, link.opened_at)
+        if silence <= limit:
+            return False
+        if not self._executor.count_own(incarnation):
+            limit = core.compute_lost_timeout(limit, link.interval)
+        return silence > limit
+
     def _is_reconnect_overdue(
         self, link: Link, now: datetime.datetime
     ) -> bool:
@@ -327,7 +353,8 @@
     def _open(self, member: core.Member) -> None:
         now = self._clock.now()
         component = self._open_socket(member)
-        link = Link(member, component, now, self._settings.heartbeat, now, now)
+        heartbeat = self._settings.heartbeat
+        link = Link(member, component, now, heartbeat, now, now, now)
         self._links[member.incarnation] = link
         # The handshake may complete before the socket's events are monitored.
         self._executor.connect(member.incarnation)
@@ -367,7 +394,7 @@
             self._send_report(incarnation, link)
 
     def _send_report(self, incarnation: int, link: Link) -> None:
-        link.reported_at = self._clock.now()
+        link.reported_at = link.sent_at = self._clock.now()
         message = self._make_report(incarnation)
         if link.departure:
             message = core.Goodbye(
