Read the entries again after longer times while the store does not answer

Ruled out: no repetition, as before, which leaves agents with the one entry that a restarted seed lists.

Change: 1, 2, 4, then 8 s, each times 0.5 to 1.5.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
@@ -2,6 +2,7 @@
 
 import datetime
 import itertools
+import random
 
 import circuits
 
@@ -16,7 +17,14 @@
 """Time for an answer of a seed, which may be down or outdated."""
 
 RETRY_SECONDS = 1.0
-"""Time after a failed read until the store and the next seed are asked."""
+"""Mean time after a failed read until the store and the next seed are asked;
+it doubles with each failure, so that an overloaded store recovers."""
+
+MAX_DOUBLINGS = 3
+"""Doublings of this time at most."""
+
+RETRY_SPREAD = (0.5, 1.5)
+"""Range of the factor by which the times of different agents differ."""
 
 
 class TableDiscovery(circuits.BaseComponent):
@@ -33,6 +41,7 @@
         self._seed_counter = itertools.count()
         self._numbers = itertools.count(1)
         self._read_pending = False
+        self._failures = 0
         # A seed that was restarted lists few entries, so an agent that found
         # some there still needs those in the store.
         self._retry = transport.Countdown(
@@ -51,8 +60,12 @@
     def _on_table_answered(self, answer: core.TableAnswer) -> None:
         self._read_pending = False
         if answer.result is not core.TableResult.DONE:
-            self._retry.start(RETRY_SECONDS)
+            doublings = min(self._failures, MAX_DOUBLINGS)
+            self._failures += 1
+            factor = 2**doublings * random.uniform(*RETRY_SPREAD)
+            self._retry.start(RETRY_SECONDS * factor)
             return
+        self._failures = 0
         leases = core.decode_leases(answer.rows)
         members = tuple(lease.member for lease in leases)
         if members:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_table_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_table_discovery.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import random
 import threading
 import time
 
@@ -169,3 +170,25 @@
     assert harness.found == [MEMBERS[:1], MEMBERS]
     # The store has answered, so it is not asked again.
     assert not _run_until(harness, lambda: len(harness.reads) > 2, 0.1)
+
+
+def test_reads_of_an_overloaded_store_become_rarer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # All agents of a fleet start at once, and the store answers none in time.
+    random.seed(1)
+    waits: list[float] = []
+    monkeypatch.setattr(
+        transport.Countdown,
+        "start",
+        lambda countdown, seconds: waits.append(seconds),
+    )
+    for _ in range(50):
+        harness = DiscoveryHarness(SEEDS)
+        for _ in range(6):
+            harness.discover()
+            harness.answer_read(result=core.TableResult.UNREACHABLE)
+    for failures, mean in enumerate((1, 2, 4, 8, 8, 8)):
+        of_all = waits[failures::6]
+        assert 0.5 * mean <= min(of_all) < 0.75 * mean
+        assert 1.25 * mean < max(of_all) <= 1.5 * mean
