Send the same list of members to an agent at most once in 5 s

Ruled out: nothing yet; that lists take the processor time is not shown.

Change: an entry sends its list again to an agent that reports another one only after 5 s, at once after it changed, to a new process or link, and to an agent that knows nobody.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -11,6 +11,7 @@
 import cowslipgate_core as core
 from cowslipgate_entry import _events
 from cowslipgate_entry.agents import _agent_sender
+from cowslipgate_entry.agents import _member_lists
 from cowslipgate_entry.callers import _admission
 from cowslipgate_entry.callers import _ended_jobs
 from cowslipgate_entry.callers import _pending_cancellations
@@ -37,8 +38,7 @@
         self._numbers = itertools.count(1)
         self._machine = core.StateMachine(core.load_chart("entry"))
         self._configuration: core.Configuration | None = None
-        self._members: tuple[core.Member, ...] = (member,)
-        self._members_digest = core.digest_members(self._members)
+        self._members = _member_lists.MemberLists((member,))
         self._limits = _quota_limits.QuotaLimits(clock.now())
         self._acknowledgements = core.Acknowledgements()
         self._sender = _agent_sender.AgentSender(
@@ -72,13 +72,12 @@
         self._versions.adopt(configuration.version)
         self._machine.fire("configure")
         for name in self._ledger.agents:
-            self._sender.send(name, self._make_heartbeat(with_members=False))
+            self._sender.send(name, self._make_heartbeat())
         self._schedule()
 
     @circuits.handler("members_changed")
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
-        self._members = members
-        self._members_digest = core.digest_members(members)
+        self._members.replace(members)
 
     @circuits.handler("limits_changed")
     def _on_limits_changed(
@@ -196,9 +195,7 @@
             self._machine.fire("empty")
             self._sender.acknowledge(self._acknowledgements.list_agents())
             for name in self._ledger.agents:
-                self._sender.send(
-                    name, self._make_heartbeat(with_members=False)
-                )
+                self._sender.send(name, self._make_heartbeat())
             self.fire(_events.entry_drained(), "process")
 
     @circuits.handler("drain")
@@ -235,9 +232,8 @@
         self._perform(self._ledger.handle_report(report, now))
         sender = core.encode_identity(report.agent, report.incarnation)
         self._handle_version(report.configuration_version, sender)
-        with_members = report.members_digest != self._members_digest
         heartbeat = attrs.evolve(
-            self._make_heartbeat(with_members),
+            self._make_heartbeat(self._members.choose(report, now)),
             acknowledged=self._acknowledgements.take(report.agent),
         )
         self._ledger.counters.heartbeats += 2
@@ -251,7 +247,7 @@
 
         An agent is released once every outcome of its attempts is known.
         """
-        message = self._make_heartbeat(with_members=False)
+        message = self._make_heartbeat()
         if self._ledger.handle_goodbye(goodbye, now):
             message = core.Release(
                 self._member.incarnation,
@@ -340,11 +336,13 @@
         configuration = self._configuration
         return configuration.version if configuration is not None else 0
 
-    def _make_heartbeat(self, with_members: bool) -> core.Beat:
+    def _make_heartbeat(
+        self, members: tuple[core.Member, ...] = ()
+    ) -> core.Beat:
         return core.Beat(
             self._member.incarnation,
             self._get_version(),
-            self._members if with_members else (),
+            members,
             self._machine.state == "stopped",
             self._ledger.heartbeat // datetime.timedelta(milliseconds=1),
         )
