Open no link to an entry that has said that it leaves

An entry that leaves answers each report by saying so until its process ends, the others' lists name it until they read again (5 s), and an agent that dropped it takes the next list and links it again: a socket and a list of members each time.

Change: an agent remembers the entries that have left and chooses among the others; a list that names one still counts as known.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -22,6 +22,9 @@
 (1,300 ms) later, when none of their tasks may run any more."""
 
 
+MAX_LEFT = 256
+"""Entries whose departure is remembered; lists may name them for seconds."""
+
 LONGEST_SILENCE = 0.8
 """Share of ``link_expires_after`` that an idle link may be silent; the rest
 is for ticks and transit."""
@@ -102,6 +105,8 @@
         self._context = zmq.Context.instance()
         self._set_members(())
         self._links: dict[int, Link] = {}
+        # Incarnations of entries that have left, in the order of departure.
+        self._left: dict[int, None] = {}
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
 
@@ -211,11 +216,18 @@
             self._send_report(incarnation, link)
 
     def _handle_beat(self, beat: core.Beat) -> None:
+        if beat.leaving:
+            self._record_left(beat.entry)
         if beat.members:
             self._update_members(beat.members)
         if beat.leaving:
             self._drop(beat.entry)
 
+    def _record_left(self, incarnation: int) -> None:
+        self._left[incarnation] = None
+        if len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+
     def _update_interval(self, beat: core.Beat, link: Link) -> None:
         asked = datetime.timedelta(milliseconds=beat.heartbeat_ms)
         # A longer silence would renew the link at each heartbeat.
@@ -280,13 +292,7 @@
         )
 
     def _update_members(self, members: tuple[core.Member, ...]) -> None:
-        chosen = core.choose_entries(
-            self._settings.name,
-            members,
-            self._settings.entries,
-            self._settings.region,
-            self._settings.domain,
-        )
+        chosen = self._choose_entries(members)
         wanted = {member.incarnation: member for member in chosen}
         self._record_choice(members, set(wanted))
         newest_incarnations = {
@@ -307,6 +313,24 @@
                 self._open(member)
         self._set_members(members)
 
+    def _choose_entries(
+        self, members: tuple[core.Member, ...]
+    ) -> tuple[core.Member, ...]:
+        # A link to an entry that has left would be dropped at its first
+        # answer, and opened again by the next list that names the entry.
+        present = tuple(
+            member
+            for member in members
+            if member.incarnation not in self._left
+        )
+        return core.choose_entries(
+            self._settings.name,
+            present,
+            self._settings.entries,
+            self._settings.region,
+            self._settings.domain,
+        )
+
     def _set_members(self, members: tuple[core.Member, ...]) -> None:
         self._members = members
         self._members_digest = core.digest_members(members)
@@ -338,13 +362,7 @@
         # may soon be chosen again.
         if now - since <= self._settings.entry_lost_after:
             return False
-        chosen = core.choose_entries(
-            self._settings.name,
-            self._members,
-            self._settings.entries,
-            self._settings.region,
-            self._settings.domain,
-        )
+        chosen = self._choose_entries(self._members)
         links = [self._links.get(member.incarnation) for member in chosen]
         return bool(links) and not any(
             other is None or other.lost for other in links
