Try the address of an entry that has left again after half a second

Change: an entry that left is passed over for 0.5 s, not for good. Test: test_address_of_an_entry_that_left_is_tried_again.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -22,8 +22,9 @@
 (1,300 ms) later, when none of their tasks may run any more."""
 
 
-MAX_LEFT = 256
-"""Entries whose departure is remembered; lists may name them for seconds."""
+RELINK_AFTER = datetime.timedelta(milliseconds=500)
+"""Time after an entry has left until its address is tried again. Lists name it
+for up to 5 s, but a new process may soon answer there."""
 
 LONGEST_SILENCE = 0.8
 """Share of ``link_expires_after`` that an idle link may be silent; the rest
@@ -105,8 +106,8 @@
         self._context = zmq.Context.instance()
         self._set_members(())
         self._links: dict[int, Link] = {}
-        # Incarnations of entries that have left, in the order of departure.
-        self._left: dict[int, None] = {}
+        # When entries have left, by incarnation.
+        self._left: dict[int, datetime.datetime] = {}
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
 
@@ -124,6 +125,7 @@
         now = self._clock.now()
         self._check_lost_entries(now)
         self._leave_unchosen(now)
+        self._retry_left(now)
         all_lost = all(link.lost for link in self._links.values())
         if all_lost and self._runs_known and now >= self._next_discovery:
             self._next_discovery = now + DISCOVERY_INTERVAL
@@ -217,16 +219,21 @@
 
     def _handle_beat(self, beat: core.Beat) -> None:
         if beat.leaving:
-            self._record_left(beat.entry)
+            self._left[beat.entry] = self._clock.now()
         if beat.members:
             self._update_members(beat.members)
         if beat.leaving:
             self._drop(beat.entry)
 
-    def _record_left(self, incarnation: int) -> None:
-        self._left[incarnation] = None
-        if len(self._left) > MAX_LEFT:
-            del self._left[next(iter(self._left))]
+    def _retry_left(self, now: datetime.datetime) -> None:
+        recent = {
+            incarnation: left_at
+            for incarnation, left_at in self._left.items()
+            if now - left_at < RELINK_AFTER
+        }
+        if len(recent) < len(self._left):
+            self._left = recent
+            self._update_members(self._members)
 
     def _update_interval(self, beat: core.Beat, link: Link) -> None:
         asked = datetime.timedelta(milliseconds=beat.heartbeat_ms)
@@ -316,7 +323,7 @@
     def _choose_entries(
         self, members: tuple[core.Member, ...]
     ) -> tuple[core.Member, ...]:
-        # A link to an entry that has left would be dropped at its first
+        # A link to an entry that has just left would be dropped at its first
         # answer, and opened again by the next list that names the entry.
         present = tuple(
             member
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_left_entries.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_left_entries.py
@@ -81,10 +81,23 @@
     harness.run_until(lambda: harness.links.get_link(9), "the next link")
 
 
-def test_departures_are_remembered_in_bounds(
+def test_address_of_an_entry_that_left_is_tried_again(
     harness: link_builders.LinksHarness,
+    entries: tuple[link_builders.FakeEntry, ...],
 ) -> None:
-    for incarnation in range(2 * _links.MAX_LEFT):
-        harness.links._record_left(incarnation)
-    assert len(harness.links._left) == _links.MAX_LEFT
-    assert 2 * _links.MAX_LEFT - 1 in harness.links._left
+    # A new process answers there, though no list names it yet.
+    (chosen,) = _find_linked(harness, entries)
+    harness.run_until(
+        lambda: chosen.pop_messages(core.Report), "a first report"
+    )
+    members = tuple(entry.member for entry in entries)
+    leaving = core.Beat(chosen.incarnation, 1, members, leaving=True)
+    harness.deliver(chosen, leaving)
+    harness.send_members(*members)
+    assert chosen not in _find_linked(harness, entries)
+    again = core.Member(9, chosen.address, "127.0.0.1:1", "kaai-zuid")
+    chosen.beat = core.Beat(9, 1, (again,))
+    harness.clock.advance(_links.RELINK_AFTER)
+    harness.root.fire(_events.tick(), _links.CHANNEL)
+    harness.run_until(lambda: harness.links.get_link(9), "the new process")
+    assert chosen not in _find_linked(harness, entries)
