Choose no entries from an unknown list when a departure is over

Found by reading the change once more: half a second after an entry had left, an agent whose list was dropped with the link to it chose among no entries, which forgot links that were lost for the moment. Test: test_lost_link_outlives_a_departure_while_no_list_is_known, failed before.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -231,8 +231,10 @@
             for incarnation, left_at in self._left.items()
             if now - left_at < RELINK_AFTER
         }
-        if len(recent) < len(self._left):
-            self._left = recent
+        if len(recent) == len(self._left):
+            return
+        self._left = recent
+        if self._members:
             self._update_members(self._members)
 
     def _update_interval(self, beat: core.Beat, link: Link) -> None:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_left_entries.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_left_entries.py
@@ -101,3 +101,23 @@
     harness.root.fire(_events.tick(), _links.CHANNEL)
     harness.run_until(lambda: harness.links.get_link(9), "the new process")
     assert chosen not in _find_linked(harness, entries)
+
+
+def test_lost_link_outlives_a_departure_while_no_list_is_known(
+    harness: link_builders.LinksHarness,
+    entries: tuple[link_builders.FakeEntry, ...],
+) -> None:
+    # An entry is silent for a while, and another one has left; the list was
+    # dropped with the link to that one.
+    (chosen,) = _find_linked(harness, entries)
+    chosen.answering = False
+    link = harness.links.get_link(chosen.incarnation)
+    for _ in range(20):
+        harness.pass_time(link_builders.STEP.total_seconds())
+        if link.lost:
+            break
+    assert link.lost
+    harness.links._set_members(())
+    harness.links._left[99] = harness.clock.now() - _links.RELINK_AFTER
+    harness.pass_time(link_builders.STEP.total_seconds())
+    assert _find_linked(harness, entries) == [chosen]
