Count an entry as alive by what it has received, not by what arrives

Cause: an agent counted an entry's silence from the arrival of any message of it. In a one-way cut the entry hears nothing and runs the tasks elsewhere after 3.5 s, but each new configuration makes it send a heartbeat, so the agent goes on. The same belief lets a run outlive the 1.3 s after which a caller whose connection broke comes to another entry: silence of 1.5 s, a short freeze of the agent while the entry dies, messages that a cut held up.

The agent stops an entry's runs 1.05 s after the newest message that the entry has received was sent, no lease ends later than 1.25 s after it, and orders wait while it is older than 0.7 s. Whatever an entry does after an agent's message got through, it can't have given the run up before that.

The fake entry of the link tests confirms as real ones do; an own test keeps the way of earlier versions.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -70,7 +70,14 @@
 
 
 class LeasedCalls(circuits.BaseComponent):
-    """Client of a target that runs tasks under leases; owns the tracker."""
+    """Client of a target that runs tasks under leases; owns the tracker.
+
+    :param lease: longest lease that the target grants
+    :param executor: knows when entries were last known to be alive
+    :param run_limit: time after which runs must have ended whose entry has
+        not been heard of, even if this process does not run meanwhile; leases
+        end by then
+    """
 
     channel = CHANNEL
 
@@ -80,8 +87,12 @@
         address: transport.Address,
         lease: datetime.timedelta,
         clock: core.Clock,
+        executor: core.Executor,
+        run_limit: datetime.timedelta,
     ) -> None:
         super().__init__()
+        self._executor = executor
+        self._run_limit = run_limit
         self._codec = codec
         self._address = address
         self._clock = clock
@@ -142,7 +153,8 @@
         self, start: core.StartTask, announcement: core.Announcement
     ) -> None:
         now = self._clock.now()
-        self._perform(self._tracker.start(start.key, start.order, now))
+        limit = self._find_lease_limit()
+        self._perform(self._tracker.start(start.key, start.order, now, limit))
         self._send_due_watch()
 
     @circuits.handler("stop_task")
@@ -294,13 +306,19 @@
             return
         if len(self._watches) >= MAX_WATCHES:
             return
-        watch = self._tracker.watch(now)
+        watch = self._tracker.watch(now, self._find_lease_limit())
         wait = datetime.timedelta(milliseconds=watch.wait_ms)
         number = self._send_request(
             self._codec.encode_watch(watch), wait + WATCH_REPLY_TIMEOUT
         )
         self._watches[number] = now
 
+    def _find_lease_limit(self) -> datetime.datetime | None:
+        confirmed_at = self._executor.get_oldest_confirmation()
+        if confirmed_at is None:
+            return None
+        return confirmed_at + self._run_limit
+
     def _send_request(
         self,
         request: _runtimes.RuntimeRequest,
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -30,6 +30,17 @@
 """Share of ``link_expires_after`` that an idle link may be silent; the rest
 is for ticks and transit."""
 
+UNCONFIRMED_HEARTBEATS = 1.2
+"""Age of an entry's last confirmation, in heartbeats, after which a link with
+work needs a report though orders and outcomes go both ways."""
+
+FRESH_SHARE = 2 / 3
+"""Age of an entry's last confirmation, as a share of ``entry_lost_after``, up
+to which its orders start at once. An order may have been sent just after that
+confirmation and delayed since; the rest is for the next confirmation."""
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 
 @attrs.define(eq=False)
 class Link:
@@ -42,7 +53,12 @@
     """Component that owns the socket."""
 
     received_at: datetime.datetime
-    """When the entry last sent a message."""
+    """When the last message of the entry arrived."""
+
+    confirmed_at: datetime.datetime
+    """When the newest report or outcome was sent that the entry has received;
+    the entry was alive then. A message that arrives shows less, as it may have
+    been delayed."""
 
     interval: datetime.timedelta
     """Interval of reports while the link carries no work."""
@@ -71,6 +87,13 @@
     released: bool = False
     """Whether the entry has confirmed the departure."""
 
+    confirms: bool = False
+    """Whether the entry tells which messages it has received; those of earlier
+    versions don't, and count as alive whenever a message arrives."""
+
+    held: list[core.Dispatch] = attrs.Factory(list)
+    """Orders that wait until the entry is known to be alive."""
+
     def cancel_departure(self) -> None:
         """Record that the entry is in the subset, which ends a departure."""
         self.unchosen_at = None
@@ -110,6 +133,8 @@
         self._left: dict[int, datetime.datetime] = {}
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
+        # Times of sending count from here, so that they are short numbers.
+        self._started_at = clock.now() - MILLISECOND
 
     @property
     def sockets(self) -> list[transport.MessageSocket]:
@@ -158,6 +183,7 @@
                 reports,
                 action.entry,
                 self._executor.configuration_version,
+                self._measure_sent_ms(),
             )
             event = transport.send_message(b"", results)
             self.fire(event, link.socket.channel)
@@ -196,8 +222,8 @@
         elif sender == int(peer):
             self._renew_expired_link(sender, link)
             link.received_at = self._clock.now()
-            link.lost = False
-            self.fire(_events.entry_message_received(message), "runner")
+            self._confirm(sender, link, message)
+            self._pass_on(sender, link, message)
             if isinstance(message, core.Beat):
                 self._update_interval(message, link)
             elif isinstance(message, core.Release):
@@ -214,8 +240,42 @@
         # link number makes the executor refuse them.
         elapsed = self._clock.now() - link.received_at
         if elapsed > self._settings.link_expires_after:
-            self._executor.connect(incarnation)
-            self._send_report(incarnation, link)
+            self._renew(incarnation, link)
+
+    def _renew(self, incarnation: int, link: Link) -> None:
+        self._executor.connect(incarnation)
+        self._send_report(incarnation, link)
+
+    def _confirm(self, incarnation: int, link: Link, message: object) -> None:
+        now = link.received_at
+        confirmed_at = link.confirmed_at
+        received_ms = getattr(message, "received_ms", 0)
+        if received_ms:
+            link.confirms = True
+            confirmed_at = self._started_at + received_ms * MILLISECOND
+            late = now - confirmed_at > self._settings.link_expires_after
+            if late and isinstance(message, core.Dispatch):
+                self._renew(incarnation, link)
+        elif not link.confirms:
+            confirmed_at = now
+        link.confirmed_at = max(link.confirmed_at, min(confirmed_at, now))
+        if now - link.confirmed_at <= self._settings.entry_lost_after:
+            link.lost = False
+        self._executor.confirm(incarnation, link.confirmed_at)
+
+    def _pass_on(self, incarnation: int, link: Link, message: object) -> None:
+        fresh = self._settings.entry_lost_after * FRESH_SHARE
+        known_alive = link.received_at - link.confirmed_at <= fresh
+        if isinstance(message, core.Dispatch) and not known_alive:
+            if not link.held:
+                self._send_report(incarnation, link)
+            link.held.append(message)
+            return
+        if known_alive:
+            held, link.held = link.held, []
+            for dispatch in held:
+                self.fire(_events.entry_message_received(dispatch), "runner")
+        self.fire(_events.entry_message_received(message), "runner")
 
     def _handle_beat(self, beat: core.Beat) -> None:
         if beat.leaving:
@@ -254,11 +314,15 @@
             return False
         if link.departure:
             return True
+        if not (link.held or self._executor.count_own(incarnation)):
+            return False
         # Both sides detect a lost link sooner while it carries work. Orders
-        # and outcomes show as well that it stands.
+        # and outcomes show as well that it stands; an order confirms outcomes
+        # sent before it.
         exchanged_at = min(link.sent_at, link.received_at)
-        return now - exchanged_at >= heartbeat and bool(
-            self._executor.count_own(incarnation)
+        return (
+            now - exchanged_at >= heartbeat
+            or now - link.confirmed_at >= heartbeat * UNCONFIRMED_HEARTBEATS
         )
 
     def _check_lost_entries(self, now: datetime.datetime) -> None:
@@ -275,6 +339,7 @@
             if incarnation not in members:
                 self._drop(incarnation)
                 continue
+            link.held.clear()
             if not link.lost:
                 link.lost = True
                 self.fire(_events.entry_dropped(incarnation), "runner")
@@ -284,7 +349,7 @@
         self, incarnation: int, link: Link, now: datetime.datetime
     ) -> bool:
         limit = self._settings.entry_lost_after
-        silence = now - max(link.received_at, link.opened_at)
+        silence = now - max(link.confirmed_at, link.opened_at)
         if silence <= limit:
             return False
         if not self._executor.count_own(incarnation):
@@ -381,7 +446,7 @@
         now = self._clock.now()
         component = self._open_socket(member)
         heartbeat = self._settings.heartbeat
-        link = Link(member, component, now, heartbeat, now, now, now)
+        link = Link(member, component, now, now, heartbeat, now, now, now)
         self._links[member.incarnation] = link
         # The handshake may complete before the socket's events are monitored.
         self._executor.connect(member.incarnation)
@@ -425,7 +490,10 @@
         message = self._make_report(incarnation)
         if link.departure:
             message = core.Goodbye(
-                self._settings.name, self._incarnation, link.departure
+                self._settings.name,
+                self._incarnation,
+                link.departure,
+                self._measure_sent_ms(),
             )
         self.fire(transport.send_message(b"", message), link.socket.channel)
 
@@ -444,4 +512,8 @@
             self._members_digest,
             executor.get_link(incarnation),
             announcement.room if announcement else msgspec.UNSET,
+            self._measure_sent_ms(),
         )
+
+    def _measure_sent_ms(self) -> int:
+        return (self._clock.now() - self._started_at) // MILLISECOND
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
@@ -15,6 +15,7 @@
 KEY = core.AttemptKey(7, 1)
 ORDER = run_builders.build_order()
 SPAN = datetime.timedelta(milliseconds=50)
+RUN_LIMIT = datetime.timedelta(milliseconds=1_250)
 
 
 class PlainCodec(_runtimes.RuntimeCodec):
@@ -59,8 +60,14 @@
         self.calls: list[transport.Call] = []
         self.ended: list[core.AttemptReport] = []
         self.recorded_events: list[str] = []
+        self.executor = core.Executor(1, 0)
         _leased_calls.LeasedCalls(
-            self.codec, ADDRESS, run_builders.LEASE, self.clock
+            self.codec,
+            ADDRESS,
+            run_builders.LEASE,
+            self.clock,
+            self.executor,
+            RUN_LIMIT,
         ).register(self)
 
     @circuits.handler("call_http", channel="target")
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
@@ -68,7 +68,11 @@
 
 
 class FakeEntry:
-    """An entry that answers each report with a heartbeat."""
+    """An entry that answers each report with a heartbeat.
+
+    Unless ``confirming`` is cleared, as for an entry of an earlier version,
+    its messages tell which report or outcome it has received last.
+    """
 
     def __init__(self, incarnation: int) -> None:
         context = zmq.Context.instance()
@@ -84,6 +88,8 @@
         self.received: list[object] = []
         self.sent = 0
         self.delay_polls = 0
+        self.confirming = True
+        self.received_ms = 0
         self._delayed: list[_DelayedMessage] = []
 
     def pop_messages(self, kind: type) -> list[object]:
@@ -95,6 +101,8 @@
     def send(self, message: object) -> None:
         """Send a message to the agent after ``delay_polls`` polls."""
         self.sent += 1
+        if self.confirming and isinstance(message, core.Beat | core.Dispatch):
+            message = attrs.evolve(message, received_ms=self.received_ms)
         self._delayed.append(_DelayedMessage(message, self.delay_polls))
         self._send_due()
 
@@ -113,6 +121,8 @@
             message = core.decode_message(*frames)
             self.received.append(message)
             self.identity = identity
+            sent_ms = getattr(message, "sent_ms", 0)
+            self.received_ms = max(self.received_ms, sent_ms)
             if self.answering and isinstance(message, core.Report):
                 self.send(self.beat)
 
--- /dev/null
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_confirmations.py
@@ -0,0 +1,140 @@
+"""Tests that an entry counts as alive by what it has received of the agent."""
+
+from collections.abc import Iterator
+import datetime
+
+import cowslipgate_core as core
+import pytest
+
+from cowslipgate_agent import _events
+from cowslipgate_agent import _links
+from cowslipgate_agent import _runner
+from cowslipgate_agent.tests import link_builders
+
+ENTRY = 7
+LOST_SECONDS = 6.0
+"""More than ``entry_lost_after`` of the harness and a tick."""
+
+UNCONFIRMED_SECONDS = 4.0
+"""Less than that, but more than the age up to which orders start at once."""
+
+
+@pytest.fixture
+def entry() -> link_builders.FakeEntry:
+    return link_builders.FakeEntry(ENTRY)
+
+
+@pytest.fixture
+def harness(
+    entry: link_builders.FakeEntry,
+) -> Iterator[link_builders.LinksHarness]:
+    """Return links to the entry whose target has free slots."""
+    harness = link_builders.LinksHarness(entry)
+    harness.send_members(entry.member)
+    harness.run_until(
+        lambda: entry.pop_messages(core.Report), "a first report"
+    )
+    announcement = core.Announcement("print", "http://127.0.0.1:1", 4, 8)
+    event = _events.target_announced(announcement)
+    harness.root.fire(event, _runner.CHANNEL)
+    harness.deliver(entry, entry.beat)
+    yield harness
+    harness.close()
+
+
+def _build_dispatch(harness: link_builders.LinksHarness) -> core.Dispatch:
+    order = core.Order(1, "job.0.1", "tag", b"{}")
+    link = harness.executor.get_link(ENTRY)
+    return core.Dispatch(ENTRY, 1, 1, (order,), (), link)
+
+
+def _pass_in_silence(
+    harness: link_builders.LinksHarness,
+    entry: link_builders.FakeEntry,
+    seconds: float,
+) -> None:
+    """Pass time while the entry receives nothing but sends heartbeats."""
+    entry.answering = False
+    received_ms = entry.received_ms
+    for _ in range(int(seconds / link_builders.STEP.total_seconds())):
+        harness.pass_time(link_builders.STEP.total_seconds())
+        entry.received_ms = received_ms
+        harness.deliver(entry, entry.beat)
+
+
+# Guards against two runs of a task: an entry that hears nothing of the agent
+# runs it elsewhere, though its own heartbeats arrive.
+def test_tasks_stop_though_an_entry_that_hears_nothing_sends_heartbeats(
+    harness: link_builders.LinksHarness, entry: link_builders.FakeEntry
+) -> None:
+    harness.deliver(entry, _build_dispatch(harness))
+    (held,) = harness.executor.running.values()
+    _pass_in_silence(harness, entry, LOST_SECONDS)
+    assert held.stopping
+
+
+def test_tasks_go_on_while_heartbeats_are_answered(
+    harness: link_builders.LinksHarness, entry: link_builders.FakeEntry
+) -> None:
+    harness.deliver(entry, _build_dispatch(harness))
+    (held,) = harness.executor.running.values()
+    harness.pass_time(LOST_SECONDS)
+    assert not held.stopping
+
+
+# Guards against an order that a cut delayed until its caller has sent the job
+# to another entry.
+def test_order_waits_while_its_entry_is_not_known_to_be_alive(
+    harness: link_builders.LinksHarness, entry: link_builders.FakeEntry
+) -> None:
+    entry.answering = False
+    harness.pass_time(UNCONFIRMED_SECONDS)
+    entry.received_ms = 1
+    entry.pop_messages(core.Report)
+    harness.deliver(entry, _build_dispatch(harness))
+    assert not harness.executor.running
+    harness.run_until(
+        lambda: entry.pop_messages(core.Report), "a report for the order"
+    )
+    harness.deliver(entry, entry.beat)
+    assert len(harness.executor.running) == 1
+
+
+def test_order_withdrawn_while_it_waits_does_not_start(
+    harness: link_builders.LinksHarness, entry: link_builders.FakeEntry
+) -> None:
+    entry.answering = False
+    harness.pass_time(UNCONFIRMED_SECONDS)
+    entry.received_ms = 1
+    harness.deliver(entry, _build_dispatch(harness))
+    harness.deliver(entry, core.Withdraw(ENTRY, 1, (1,), True))
+    entry.received_ms = round(UNCONFIRMED_SECONDS * 1_000)
+    harness.deliver(entry, entry.beat)
+    assert not harness.executor.running
+
+
+def test_order_that_waits_is_forgotten_when_its_entry_is_lost(
+    harness: link_builders.LinksHarness, entry: link_builders.FakeEntry
+) -> None:
+    entry.answering = False
+    harness.pass_time(UNCONFIRMED_SECONDS)
+    entry.received_ms = 1
+    harness.deliver(entry, _build_dispatch(harness))
+    harness.clock.advance(datetime.timedelta(minutes=1))
+    harness.root.fire(_events.tick(), _links.CHANNEL, _runner.CHANNEL)
+    harness.run_until(lambda: harness.links.get_link(ENTRY).lost, "the loss")
+    assert not harness.links.get_link(ENTRY).held
+
+
+def test_entry_of_an_earlier_version_counts_as_alive_when_it_sends() -> None:
+    earlier = link_builders.FakeEntry(ENTRY)
+    earlier.confirming = False
+    harness = link_builders.LinksHarness(earlier)
+    harness.send_members(earlier.member)
+    harness.run_until(lambda: earlier.pop_messages(core.Report), "a report")
+    harness.deliver(earlier, earlier.beat)
+    harness.clock.advance(datetime.timedelta(seconds=1))
+    harness.deliver(earlier, earlier.beat)
+    link = harness.links.get_link(ENTRY)
+    assert link.confirmed_at == link.received_at
+    harness.close()
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -124,6 +124,35 @@
         session = self._sessions.get(entry)
         return session.link if session is not None else 0
 
+    def confirm(self, entry: int, sent_at: datetime.datetime) -> None:
+        """Record that an entry has received a message of this agent.
+
+        :param sent_at: time at which the message was sent; the entry was
+            alive then or later
+        """
+        session = self._sessions.get(entry)
+        if session is None:
+            return
+        if session.confirmed_at is None or sent_at > session.confirmed_at:
+            session.confirmed_at = sent_at
+
+    def get_confirmed_at(self, entry: int) -> datetime.datetime | None:
+        """Return when an entry was last known to be alive, or None."""
+        session = self._sessions.get(entry)
+        return session.confirmed_at if session is not None else None
+
+    def get_oldest_confirmation(self) -> datetime.datetime | None:
+        """Return the oldest confirmation among entries with attempts here."""
+        return min(
+            (
+                session.confirmed_at
+                for entry in self._slots.get_entries()
+                if (session := self._sessions.get(entry)) is not None
+                and session.confirmed_at is not None
+            ),
+            default=None,
+        )
+
     def connect(self, entry: int) -> None:
         """Open a new link to an entry that was connected.
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -148,15 +148,24 @@
         """Return whether a newer incarnation of the target is known."""
         return 0 < incarnation < self._incarnation
 
-    def watch(self, now: datetime.datetime) -> _run_records.CallWatch:
-        """Return the next watch; it renews the lease if there are runs."""
+    def watch(
+        self,
+        now: datetime.datetime,
+        limit: datetime.datetime | None = None,
+    ) -> _run_records.CallWatch:
+        """Return the next watch; it renews the lease if there are runs.
+
+        :param limit: latest end of the lease, or None for no limit
+        """
         first_contact = self._clock_at is None
         has_runs = bool(self._runs)
         wait = self._lease * WATCH_SHARE // MILLISECOND if has_runs else 0
         return _run_records.CallWatch(
             self._fence,
             self._cursor,
-            self._extend_lease(now) if has_runs and not first_contact else 0,
+            self._renew_lease(now, limit)
+            if has_runs and not first_contact
+            else 0,
             wait,
             self._instance,
         )
@@ -166,10 +175,15 @@
         key: _executor_actions.AttemptKey,
         order: _attempts.Order,
         now: datetime.datetime,
+        limit: datetime.datetime | None = None,
     ) -> list[_run_records.RunAction]:
-        """Order a run; to be called only while ``runs_known``."""
+        """Order a run; to be called only while ``runs_known``.
+
+        :param limit: latest end of the lease, or None for no limit; the
+            target refuses an order whose lease has ended
+        """
         name = _run_records.RunName(order.name, order.run)
-        until = self._extend_lease(now)
+        until = self._extend_lease(now, limit)
         machine = _charts.StateMachine(self._chart)
         self._runs[name] = _Run(
             key, name, now, until, machine, order.checkpoint
@@ -324,9 +338,24 @@
             return self._clock_ms
         return self._clock_ms + (now - self._clock_at) // MILLISECOND
 
-    def _extend_lease(self, now: datetime.datetime) -> int:
-        self.leases_expire_at = now + self._lease + CLOCK_SLACK
-        return self.read_clock(now) + self._lease // MILLISECOND
+    def _renew_lease(
+        self, now: datetime.datetime, limit: datetime.datetime | None
+    ) -> int:
+        if limit is not None and limit <= now:
+            return 0
+        return self._extend_lease(now, limit)
+
+    def _extend_lease(
+        self, now: datetime.datetime, limit: datetime.datetime | None
+    ) -> int:
+        end = now + self._lease
+        if limit is not None:
+            end = min(end, limit)
+        expire_at = end + CLOCK_SLACK
+        if self.leases_expire_at is not None:
+            expire_at = max(expire_at, self.leases_expire_at)
+        self.leases_expire_at = expire_at
+        return max(1, self.read_clock(now) + (end - now) // MILLISECOND)
 
     def _record_clock(self, clock_ms: int, now: datetime.datetime) -> None:
         if clock_ms:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
@@ -34,6 +34,9 @@
     dropped_at: datetime.datetime | None = None
     """Time at which the entry was dropped as lost, or None."""
 
+    confirmed_at: datetime.datetime | None = None
+    """When the newest message was sent that the entry has confirmed."""
+
     remembered: dict[int, None] = attrs.Factory(dict)
     """Attempts above the watermark that were accepted or fenced."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -144,6 +144,7 @@
         record = self._agents.get(report.agent)
         if record is None:
             record = _roster.AgentRecord(report, now, report.load)
+            record.received_ms = report.sent_ms
             self._roster.add(record)
             return []
         known = record.report
@@ -152,6 +153,8 @@
         actions: list[_ledger_actions.LedgerAction] = []
         if report.incarnation > known.incarnation:
             actions = self._lose_attempts(record, now)
+            record.received_ms = 0
+        record.received_ms = max(record.received_ms, report.sent_ms)
         reconnected = report.link != known.link
         record.last_received_at = now
         self._roster.replace_report(record, report)
@@ -177,6 +180,7 @@
             self._roster.remove(goodbye.agent)
             return True
         record.last_received_at = now
+        record.received_ms = max(record.received_ms, goodbye.sent_ms)
         record.departing = True
         self._roster.update(record)
         return False
@@ -197,6 +201,7 @@
             self.counters.unmatched += len(results.reports)
             return []
         record.last_received_at = now
+        record.received_ms = max(record.received_ms, results.sent_ms)
         record.awaits_load = False
         actions: list[_ledger_actions.LedgerAction] = []
         for report in results.reports:
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_attempts.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_attempts.py
@@ -125,6 +125,9 @@
     configuration_version: int = 0
     """Highest configuration version that the agent knows."""
 
+    sent_ms: _fields.Count = 0
+    """Time of sending, as in a report."""
+
 
 @attrs.frozen
 class Dispatch:
@@ -148,6 +151,9 @@
     link: int = 0
     """``link`` of the last report that the entry received from the agent."""
 
+    received_ms: _fields.Count = 0
+    """Highest ``sent_ms`` received from the agent, as in a heartbeat."""
+
 
 @attrs.frozen
 class Withdraw:
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
@@ -44,6 +44,10 @@
     room: _resources.Room = msgspec.UNSET
     """Resources that all tasks of the target share."""
 
+    sent_ms: _fields.Count = 0
+    """Time of sending in milliseconds since the agent's start, at least 1;
+    zero from agents of earlier versions."""
+
 
 @attrs.frozen
 class Member:
@@ -88,6 +92,10 @@
     acknowledged: tuple[int, ...] = ()
     """Attempts whose outcome the entry has received."""
 
+    received_ms: _fields.Count = 0
+    """Highest ``sent_ms`` received from the agent; zero from entries of
+    earlier versions."""
+
 
 @attrs.frozen
 class Goodbye:
@@ -105,6 +113,9 @@
     number: _fields.Count
     """Number of the departure, copied into the release."""
 
+    sent_ms: _fields.Count = 0
+    """Time of sending, as in a report."""
+
 
 @attrs.frozen
 class Release:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
@@ -47,6 +47,9 @@
     departing: bool = False
     """Whether it sent a goodbye and awaits its release."""
 
+    received_ms: int = 0
+    """Highest ``sent_ms`` received from this incarnation of it."""
+
 
 class Roster:
     """Agents by name, and a pool of their targets for each service.
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
@@ -166,3 +166,17 @@
     orders = [builders.build_order(n) for n in range(1, 9)]
     actions = executor.dispatch(builders.build_dispatch(*orders), NOW)
     assert _count_starts(actions) == 3
+
+
+def test_oldest_confirmation_is_that_of_entries_with_tasks_here() -> None:
+    executor = builders.build_executor()
+    executor.confirm(7, NOW)
+    executor.connect(8)
+    executor.confirm(8, NOW - datetime.timedelta(seconds=9))
+    assert executor.get_oldest_confirmation() is None
+    executor.dispatch(builders.build_dispatch(builders.build_order(1)), NOW)
+    executor.confirm(7, NOW)
+    executor.confirm(7, NOW - datetime.timedelta(seconds=1))
+    assert executor.get_oldest_confirmation() == NOW
+    assert executor.get_confirmed_at(7) == NOW
+    assert executor.get_confirmed_at(9) is None
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -45,6 +45,31 @@
     assert _start(tracker).lease_end_ms == 5_000 + run_builders.LEASE_MS
 
 
+# Guards against runs that outlive the time at which their entry counts as
+# gone, because the agent stands still before it stops them.
+def test_no_lease_ends_after_its_limit() -> None:
+    tracker = run_builders.build_tracker()
+    order = run_builders.build_order()
+    (call,) = tracker.start(KEY, order, NOW, _later(700))
+    assert call.lease_end_ms == 5_700
+    assert tracker.watch(_later(300), _later(700)).lease_end_ms == 5_700
+    assert tracker.watch(_later(300), _later(9_000)).lease_end_ms == 6_300
+
+
+def test_watch_after_the_limit_renews_nothing() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    assert tracker.watch(_later(700), _later(700)).lease_end_ms == 0
+    assert not tracker.has_expired(_later(run_builders.LEASE_MS))
+
+
+def test_order_after_the_limit_carries_a_lease_that_has_ended() -> None:
+    tracker = run_builders.build_tracker()
+    order = run_builders.build_order()
+    (call,) = tracker.start(KEY, order, NOW, _later(-10))
+    assert call.lease_end_ms < 5_000
+
+
 def test_watch_renews_while_something_runs() -> None:
     tracker = run_builders.build_tracker()
     _start(tracker)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
@@ -35,6 +35,11 @@
         """Send a message to one incarnation of an agent."""
         self._send_message(core.encode_identity(agent, incarnation), message)
 
+    def send_heartbeat(self, agent: str, beat: core.Beat) -> None:
+        """Send a heartbeat that tells which messages have been received."""
+        received_ms = self._get_received_ms(agent)
+        self.send(agent, attrs.evolve(beat, received_ms=received_ms))
+
     def dispatch(self, action: core.SendOrders, version: int) -> None:
         """Send attempts, split over as many messages as they need.
 
@@ -48,6 +53,7 @@
                 orders,
                 self._acknowledgements.take(action.agent),
                 self._get_link(action.agent),
+                self._get_received_ms(action.agent),
             )
             self._ledger.counters.dispatches += 1
             self.send_to(action.agent, action.incarnation, message)
@@ -73,6 +79,10 @@
             self.send(agent, message)
             self._ledger.counters.acknowledgements += 1
 
+    def _get_received_ms(self, agent: str) -> int:
+        record = self._ledger.agents.get(agent)
+        return record.received_ms if record is not None else 0
+
     def _get_link(self, agent: str) -> int:
         record = self._ledger.agents.get(agent)
         return record.report.link if record is not None else 0
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -72,7 +72,7 @@
         self._versions.adopt(configuration.version)
         self._machine.fire("configure")
         for name in self._ledger.agents:
-            self._sender.send(name, self._make_heartbeat())
+            self._send_heartbeat(name)
         self._schedule()
 
     @circuits.handler("members_changed")
@@ -195,7 +195,7 @@
             self._machine.fire("empty")
             self._sender.acknowledge(self._acknowledgements.list_agents())
             for name in self._ledger.agents:
-                self._sender.send(name, self._make_heartbeat())
+                self._send_heartbeat(name)
             self.fire(_events.entry_drained(), "process")
 
     @circuits.handler("drain")
@@ -237,7 +237,7 @@
             acknowledged=self._acknowledgements.take(report.agent),
         )
         self._ledger.counters.heartbeats += 2
-        self._sender.send(report.agent, heartbeat)
+        self._sender.send_heartbeat(report.agent, heartbeat)
         self._schedule()
 
     def handle_goodbye(
@@ -247,7 +247,9 @@
 
         An agent is released once every outcome of its attempts is known.
         """
-        message = self._make_heartbeat()
+        message = attrs.evolve(
+            self._make_heartbeat(), received_ms=goodbye.sent_ms
+        )
         if self._ledger.handle_goodbye(goodbye, now):
             message = core.Release(
                 self._member.incarnation,
@@ -347,6 +349,9 @@
             self._ledger.heartbeat // datetime.timedelta(milliseconds=1),
         )
 
+    def _send_heartbeat(self, agent: str) -> None:
+        self._sender.send_heartbeat(agent, self._make_heartbeat())
+
     def _schedule(self) -> None:
         # One pass serves all events of the same turn of the event loop.
         if self._assignment_scheduled or not self._ledger.has_assignable_tasks:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import attrs
 import cowslipgate_core as core
 
 from cowslipgate_entry import _events
@@ -52,3 +53,36 @@
         core.Started.NONE,
         "$.tasks[0].needs",
     )
+
+
+# Guards against agents that count an entry as alive which hears nothing: its
+# messages name the agent's newest message that it has received.
+def test_heartbeats_and_orders_confirm_the_newest_message_received() -> None:
+    harness = builders.DispatcherHarness()
+    report = attrs.evolve(builders.build_report(), sent_ms=400)
+    harness.deliver(report)
+    harness.deliver(attrs.evolve(builders.build_results(9), sent_ms=700))
+    harness.submit()
+    (dispatch,) = harness.outbox.take(core.Dispatch)
+    harness.deliver(attrs.evolve(report, sent_ms=500))
+    configuration = core.parse_configuration(2, builders.DOCUMENT)
+    harness.fire(_events.configuration_adopted(configuration))
+    beats = harness.outbox.take(core.Beat)
+    assert dispatch.received_ms == 700
+    assert [beat.received_ms for beat in beats] == [400, 700, 700]
+
+
+def test_new_incarnation_of_an_agent_begins_with_its_own_messages() -> None:
+    harness = builders.DispatcherHarness()
+    report = attrs.evolve(builders.build_report(), sent_ms=9_000)
+    harness.deliver(report)
+    harness.deliver(attrs.evolve(report, incarnation=2, sent_ms=1))
+    beats = harness.outbox.take(core.Beat)
+    assert [beat.received_ms for beat in beats] == [9_000, 1]
+
+
+def test_heartbeat_instead_of_a_release_confirms_the_goodbye() -> None:
+    harness = builders.DispatcherHarness()
+    _start_job(harness)
+    harness.deliver(core.Goodbye("agent-1", 1, 3, 800))
+    assert harness.outbox.take(core.Beat)[-1].received_ms == 800
