Send a task elsewhere after an order to its agent could not be sent

The entry spent its whole time sending the task to that agent, again at once after each failure, though other agents were idle.

Cause: a failed send dates the agent's last message back, so that it gets no new work. Since usable agents are counted from busy_since as well, which the failed send itself had just set, the agent stayed usable, and the date went forward with each attempt, so that it was never lost either.

A fault of the simulation was ruled out: its router refuses an identity without a connection, as ROUTER_MANDATORY does.

busy_since is dated back along with the last message. It never exceeds it after that, so an agent that keeps other attempts counts as lost at the same time.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -227,6 +227,8 @@
             record.last_received_at = now - self._roster.get_suspect_timeout(
                 record
             )
+            # The unsent attempts were no work that it might report on.
+            record.busy_since = record.last_received_at
             self._roster.update(record)
         return actions
 
