Repeat the stop of a run that nobody needs until its end is known

A caller whose connection breaks sends its job again 1.3 s later, and the run of the first submission went on.

Cause: the stop of an abandoned, late or failed job was sent once. A disruption that resets the caller's connection may reset the link to the agent as well, and the message is lost with it. The ledger sent it again only when a report named a new link, or 2 s later, or 15 s later if the agent's load covered the run:

- an agent that is leaving its entry sends goodbyes in place of reports, which name no link;
- a stop that was sent because of a new link is lost if that breaks in turn and no report follows.

The class of fault: a message whose loss only some other message reveals.

Evidence: test_lost_withdrawals.py.

Ruled out: goodbyes that name the link. They would mend the first case alone.

Why this works: a stop is repeated every 200 ms until an outcome arrives or the agent counts as lost, whatever became of the message. An agent stops the run once, however often it is told. A stop that ends within 200 ms adds no message (test_stop_is_not_sent_again_once_the_end_is_known).

This needs an agent that counts an entry as alive by what the entry confirms, not by any message that arrives. Where reports are lost and stops arrive, an agent that counts messages would keep the entry's other runs for longer.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
@@ -62,6 +62,15 @@
         actions = self.withdraw(needed, now, stop=False)
         return actions + self.withdraw(unneeded, now, stop=True)
 
+    def repeat_stops(
+        self, record: _roster.AgentRecord, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        """Stop an agent's attempts again that are not needed."""
+        due = self._list_unanswered(record, now, self._timing.stop_interval)
+        attempts = [self._attempts[sequence] for sequence in sorted(due)]
+        unneeded = [attempt for attempt in attempts if attempt.unneeded]
+        return self.withdraw(unneeded, now, stop=True)
+
     def ask_overdue(
         self, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
@@ -85,5 +94,5 @@
         return {
             sequence
             for sequence in record.outstanding
-            if now - self._attempts[sequence].asked_at > interval
+            if now - self._attempts[sequence].asked_at >= interval
         }
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -525,7 +525,8 @@
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        actions = self._inquiries.ask_overdue(record, now)
+        actions = self._inquiries.repeat_stops(record, now)
+        actions.extend(self._inquiries.ask_overdue(record, now))
         outstanding = [
             self._attempts[sequence] for sequence in sorted(record.outstanding)
         ]
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_timing.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_timing.py
@@ -12,6 +12,10 @@
     resolve_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
     """Longest wait of a failed job for the outcomes of its attempts."""
 
+    stop_interval: datetime.timedelta = datetime.timedelta(milliseconds=200)
+    """Time between stops of an attempt that is not needed, until its end is
+    known: a stop is lost with the connection that carries it."""
+
     inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=2)
     """Time between inquiries about an attempt that its agent may not have."""
 
