Send no task after the deadline of its job

What callers saw: nothing that was traced to this.

Cause: only the tick fails jobs whose deadline has passed. An entry that wakes may hear of a free target before its next tick and send it a task whose caller has given up, and which is stopped by that tick. Where the end of the caller's connection is held up too, nothing else keeps that run from one of the second submission.

Evidence: test_task_is_not_sent_once_the_deadline_of_its_job_has_passed; before, the assignment sent the task.

test_any_order_of_outcomes_gives_one_complete_answer moved the time past the deadline of its job, 30 s, without a tick, and still expected a complete answer.

Why this works: an assignment first fails the jobs whose deadline has passed, by the same function as the tick.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -272,18 +272,9 @@
         self, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
         """Handle passed deadlines, lost agents and overdue or stalled runs."""
-        actions: list[_ledger_actions.LedgerAction] = []
+        actions = self._fail_late_jobs(now)
         for job in list(self._jobs.values()):
-            if now >= job.deadline:
-                actions.extend(
-                    self.fail(
-                        job,
-                        _jobs.Failure.DEADLINE,
-                        "the deadline passed; allow more time",
-                        now,
-                    )
-                )
-            elif self._is_hopeless(job, now):
+            if self._is_hopeless(job, now):
                 actions.extend(
                     self.fail(
                         job,
@@ -307,12 +298,33 @@
     ) -> list[_ledger_actions.LedgerAction]:
         """Choose targets for waiting tasks and return the dispatches.
 
+        Jobs whose deadline has passed are failed first.
+
         :param quotas: slots that each team may use at this entry
         :param entries: number of entries that share the targets
         :param services: services with their configured weights
         """
+        # After a pause of the process, targets may be free before a tick.
+        actions = self._fail_late_jobs(now)
         chosen = self._assigner.choose(now, quotas, entries, services or {})
-        return self._send(chosen, now)
+        actions.extend(self._send(chosen, now))
+        return _ledger_actions.merge_withdraws(actions)
+
+    def _fail_late_jobs(
+        self, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        actions: list[_ledger_actions.LedgerAction] = []
+        for job in list(self._jobs.values()):
+            if now >= job.deadline:
+                actions.extend(
+                    self.fail(
+                        job,
+                        _jobs.Failure.DEADLINE,
+                        "the deadline passed; allow more time",
+                        now,
+                    )
+                )
+        return actions
 
     def _is_hopeless(self, job: _jobs.Job, now: datetime.datetime) -> bool:
         """Return whether a job, none of which ran, will miss its deadline."""
