--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -1,6 +1,7 @@
 """Log lines and metrics of an agent."""
 
 import collections
+import datetime
 
 import circuits
 
@@ -10,6 +11,8 @@
 
 CHANNEL = "agent-log"
 MILLISECONDS_PER_SECOND = 1_000
+MILLISECOND = datetime.timedelta(milliseconds=1)
+UNKNOWN_MS = -1
 MAX_TASK_NAMES = 1_000
 """Orders whose task names are kept for the log. Refusals follow their orders
 within one round of events, which may bring a few hundred."""
@@ -24,6 +27,7 @@
     def __init__(self, executor: core.Executor, clock: core.Clock) -> None:
         super().__init__()
         self._executor = executor
+        self._clock = clock
         self._state = executor.state
         self._target_incarnation = ""
         self._task_names: collections.OrderedDict[core.AttemptKey, str] = (
@@ -103,7 +107,20 @@
         # Runs before the runner, which stops the tasks.
         self._lost.add()
         running = self._executor.measure_load(incarnation).own
-        self._log_change(_changes.EntryLost(incarnation, running))
+        change = _changes.EntryLost(
+            incarnation, running, self._measure_unconfirmed_ms(incarnation)
+        )
+        self._log_change(change)
+
+    @circuits.handler("orders_held", channel="*")
+    def _on_orders_held(self, dispatch: core.Dispatch) -> None:
+        attempts = tuple(order.attempt for order in dispatch.orders)
+        change = _changes.OrdersHeld(
+            dispatch.entry,
+            attempts,
+            self._measure_unconfirmed_ms(dispatch.entry),
+        )
+        self._log_change(change)
 
     @circuits.handler("task_ended", channel="runner", priority=5)
     def _on_task_ended(
@@ -163,6 +180,12 @@
             self._state = state
             self._log_change(change)
 
+    def _measure_unconfirmed_ms(self, entry: int) -> int:
+        confirmed_at = self._executor.get_confirmed_at(entry)
+        if confirmed_at is None:
+            return UNKNOWN_MS
+        return (self._clock.now() - confirmed_at) // MILLISECOND
+
     def _count_running(self) -> dict[tuple[str, ...], float]:
         return {(): len(self._executor.running)}
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
@@ -63,6 +63,26 @@
     running: int
     """Tasks of the entry that ran or were queued at the agent."""
 
+    unconfirmed_ms: int
+    """Time in milliseconds since the newest message was sent that the entry
+    has confirmed; -1 if it has confirmed none. Close to the limit when the
+    entry was silent, or heard nothing; less when its connection broke."""
+
+
+@attrs.frozen
+class OrdersHeld(transport.Change):
+    """Orders wait until their entry confirms that it is alive."""
+
+    entry: int
+    """Incarnation of the entry."""
+
+    attempts: tuple[int, ...]
+    """Attempt numbers at the entry."""
+
+    unconfirmed_ms: int
+    """Time in milliseconds since the newest message was sent that the entry
+    has confirmed."""
+
 
 @attrs.frozen
 class TaskEnded(transport.Change):
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -71,6 +71,10 @@
     """An entry was lost or left; the argument is its incarnation."""
 
 
+class orders_held(circuits.Event):
+    """Orders wait until their entry is known to be alive; the Dispatch."""
+
+
 class send_to_entry(circuits.Event):
     """Request to send; arguments are an entry's incarnation and a message."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -270,6 +270,7 @@
             if not link.held:
                 self._send_report(incarnation, link)
             link.held.append(message)
+            self.fire(_events.orders_held(message))
             return
         if known_alive:
             held, link.held = link.held, []
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -337,7 +337,11 @@
                     )
                 )
         self._next_deadline = min(
-            (job.deadline for job in self._jobs.values() if not job.failure),
+            (
+                job.deadline
+                for job in self._jobs.values()
+                if job.failure is None
+            ),
             default=_NEVER,
         )
         return actions
