Answer each call to the store, whatever a row of its page holds

What callers would see: an entry whose read of the rows was not answered never renews its row again, so the others count it as gone after 30 s; one whose call for the configuration was not answered keeps an old one for ever; an agent never reads the rows again.

Cause: a row nested some 1,000 deep makes msgspec raise RecursionError, which is no MsgspecError, also where it only skips the row. The handler raised after it had forgotten the call, so its caller stayed "in progress". The same came from a page with a successor whose last row cannot be decoded, or that is empty. A lone surrogate in one row, a MsgspecError even in msgspec.Raw, made the whole page refused, again and again.

Fix: core.decode turns every failure into WireError. core.decode_rows reads a row that cannot even be skipped as null, so the others of the page hold. What is left is answered as MALFORMED, after which readers try again as after any failure; a follower reads the whole table, since the same changes would come again. Each row passed over gets a line, RowPassedOver, not again while it stays.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -34,7 +34,9 @@
 from cowslipgate_core.messages import _attempts
 from cowslipgate_core.messages import _batches
 from cowslipgate_core.messages import _cancels
+from cowslipgate_core.messages import _decoding
 from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _fields
 from cowslipgate_core.messages import _reports
 from cowslipgate_core.messages import _resources
 from cowslipgate_core.messages import _sender_checks
@@ -77,8 +79,10 @@
 ConfigurationRequest = _documents.ConfigurationRequest
 count_gossip_rounds = _gossip.count_gossip_rounds
 CowslipgateError = _exceptions.CowslipgateError
+decode = _decoding.decode
 decode_leases = _lease_rows.decode_leases
 decode_message = _wire.decode_message
+decode_rows = _decoding.decode_rows
 describe_settings = _settings.describe_settings
 digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
@@ -106,6 +110,7 @@
 find_message_fault = _sender_checks.find_message_fault
 find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
+Count = _fields.Count
 covers_needs = _room.covers_needs
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 FoundRoute = _routes.FoundRoute
@@ -233,6 +238,7 @@
 TargetState = _target_state.TargetState
 TargetView = _targets.TargetView
 Team = _configuration.Team
+Text = _fields.Text
 UNBOUNDED_SLOTS = _room.UNBOUNDED_SLOTS
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 VersionWatch = _versions.VersionWatch
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
@@ -89,6 +89,7 @@
     CONFLICT = "conflict"
     EXPIRED = "expired"
     REFUSED = "refused"
+    MALFORMED = "malformed"
     UNREACHABLE = "unreachable"
 
 
@@ -101,7 +102,8 @@
 
     result: TableResult
     """Result; EXPIRED means that the store no longer keeps the changes,
-    CONFLICT that a write had no effect since the row had another version."""
+    CONFLICT that a write had no effect since the row had another version,
+    MALFORMED that the answer cannot be decoded."""
 
     rows: tuple[TableRow, ...] = ()
     """Rows that were read or have changed."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -22,6 +22,7 @@
 
 _FAILED_TABLE_RESULTS = (
     core.TableResult.REFUSED,
+    core.TableResult.MALFORMED,
     core.TableResult.UNREACHABLE,
 )
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_configuration_follower.py
@@ -67,6 +67,9 @@
             self._position = None
         elif answer.result is not core.TableResult.DONE:
             self._next_call = self._clock.now() + RETRY_INTERVAL
+            if answer.result is core.TableResult.MALFORMED:
+                # The same changes would be returned again.
+                self._position = None
         else:
             # A lower position would request the same changes again for ever.
             self._position = max(self._position or 0, answer.version)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
@@ -145,6 +145,20 @@
     assert len(harness.calls) > before
 
 
+# Guards against a follower that asks for the same odd changes without end.
+def test_table_is_read_whole_again_after_undecodable_changes(
+    harness: StoreHarness,
+) -> None:
+    harness.answer("configuration-manager", rows=(_row(b"5"),), version=40)
+    before = len(harness.calls)
+    harness.answer("configuration-manager", core.TableResult.MALFORMED)
+    assert len(harness.calls) == before
+    harness.pass_time(0.2)
+    assert isinstance(harness.last("configuration-manager"), core.TableRead)
+    harness.answer("configuration-manager", rows=(_row(b"6"),), version=41)
+    assert harness.versions == [5, 6]
+
+
 def test_invalid_configuration_is_rejected_and_the_old_one_kept(
     harness: StoreHarness,
 ) -> None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -12,6 +12,7 @@
 from cowslipgate_transport import _logs
 from cowslipgate_transport import _message_socket
 from cowslipgate_transport import _metrics_page
+from cowslipgate_transport import _passed_over
 from cowslipgate_transport import _table_events
 from cowslipgate_transport import _timer
 
@@ -70,6 +71,9 @@
 ProcessStarted = _changes.ProcessStarted
 ProcessStopping = _changes.ProcessStopping
 render_families = _exposition.render_families
+RowFault = _passed_over.RowFault
+RowPassedOver = _changes.RowPassedOver
+RowsPassedOver = _passed_over.RowsPassedOver
 send_message = _message_socket.send_message
 ServerLimits = _http_exchanges.ServerLimits
 SettingsChanged = _changes.SettingsChanged
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
@@ -45,6 +45,23 @@
     """Number of the signal."""
 
 
+@attrs.frozen
+class RowPassedOver(Change):
+    """A row of the store names nothing, since it cannot be decoded."""
+
+    table: str
+    """Table of the row."""
+
+    key: str
+    """Key of the row, empty if it is unknown."""
+
+    version: int
+    """Version of the row, zero if it is unknown."""
+
+    problem: str
+    """What is wrong with it."""
+
+
 @attrs.frozen
 class SettingsChanged(Change):
     """The settings were reloaded."""
@@ -78,6 +95,7 @@
 
 
 @get_level.register(LinesDropped)
+@get_level.register(RowPassedOver)
 @get_level.register(SettingsRejected)
 def _get_warning_level(change: Change) -> int:
     return logbook.WARNING
