Name no entry by a row whose address is no address

What callers would see: with an odd row in the table of the entries, agents link none of the entries that come after it in their choice, so tasks find no targets; or one of an agent's eight links is spent on nothing.

Cause: the address of a member was any text. The entries put it on the list for agents, and ZeroMQ raises ZMQError for one that is malformed, in the middle of the loop that opens an agent's links and before the list is noted as known, so each heartbeat brought it again. A port out of range or a host name raises nothing: such a link is opened and never answers.

Fix: an address is a ZeroMQ address of an IPv4 address and a port from 1 to 65535 by its type, so that no row, list or message with another is decoded, and what is decoded can be connected to. Numbers of leases have 63 bits, as those of messages do. decode_leases tells what it passes over, and both readers log it once.

Ruled out: that ZeroMQ ends the process for such addresses; 13 odd ones that it accepts were connected to for 1.5 s.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
@@ -42,6 +42,7 @@
         self._numbers = itertools.count(1)
         self._read_pending = False
         self._failures = 0
+        self._passed_over = transport.RowsPassedOver(self)
         # A seed that was restarted lists few entries, so an agent that found
         # some there still needs those in the store.
         self._retry = transport.Countdown(
@@ -66,8 +67,9 @@
             self._retry.start(RETRY_SECONDS * factor)
             return
         self._failures = 0
-        leases = core.decode_leases(answer.rows)
-        members = tuple(lease.member for lease in leases)
+        decoded = core.decode_leases(answer.rows)
+        self._passed_over.log(core.ENTRIES_TABLE, decoded.faults)
+        members = tuple(lease.member for lease in decoded.leases)
         if members:
             self.fire(_events.members_found(members), "links")
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -202,6 +202,7 @@
 RunTracker = _runs.RunTracker
 RunEnd = _run_records.RunEnd
 RunName = _run_records.RunName
+RowFault = _tables.RowFault
 SendReports = _executor_actions.SendReports
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
@@ -1,8 +1,11 @@
 """Rows of the entries table, in which each entry stores its lease."""
 
+import attrs
 import msgspec
 
+from cowslipgate_core import _exceptions
 from cowslipgate_core.membership import _quotas
+from cowslipgate_core.messages import _decoding
 from cowslipgate_core.messages import _reports
 from cowslipgate_core.messages import _tables
 
@@ -22,16 +25,29 @@
     return msgspec.json.encode(lease)
 
 
-def decode_leases(
-    rows: tuple[_tables.TableRow, ...],
-) -> tuple[_quotas.Lease, ...]:
-    """Return the leases in ``rows``, without removed and malformed rows."""
+@attrs.frozen
+class LeaseRows:
+    """Leases that rows hold, and the rows that hold none."""
+
+    leases: tuple[_quotas.Lease, ...]
+    """Leases, in the order of their rows."""
+
+    faults: tuple[_tables.RowFault, ...]
+    """Faults of the other rows, apart from removed ones."""
+
+
+def decode_leases(rows: tuple[_tables.TableRow, ...]) -> LeaseRows:
+    """Return the leases in ``rows``; other programs may write rows too."""
     leases = []
+    faults = []
     for row in rows:
         if row.removed:
             continue
         try:
-            leases.append(_DECODER.decode(row.value))
-        except (msgspec.MsgspecError, UnicodeError, RecursionError):
+            lease = _decoding.decode(_DECODER, row.value, b"lease")
+        except _exceptions.WireError as error:
+            fault = _tables.RowFault(row.key, row.version, error.problem)
+            faults.append(fault)
             continue
-    return tuple(leases)
+        leases.append(lease)
+    return LeaseRows(tuple(leases), tuple(faults))
--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_quotas.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from cowslipgate_core.messages import _fields
 from cowslipgate_core.messages import _reports
 
 UNLIMITED_SLOTS = 1_000_000
@@ -35,10 +36,10 @@
     It is encoded as an array for brevity: the row has one per team and entry.
     """
 
-    slots: int
+    slots: _fields.Count
     """Largest number of slots that the entry may use."""
 
-    demand: int
+    demand: _fields.Count
     """Tasks waiting or active at the entry when it wrote the share."""
 
 
@@ -49,7 +50,7 @@
     member: _reports.Member
     """The entry that holds the lease."""
 
-    renewal: int
+    renewal: _fields.Count
     """Number that increases with each renewal."""
 
     shares: dict[str, Share] = attrs.Factory(dict)
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
@@ -52,10 +52,10 @@
     incarnation: _fields.Count
     """Incarnation of the entry process; it increases with each restart."""
 
-    address: str
+    address: _fields.Endpoint
     """ZeroMQ address for agents and other entries."""
 
-    http: str
+    http: _fields.Text
     """HTTP address for callers, ``host:port``."""
 
     domain: _fields.Text
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
@@ -31,6 +31,20 @@
     """Whether the row was removed."""
 
 
+@attrs.frozen
+class RowFault:
+    """Why a row names nothing."""
+
+    key: str
+    """Key of the row, empty if it is unknown."""
+
+    version: int
+    """Version of the row, zero if it is unknown."""
+
+    problem: str
+    """What is wrong with it."""
+
+
 @attrs.frozen(eq=False)
 class TableRead:
     """A call that reads all rows of a table."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -17,6 +17,7 @@
     "GATEWAY": "_events",
     "JobLog": "observation._job_log",
     "ConfigurationRelay": "store._configuration_relay",
+    "RENEW_INTERVAL": "peers._stored_members",
     "StoredMembers": "peers._stored_members",
     "submit_job": "_events",
     "Submission": "callers._requests",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -41,6 +41,7 @@
         self._leaving = False
         self._store_failed = False
         self._next_renewal = clock.now()
+        self._passed_over = transport.RowsPassedOver(self)
 
     @circuits.handler("started", channel="*")
     def _on_started(self, *arguments: object) -> None:
@@ -94,10 +95,11 @@
         self.fire(transport.call_table(call), "store")
 
     def _handle_rows(self, rows: tuple[core.TableRow, ...]) -> None:
-        leases = core.decode_leases(rows)
+        decoded = core.decode_leases(rows)
+        self._passed_over.log(core.ENTRIES_TABLE, decoded.faults)
         others = tuple(
             lease
-            for lease in leases
+            for lease in decoded.leases
             if lease.member.address != self._member.address
         )
         live = self._expiry_detector.filter_live(others, self._clock.now())
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -71,7 +71,6 @@
 ProcessStarted = _changes.ProcessStarted
 ProcessStopping = _changes.ProcessStopping
 render_families = _exposition.render_families
-RowFault = _passed_over.RowFault
 RowPassedOver = _changes.RowPassedOver
 RowsPassedOver = _passed_over.RowsPassedOver
 send_message = _message_socket.send_message
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_passed_over.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_passed_over.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
-import attrs
 import circuits
 
+import cowslipgate_core as core
 from cowslipgate_transport import _changes
 from cowslipgate_transport import _logs
 
@@ -12,20 +12,6 @@
 """Rows of one answer that are logged, which bounds the set of known ones."""
 
 
-@attrs.frozen
-class RowFault:
-    """Why a row is passed over."""
-
-    key: str
-    """Key of the row, empty if it is unknown."""
-
-    version: int
-    """Version of the row, zero if it is unknown."""
-
-    problem: str
-    """What is wrong with it."""
-
-
 class RowsPassedOver:
     """Writes a line for each row passed over, not again with each read.
 
@@ -34,9 +20,9 @@
 
     def __init__(self, component: circuits.BaseComponent) -> None:
         self._component = component
-        self._known: dict[str, frozenset[RowFault]] = {}
+        self._known: dict[str, frozenset[core.RowFault]] = {}
 
-    def log(self, table: str, faults: Iterable[RowFault]) -> None:
+    def log(self, table: str, faults: Iterable[core.RowFault]) -> None:
         """Log the faults of an answer that the answer before did not have."""
         current = list(dict.fromkeys(faults))[:MAX_LOGGED]
         known = self._known.get(table, frozenset())
