Find the entries in a seed's list beside an odd one

What callers would see: agents that start while the store is away find no entry, as long as the seeds list an odd one among the others.

Cause: the list was decoded as a whole, so an odd element hid the others, and a deep one raised RecursionError in the handler of the answer, which was not caught.

Fix: core.decode_members reads each element on its own, as rows of the store are read, and agents log what they pass over. The answer of a seed with another status than 200 is not read. Entries that ask the balancer for the list (the product's own membership) decode it by the same function.

Ruled out: a read left in progress, since seeds are asked anew each second.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_discovery.py
@@ -22,6 +22,7 @@
         super().__init__()
         self._balancer = balancer
         self._numbers = itertools.count(1)
+        self._passed_over = transport.RowsPassedOver(self)
 
     @circuits.handler("discover_entries")
     def _on_discover_entries(self) -> None:
@@ -32,6 +33,6 @@
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
-        members = _member_calls.decode_members(answer)
+        members = _member_calls.decode_members(answer, self._passed_over)
         if members:
             self.fire(_events.members_found(members), "links")
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_member_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_member_calls.py
@@ -2,13 +2,11 @@
 
 import datetime
 
-import msgspec
-
 import cowslipgate_core as core
 import cowslipgate_transport as transport
 
 MEMBERS_PATH = "/v1/members"
-_DECODER = msgspec.json.Decoder(tuple[core.Member, ...])
+HTTP_OK = 200
 
 
 def make_members_call(
@@ -20,9 +18,14 @@
     )
 
 
-def decode_members(answer: transport.CallAnswer) -> tuple[core.Member, ...]:
-    """Return the entries in an answer, or none if it cannot be decoded."""
-    try:
-        return _DECODER.decode(answer.body)
-    except (msgspec.MsgspecError, UnicodeError):
+def decode_members(
+    answer: transport.CallAnswer, passed_over: transport.RowsPassedOver
+) -> tuple[core.Member, ...]:
+    """Return the entries in an answer, and log what names none."""
+    if answer.status != HTTP_OK:
         return ()
+    address = answer.call.address
+    source = f"{address.host}:{address.port}"
+    found = core.decode_members(answer.body, source)
+    passed_over.log(f"{source}{MEMBERS_PATH}", found.faults)
+    return found.members
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_table_discovery.py
@@ -75,7 +75,7 @@
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
-        members = _member_calls.decode_members(answer)
+        members = _member_calls.decode_members(answer, self._passed_over)
         if members:
             self.fire(_events.members_found(members), "links")
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -28,6 +28,7 @@
 from cowslipgate_core.membership import _gossip
 from cowslipgate_core.membership import _heartbeats
 from cowslipgate_core.membership import _lease_rows
+from cowslipgate_core.membership import _member_lists
 from cowslipgate_core.membership import _membership
 from cowslipgate_core.membership import _quotas
 from cowslipgate_core.membership import _validity
@@ -81,6 +82,7 @@
 CowslipgateError = _exceptions.CowslipgateError
 decode = _decoding.decode
 decode_leases = _lease_rows.decode_leases
+decode_members = _member_lists.decode_members
 decode_message = _wire.decode_message
 decode_rows = _decoding.decode_rows
 describe_settings = _settings.describe_settings
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_peers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_peers.py
@@ -10,7 +10,6 @@
 
 import circuits
 from circuits.core import pollers
-import msgspec
 import zmq
 
 import cowslipgate_core as core
@@ -140,13 +139,9 @@
 
     @circuits.handler("http_answered", channel="discovery")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
-        try:
-            members = msgspec.json.decode(
-                answer.body, type=tuple[core.Member, ...]
-            )
-        except (msgspec.MsgspecError, UnicodeError):
-            return
-        for member in members:
+        address = answer.call.address
+        source = f"{address.host}:{address.port}"
+        for member in core.decode_members(answer.body, source).members:
             self._add_candidate(member)
 
     def _handle_gossip(self, gossip: core.Gossip) -> None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
@@ -50,7 +50,7 @@
     """A row of the store names nothing, since it cannot be decoded."""
 
     table: str
-    """Table of the row."""
+    """Table of the row, or address and path of the list."""
 
     key: str
     """Key of the row, empty if it is unknown."""
