Fail the call of an address that no socket accepts

What callers would see: a call of a server with a port out of range ends neither in an answer nor in a failure, so what waits for it waits for ever: an agent whose seed is such reads no list, one whose target is calls nothing.

Cause: socket.connect_ex raises OverflowError for the port and TypeError for a null character in the host, the client caught OSError alone, and it had forgotten the call by then. The socket was left open. parse_address let any integer pass as a port and any text as a host, in heartbeats and settings; with a host name the loop would stand still while it is looked up.

Fix: parse_address returns an IPv4 address and a port from 1 to 65535 or raises a ValueError that says so; the client fails a call whose address raises.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_calls.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_calls.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+import cowslipgate_core as core
+
+_ALLOWED = "an address must be an IPv4 address and a port, host:port"
 DEFAULT_TIMEOUT = datetime.timedelta(seconds=10)
 
 
@@ -109,7 +112,13 @@
 def parse_address(text: str) -> Address:
     """Return the address in ``host:port`` or ``http://host:port``.
 
-    :raises ValueError: when the port is missing or not a number
+    :raises ValueError: when the host is no IPv4 address or the port is none
+        to connect to
     """
-    host, _, port = text.removeprefix("http://").rstrip("/").rpartition(":")
-    return Address(host, int(port))
+    try:
+        bind = core.parse_bind(text.removeprefix("http://").rstrip("/"))
+    except ValueError as error:
+        raise ValueError(_ALLOWED) from error
+    if not bind.port:
+        raise ValueError(_ALLOWED)
+    return Address(bind.host, bind.port)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -175,7 +175,12 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex((address.host, address.port))
+        try:
+            code = sock.connect_ex((address.host, address.port))
+        except (OSError, ValueError, OverflowError, TypeError) as error:
+            # No socket accepts such a host or port.
+            sock.close()
+            raise OSError(errno.EINVAL, str(error)) from error
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise OSError(code, os.strerror(code))
--- /dev/null
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -0,0 +1,116 @@
+"""An HTTP client beside a server that answers with any bytes."""
+
+from collections.abc import Iterator
+import contextlib
+import datetime
+import socket
+import threading
+
+import circuits
+from circuits.core import events
+from circuits.core import pollers
+
+import cowslipgate_core as core
+import cowslipgate_transport as transport
+
+CHANNEL = "client"
+ROUNDS = 400
+ROUND_SECONDS = 0.005
+TIMEOUT = datetime.timedelta(hours=1)
+"""Longer than a test; a call that waits for it counts as unanswered."""
+
+
+class ClientHarness(circuits.BaseComponent):
+    """A client, its results, and the errors of its handlers."""
+
+    channel = CHANNEL
+
+    def __init__(self, clock: core.ManualClock) -> None:
+        super().__init__()
+        self.answers: list[transport.CallAnswer] = []
+        self.failures: list[transport.CallFailure] = []
+        self.errors: list[BaseException] = []
+        poller = pollers.EPoll().register(self)
+        transport.HttpClient(CHANNEL, poller, clock).register(self)
+
+    @circuits.handler("http_answered")
+    def _on_http_answered(self, answer: transport.CallAnswer) -> None:
+        self.answers.append(answer)
+
+    @circuits.handler("http_failed")
+    def _on_http_failed(self, failure: transport.CallFailure) -> None:
+        self.failures.append(failure)
+
+    @circuits.handler("exception", channel="*")
+    def _on_exception(
+        self, kind: type, error: BaseException, *more: object, **rest: object
+    ) -> None:
+        self.errors.append(error)
+
+    @property
+    def results(self) -> int:
+        """Number of calls that were answered or have failed."""
+        return len(self.answers) + len(self.failures)
+
+    def call(self, address: transport.Address) -> None:
+        """Make a call."""
+        call = transport.Call(1, address, "GET", "/", timeout=TIMEOUT)
+        self.fire(transport.call_http(call), CHANNEL)
+        self.run_round()
+
+    def run_round(self) -> None:
+        """Run one round."""
+        if not len(self):
+            event = events.generate_events(threading.RLock(), ROUND_SECONDS)
+            self.fire(event, "*")
+        self.tick()
+
+
+class RawServer:
+    """Answers each connection with the same bytes."""
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self._connections: list[socket.socket] = []
+        host, port = self._listener.getsockname()
+        self.address = transport.Address(host, port)
+
+    def poll(self) -> None:
+        """Accept connections and answer on them."""
+        with contextlib.suppress(BlockingIOError):
+            connection, _ = self._listener.accept()
+            connection.sendall(self._answer)
+            self._connections.append(connection)
+
+    def close(self) -> None:
+        """Close the server and its connections."""
+        for sock in [self._listener, *self._connections]:
+            sock.close()
+
+
+@contextlib.contextmanager
+def serve(answer: bytes) -> Iterator[RawServer]:
+    """Yield a server, and close it."""
+    server = RawServer(answer)
+    try:
+        yield server
+    finally:
+        server.close()
+
+
+def get(answer: bytes) -> ClientHarness:
+    """Make a call of a server that answers with some bytes.
+
+    :return: the harness, once the call has ended or ROUNDS have passed
+    """
+    harness = ClientHarness(core.ManualClock())
+    with serve(answer) as server:
+        harness.call(server.address)
+        for _ in range(ROUNDS):
+            server.poll()
+            harness.run_round()
+            if harness.results or harness.errors:
+                break
+    return harness
