Fail a call at once when its answer is not HTTP

What callers would see: a call of a server that answers with an odd head or an undecodable encoding holds its connection until its time limit; for the store that is a second each time, and the handler's error tells nobody which call.

Cause: the parser of circuits.web raises UnicodeDecodeError, TypeError, ValueError and zlib.error beside the errors that it reports, and the client did not catch them.

Evidence: 6 of the 10 answers in test_answer_that_is_not_http_fails_the_call left the call open before.

Fix: the call fails as a breach of the protocol, as for the errors that the parser reports.

Ruled out: that such a call is lost for good; its time limit ended it.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -218,7 +218,12 @@
         if connection.received > MAX_ANSWER_BYTES:
             self._fail(connection, _http_calls.CallProblem.TOO_LARGE)
             return
-        parser.execute(data, len(data))
+        try:
+            parser.execute(data, len(data))
+        except Exception:
+            # It raises errors of many kinds when an answer is not HTTP.
+            self._fail(connection, _http_calls.CallProblem.PROTOCOL)
+            return
         if parser.errno is not None:
             self._fail(connection, _http_calls.CallProblem.PROTOCOL)
             return
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_client.py
@@ -1,6 +1,8 @@
 """Tests that each call ends, whatever is called and answers."""
 
 import cowslipgate_core as core
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 import cowslipgate_transport as transport
@@ -15,6 +17,38 @@
     assert [answer.body for answer in harness.answers] == [b"{}"]
 
 
+# Guards against a call that ends by its timeout alone after an odd answer.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: two\r\n\r\n{}",
+        HEAD + b"Content-Length: %b\r\n\r\n{}" % DIGITS.encode(),
+        HEAD + b"X: \\x\r\nContent-Length: 2\r\n\r\n{}",
+        b"HTTP/1.1 200 \\u\r\nContent-Length: 2\r\n\r\n{}",
+        b"HTTP/%b.1 200 OK\r\nContent-Length: 2\r\n\r\n{}" % DIGITS.encode(),
+        b"HTTP/1.1 2000 OK\r\n\r\n",
+        b"odd\r\n\r\n",
+        HEAD + b"Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\n{}",
+        HEAD + b"no header\r\n\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\nx\r\n{}\r\n0\r\n\r\n",
+    ],
+)
+def test_answer_that_is_not_http_fails_the_call(answer: bytes) -> None:
+    harness = client_builders.get(answer)
+    problems = [failure.problem for failure in harness.failures]
+    assert problems == [transport.CallProblem.PROTOCOL]
+    assert harness.errors == []
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(
+    strategies.binary(max_size=60), strategies.binary(max_size=9)
+)
+def test_any_answer_raises_no_error(head: bytes, body: bytes) -> None:
+    harness = client_builders.get(HEAD + head + b"\r\n\r\n" + body)
+    assert harness.errors == []
+
+
 # Guards against a call that never ends since its address raises an error.
 @pytest.mark.parametrize(
     "address",
