Leave the bodies of answers as they were sent

What callers would see: a process whose peer answers with a compressed body of less than 8.5 MB may have to hold 1,000 times as much, and ends for want of memory.

Cause: the limit of an answer's size counts what arrives, and the parser expanded bodies with a Content-Encoding, which the client never asks for.

Fix: the parser expands nothing.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -55,6 +55,7 @@
 KeyCheck = _curve.KeyCheck
 LinesDropped = _changes.LinesDropped
 Logs = _logs.Logs
+MAX_ANSWER_BYTES = _http_client.MAX_ANSWER_BYTES
 measure_traffic = _message_socket.measure_traffic
 message_malformed = _message_socket.message_malformed
 message_received = _message_socket.message_received
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -158,7 +158,7 @@
         connection.sent = False
         connection.received = 0
         connection.unsent = pending.request
-        connection.parser = parsers.HttpParser(RESPONSE_PARSER, True)
+        connection.parser = parsers.HttpParser(RESPONSE_PARSER)
         self._schedule_check()
         self._send(connection)
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -5,6 +5,7 @@
 import datetime
 import socket
 import threading
+import zlib
 
 import circuits
 from circuits.core import events
@@ -114,3 +115,13 @@
             if harness.results or harness.errors:
                 break
     return harness
+
+
+def compress(size: int, encoding: str) -> bytes:
+    """Return many zero bytes, compressed.
+
+    :param encoding: ``gzip`` or ``deflate``
+    """
+    window = zlib.MAX_WBITS + (16 if encoding == "gzip" else 0)
+    compressor = zlib.compressobj(wbits=window)
+    return compressor.compress(bytes(size)) + compressor.flush()
