--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -234,8 +234,11 @@
             return
         were_known = self._tracker.runs_known
         actions = _handle_reply(reply, self._tracker, sent_at, now)
-        if not isinstance(reply, core.Listing):
+        if not isinstance(reply, core.Listing) or not reply.complete:
             self._next_watch = now + RETRY_INTERVAL
+        if isinstance(reply, core.Listing) and reply.problem:
+            error = core.WireError(b"listing", reply.problem)
+            self.fire(_events.target_message_invalid(error))
         self._perform(actions)
         if self._tracker.runs_known:
             self._report_runs_known()
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
@@ -59,6 +59,7 @@
         self.calls: list[transport.Call] = []
         self.ended: list[core.AttemptReport] = []
         self.recorded_events: list[str] = []
+        self.unclear: list[core.WireError] = []
         _leased_calls.LeasedCalls(
             self.codec, ADDRESS, run_builders.LEASE, self.clock
         ).register(self)
@@ -73,6 +74,10 @@
     ) -> None:
         self.ended.append(report)
 
+    @circuits.handler("target_message_invalid", channel="*")
+    def _on_target_message_invalid(self, error: core.WireError) -> None:
+        self.unclear.append(error)
+
     @circuits.handler("target_announced", channel="runner")
     def _on_target_announced(self, announcement: core.Announcement) -> None:
         self.recorded_events.append("announced")
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
@@ -82,3 +82,18 @@
         if isinstance(component, _agent_log.AgentLog)
     ]
     assert len(log._task_names) == _agent_log.MAX_TASK_NAMES
+
+
+# Guards against a line for each listing of a target that has an odd row.
+def test_invalid_message_of_the_target_is_logged_once(
+    recorder: LogRecorder,
+) -> None:
+    for number in range(3 * _agent_log.MAX_LOGGED_PROBLEMS):
+        for _ in range(2):
+            error = core.WireError(b"hold", f"problem {number}")
+            recorder.fire(_events.target_message_invalid(error), "target")
+            recorder.flush()
+    while len(recorder):
+        recorder.flush()
+    logged = [change.problem for change in recorder.changes]
+    assert len(logged) == len(set(logged)) == _agent_log.MAX_LOGGED_PROBLEMS
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import datetime
 
+import attrs
 import cowslipgate_core as core
 from cowslipgate_core.tests import run_builders
 import cowslipgate_transport as transport
@@ -262,3 +263,20 @@
         )
     )
     assert len(harness.recorded_events) == before
+
+
+# Guards against watches without pause, and rows passed over without a trace.
+def test_incomplete_listing_is_reported_and_asked_for_again_later() -> None:
+    harness = leased_builders.LeasedCallsHarness()
+    listing = attrs.evolve(
+        run_builders.build_listing(), complete=False, problem="odd"
+    )
+    beat = leased_builders.build_beat()
+    harness.send(_events.target_heartbeat_received(beat))
+    harness.answer(harness.calls[-1], listing)
+    assert [error.problem for error in harness.unclear] == ["odd"]
+    sent = len(harness.calls)
+    harness.pass_time(50)
+    assert len(harness.calls) == sent
+    harness.pass_time(50)
+    assert len(harness.calls) == sent + 1
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_run_records.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_run_records.py
@@ -80,6 +80,13 @@
     checkpoints: Mapping[RunName, str] = attrs.Factory(dict)
     """Latest checkpoints of the active runs that have one."""
 
+    complete: bool = True
+    """Whether each active run could be read; if not, a run that is missing
+    may be active all the same."""
+
+    problem: str = ""
+    """What is wrong with a row that was passed over, or empty."""
+
 
 @attrs.frozen
 class StaleToken:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -103,6 +103,7 @@
         self._listed_ms = 0
         self._unacknowledged = False
         self._unexpected: set[_run_records.RunName] = set()
+        self._hidden_runs_end_at: datetime.datetime | None = None
         self.leases_expire_at: datetime.datetime | None = None
 
     @property
@@ -113,14 +114,23 @@
     @property
     def runs_known(self) -> bool:
         """Whether the target listed its runs and all of them were ordered."""
-        return self._clock_at is not None and not self._unexpected
+        return (
+            self._clock_at is not None
+            and not self._unexpected
+            and self._hidden_runs_end_at is None
+        )
 
     @property
     def needs_watch(self) -> bool:
         """Whether runs, ended runs or a missing listing need a watch."""
         if self._clock_at is None:
             return True
-        return bool(self._runs or self._unexpected or self._unacknowledged)
+        return bool(
+            self._runs
+            or self._unexpected
+            or self._unacknowledged
+            or self._hidden_runs_end_at
+        )
 
     def __len__(self) -> int:
         return len(self._runs)
@@ -273,6 +283,7 @@
             # Replies to watches may arrive out of order.
             return actions
         self._listed_ms = listing.clock_ms
+        self._expect_hidden_runs(listing, now)
         if self._clock_at is None:
             self._fence = max(self._fence, listing.clock_ms)
         self._record_clock(listing.clock_ms, now)
@@ -284,7 +295,7 @@
                 self._runs[name].checkpoint = checkpoint
         running = set(listing.running)
         for run in list(self._runs.values()):
-            if run.name not in running:
+            if listing.complete and run.name not in running:
                 actions.extend(
                     self._resolve_absent(run, listing, asked_at, now)
                 )
@@ -333,6 +344,17 @@
             self._clock_ms = clock_ms
             self._clock_at = now
 
+    def _expect_hidden_runs(
+        self, listing: _run_records.Listing, now: datetime.datetime
+    ) -> None:
+        # A row that cannot be read may be a run of an earlier agent. It ends
+        # with its lease, as watches renew nothing while no run is ordered.
+        ends_at = self._hidden_runs_end_at
+        if listing.complete or (ends_at is not None and now >= ends_at):
+            self._hidden_runs_end_at = None
+        elif self._clock_at is None:
+            self._hidden_runs_end_at = now + self._lease + CLOCK_SLACK
+
     def _raise_fence(self) -> None:
         # Doubling soon exceeds every token of an earlier incarnation.
         self._fence = 2 * self._fence + 1
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -317,3 +317,45 @@
     # A target lost before the next checkpoint leaves this one.
     (end,) = tracker.end_all_runs(core.Reason.TARGET_UNREACHABLE, NOW)
     assert end.checkpoint == "c1"
+
+
+# Guards against a run that runs twice since its row could not be read.
+def test_incomplete_listing_shows_no_run_as_vanished() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    accepted = core.StartReply.ACCEPTED
+    tracker.handle_start_reply(NAME, accepted, 5_010, _later(10))
+    incomplete = attrs.evolve(
+        run_builders.build_listing(5_100), complete=False
+    )
+    actions = tracker.handle_listing(incomplete, _later(50), _later(100))
+    assert _get_ends(actions) == []
+    complete = run_builders.build_listing(5_200)
+    actions = tracker.handle_listing(complete, _later(150), _later(200))
+    assert [found[0] for found in _get_ends(actions)] == [core.Outcome.LOST]
+
+
+# Guards against tasks that run again while a run of theirs goes on unread.
+def test_runs_hidden_at_the_first_contact_are_over_after_their_lease() -> None:
+    tracker = core.RunTracker(run_builders.LEASE)
+    incomplete = attrs.evolve(run_builders.build_listing(), complete=False)
+    for milliseconds in (0, 500, 1_000):
+        now = _later(milliseconds)
+        tracker.handle_listing(incomplete, now, now)
+        assert not tracker.runs_known
+        assert tracker.needs_watch
+        assert not tracker.watch(now).lease_end_ms
+    tracker.handle_listing(incomplete, _later(1_100), _later(1_100))
+    assert tracker.runs_known
+    # A row that is odd later on hides no run of an earlier agent.
+    tracker.handle_listing(incomplete, _later(1_200), _later(1_200))
+    assert tracker.runs_known
+    assert not tracker.needs_watch
+
+
+def test_complete_listing_shows_that_no_run_is_hidden() -> None:
+    tracker = core.RunTracker(run_builders.LEASE)
+    incomplete = attrs.evolve(run_builders.build_listing(), complete=False)
+    tracker.handle_listing(incomplete, NOW, NOW)
+    tracker.handle_listing(run_builders.build_listing(), NOW, NOW)
+    assert tracker.runs_known
