Refuse heartbeats of entries whose interval is no time

What callers would see: an agent that gets such a heartbeat follows none of the lists of entries in it, so it stays away from entries that are new.

Cause: the interval had 63 bits, and timedelta raises OverflowError for most of them, before the list in the heartbeat is handled.

--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_fields.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_fields.py
@@ -13,6 +13,9 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 """A non-negative integer of at most 63 bits."""
 
+Interval = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
+"""An interval in milliseconds, at most a day."""
+
 Milliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
 """A duration in milliseconds, at most 1e12; not NaN or infinite."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
@@ -81,7 +81,7 @@
     leaving: bool = False
     """Whether the entry is stopping."""
 
-    heartbeat_ms: _fields.Count = 0
+    heartbeat_ms: _fields.Interval = 0
     """Interval of reports on an idle link in milliseconds; zero for the
     agent's own setting."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_wire.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_wire.py
@@ -11,6 +11,7 @@
 from cowslipgate_core import _exceptions
 from cowslipgate_core.messages import _attempts
 from cowslipgate_core.messages import _cancels
+from cowslipgate_core.messages import _decoding
 from cowslipgate_core.messages import _documents
 from cowslipgate_core.messages import _reports
 
@@ -56,10 +57,7 @@
     decoder = _DECODERS.get(kind)
     if decoder is None:
         raise _exceptions.WireError(kind[:32], "unknown kind")
-    try:
-        return decoder.decode(body)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise _exceptions.WireError(kind, str(error)) from error
+    return _decoding.decode(decoder, body, kind)
 
 
 def encode_identity(agent: str, incarnation: int) -> bytes:
