Answer each read of the table service, whatever it returns

What callers would see: on the product's own table service, an entry whose read returns a value nested deeply waits for it for ever (leases, claims, patches).

Cause: the same as in the platform's client of its store: RecursionError is no MsgspecError. Revisions and the configuration's version had no upper bound; a version of 2^64 can't be sent in a heartbeat.

Fix: core.decode, and 63 bits for both.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requests.py
@@ -1,7 +1,7 @@
 """Records exchanged by the components of the entry."""
 
 import enum
-from typing import Annotated, Any
+from typing import Any
 
 import attrs
 import msgspec
@@ -196,7 +196,7 @@
 class StoredConfiguration:
     """The value of the configuration's row."""
 
-    version: Annotated[int, msgspec.Meta(ge=0)]
+    version: core.Count
     """Version of the document."""
 
     document: dict[str, Any]
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_store.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_store.py
@@ -3,10 +3,12 @@
 import datetime
 import itertools
 import json
+from typing import Any
 
 import circuits
 import msgspec
 
+import cowslipgate_core as core
 from cowslipgate_entry import _events
 from cowslipgate_entry.callers import _requests
 import cowslipgate_transport as transport
@@ -20,6 +22,14 @@
 HTTP_CONFLICT = 409
 
 
+class _Row(msgspec.Struct):
+    value: Any
+    revision: core.Count
+
+
+_ROW_DECODER = msgspec.json.Decoder(_Row)
+
+
 class Store(circuits.BaseComponent):
     """Makes HTTP calls of store calls, and store answers of HTTP answers."""
 
@@ -98,12 +108,12 @@
     if call.read is None:
         return _requests.StoreAnswer(call, _requests.StoreResult.DONE)
     try:
-        row = msgspec.json.decode(answer.body)
-        return _requests.StoreAnswer(
-            call, _requests.StoreResult.DONE, row["value"], row["revision"]
-        )
-    except (msgspec.MsgspecError, KeyError, TypeError):
+        row = core.decode(_ROW_DECODER, answer.body, b"row")
+    except core.WireError:
         return _requests.StoreAnswer(call, _requests.StoreResult.UNREACHABLE)
+    return _requests.StoreAnswer(
+        call, _requests.StoreResult.DONE, row.value, row.revision
+    )
 
 
 def _classify_failure(
