Refuse announcements of targets that can't be used

What callers would see: on the product's own interface for targets, a target that announces too many slots makes its agent's reports undeliverable, one that announces port 0 is sent tasks whose call raises, and a deep one gets no answer that names a fault.

Cause: the fields had no bounds, a port that no socket connects to was taken, and RecursionError was not caught.

Fix: 63 bits and 256 characters by type, and the address is parsed by the function that is used for calls.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_announcements.py
@@ -37,9 +37,11 @@
         if exchange.method != "PUT":
             return _refuse(405, "use GET, PUT or DELETE")
         try:
-            announcement = self._decoder.decode(exchange.body)
-        except msgspec.MsgspecError as error:
-            return _refuse(400, str(error))
+            announcement = core.decode(
+                self._decoder, exchange.body, b"announcement"
+            )
+        except core.WireError as error:
+            return _refuse(400, error.problem)
         fault = _find_fault(announcement)
         if fault:
             return _refuse(400, fault)
@@ -49,7 +51,7 @@
 
 def _find_fault(announcement: core.Announcement) -> str:
     try:
-        core.parse_bind(announcement.address.removeprefix("http://"))
+        transport.parse_address(announcement.address)
     except ValueError:
         return "$.address: must be http://, an IP number and a port"
     if not announcement.service:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor_actions.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from cowslipgate_core.messages import _attempts
+from cowslipgate_core.messages import _fields
 from cowslipgate_core.messages import _resources
 
 
@@ -22,16 +23,16 @@
 class Announcement:
     """Address and capacity that a target announces."""
 
-    service: str
+    service: _fields.Text
     """Service that the target belongs to."""
 
     address: str
     """Address of the target, ``http://host:port``."""
 
-    slots: int
+    slots: _fields.Count
     """Tasks that may run at once."""
 
-    connections: int
+    connections: _fields.Count
     """Connections that may be open."""
 
     resources: _resources.Resources = _resources.Resources()
