Log each kind of message that is passed over

What operators would see: nothing at an agent, and a counter at an entry, when messages between them cannot be decoded; the link counts as silent and no line says why.

Evidence: test_invalid_message_of_an_entry_is_logged_once and test_invalid_messages_are_logged_once_for_each_kind failed before.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -13,9 +13,6 @@
 MAX_TASK_NAMES = 1_000
 """Orders whose task names are kept for the log. Refusals follow their orders
 within one round of events, which may bring a few hundred."""
-MAX_LOGGED_PROBLEMS = 100
-"""Kinds of invalid messages that are logged, each once."""
-
 _REFUSALS = frozenset((core.Outcome.NOT_STARTED,))
 
 
@@ -29,7 +26,8 @@
         self._executor = executor
         self._state = executor.state
         self._target_incarnation = ""
-        self._logged_problems: set[str] = set()
+        self._target_messages = transport.MessagesPassedOver(self)
+        self._entry_messages = transport.MessagesPassedOver(self)
         self._task_names: collections.OrderedDict[core.AttemptKey, str] = (
             collections.OrderedDict()
         )
@@ -95,12 +93,13 @@
 
     @circuits.handler("target_message_invalid", channel="*")
     def _on_target_message_invalid(self, error: core.WireError) -> None:
-        problem = str(error)
-        if problem in self._logged_problems:
-            return
-        if len(self._logged_problems) < MAX_LOGGED_PROBLEMS:
-            self._logged_problems.add(problem)
-            self._log_change(_changes.TargetUnclear(problem))
+        self._target_messages.log(_changes.TargetUnclear(str(error)))
+
+    @circuits.handler("message_malformed", channel="*")
+    def _on_message_malformed(
+        self, peer: bytes, error: core.WireError
+    ) -> None:
+        self._entry_messages.log_malformed(error)
 
     @circuits.handler("entry_linked", channel="*")
     def _on_entry_linked(self, member: core.Member) -> None:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
@@ -13,6 +13,7 @@
 from cowslipgate_agent import _events
 from cowslipgate_agent import _runner
 
+MAX_KINDS = 100
 TARGET_LAPSE = datetime.timedelta(hours=1)
 
 
@@ -88,7 +89,7 @@
 def test_invalid_message_of_the_target_is_logged_once(
     recorder: LogRecorder,
 ) -> None:
-    for number in range(3 * _agent_log.MAX_LOGGED_PROBLEMS):
+    for number in range(3 * MAX_KINDS):
         for _ in range(2):
             error = core.WireError(b"hold", f"problem {number}")
             recorder.fire(_events.target_message_invalid(error), "target")
@@ -96,4 +97,16 @@
     while len(recorder):
         recorder.flush()
     logged = [change.problem for change in recorder.changes]
-    assert len(logged) == len(set(logged)) == _agent_log.MAX_LOGGED_PROBLEMS
+    assert len(logged) == len(set(logged)) == MAX_KINDS
+
+
+# Guards against messages of entries that are passed over without a trace.
+def test_invalid_message_of_an_entry_is_logged_once(
+    recorder: LogRecorder,
+) -> None:
+    for _ in range(3):
+        error = core.WireError(b"B\xff", "odd")
+        recorder.fire(transport.message_malformed(b"7", error), "entry-7-1")
+    while len(recorder):
+        recorder.flush()
+    assert recorder.changes == [transport.MessagePassedOver("B\ufffd", "odd")]
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -43,6 +43,7 @@
         self._departing: set[str] = set()
         self._store_reachable = True
         self._logged_failures: set[tuple[str, str]] = set()
+        self._passed_over = transport.MessagesPassedOver(self)
         self._ticks = itertools.count(1)
 
     @circuits.handler("configuration_adopted", channel=_events.GATEWAY)
@@ -155,6 +156,12 @@
         )
         self._log_change(change)
 
+    @circuits.handler("message_malformed", "message_refused", channel="*")
+    def _on_message_malformed(
+        self, identity: bytes, error: core.WireError
+    ) -> None:
+        self._passed_over.log_malformed(error)
+
     @circuits.handler("tick")
     def _on_tick(self) -> None:
         state = self._dispatcher.state
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -337,6 +337,25 @@
     assert "_on_tick" in change.handler
 
 
+# Guards against messages that are passed over without a trace.
+def test_invalid_messages_are_logged_once_for_each_kind() -> None:
+    harness = observer_builders.build_harness()
+    root = circuits.BaseComponent()
+    recorder = _Recorder().register(root)
+    _state_change_log.StateChangeLog(
+        harness.dispatcher, observer_builders.MEMBER
+    ).register(root)
+    for number in range(300):
+        error = core.WireError(b"Report", f"problem {number % 150}")
+        _fire(root, transport.message_malformed(b"\xff", error), INTERNAL)
+    logged = [
+        change
+        for change in recorder.changes
+        if isinstance(change, transport.MessagePassedOver)
+    ]
+    assert len(logged) == len(set(logged)) == 100
+
+
 def test_messages_under_a_wrong_identity_are_dropped_and_counted() -> None:
     harness = observer_builders.build_harness()
     root = circuits.BaseComponent()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
@@ -45,6 +45,17 @@
     """Number of the signal."""
 
 
+@attrs.frozen
+class MessagePassedOver(Change):
+    """A message of another process cannot be decoded."""
+
+    kind: str
+    """Kind of the message."""
+
+    problem: str
+    """What is wrong with it."""
+
+
 @attrs.frozen
 class RowPassedOver(Change):
     """A row of the store names nothing, since it cannot be decoded."""
@@ -95,6 +106,7 @@
 
 
 @get_level.register(LinesDropped)
+@get_level.register(MessagePassedOver)
 @get_level.register(RowPassedOver)
 @get_level.register(SettingsRejected)
 def _get_warning_level(change: Change) -> int:
