Read an entry's lease from the row of its own key alone

What callers would see: an old copy of an entry's row under another key makes all entries drop that entry from their lists after 30 s, though it renews.

Cause: a lease counted wherever it stood. Renewals are compared by incarnation, so the copy, read last, hid that the entry's own row had changed.

Evidence: test_copy_of_an_entrys_row_names_no_entry failed before: the list lost the entry that renewed its row ten times, 5 s apart.

Fix: a row whose key is not the one under which its entry writes it names no entry, and is logged as other odd rows. Such rows were left alone before when abandoned rows are removed; they are no longer among them.

What remains: a row of the right key that another writer forges as a whole.

--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_lease_rows.py
@@ -44,10 +44,17 @@
         if row.removed:
             continue
         try:
-            lease = _decoding.decode(_DECODER, row.value, b"lease")
+            lease = _decode_lease(row)
         except _exceptions.WireError as error:
             fault = _tables.RowFault(row.key, row.version, error.problem)
             faults.append(fault)
             continue
         leases.append(lease)
     return LeaseRows(tuple(leases), tuple(faults))
+
+
+def _decode_lease(row: _tables.TableRow) -> _quotas.Lease:
+    lease = _decoding.decode(_DECODER, row.value, b"lease")
+    if row.key != name_lease(lease.member):
+        raise _exceptions.WireError(b"lease", "the key is not the entry's")
+    return lease
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -135,12 +135,10 @@
         for lease in self._expiry_detector.list_abandoned(
             leases, self._clock.now()
         ):
-            # A row under another key was written by another program.
-            version = versions.get(core.name_lease(lease.member))
-            if version is not None:
-                self._busy = True
-                self._write(lease.member, b"", version)
-                return
+            self._busy = True
+            version = versions[core.name_lease(lease.member)]
+            self._write(lease.member, b"", version)
+            return
 
     def _list_unseen(
         self, seen: tuple[core.Member, ...]
