--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -30,6 +30,8 @@
         self._clock = clock
         self._state = executor.state
         self._target_incarnation = ""
+        self._target_messages = transport.MessagesPassedOver(self)
+        self._entry_messages = transport.MessagesPassedOver(self)
         self._task_names: collections.OrderedDict[core.AttemptKey, str] = (
             collections.OrderedDict()
         )
@@ -95,7 +97,13 @@
 
     @circuits.handler("target_message_invalid", channel="*")
     def _on_target_message_invalid(self, error: core.WireError) -> None:
-        self._log_change(_changes.TargetUnclear(str(error)))
+        self._target_messages.log(_changes.TargetUnclear(str(error)))
+
+    @circuits.handler("message_malformed", channel="*")
+    def _on_message_malformed(
+        self, peer: bytes, error: core.WireError
+    ) -> None:
+        self._entry_messages.log_malformed(error)
 
     @circuits.handler("entry_linked", channel="*")
     def _on_entry_linked(self, member: core.Member) -> None:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
@@ -61,6 +61,7 @@
         self.ended: list[core.AttemptReport] = []
         self.recorded_events: list[str] = []
         self.executor = core.Executor(1, 0)
+        self.unclear: list[core.WireError] = []
         _leased_calls.LeasedCalls(
             self.codec,
             ADDRESS,
@@ -80,6 +81,10 @@
     ) -> None:
         self.ended.append(report)
 
+    @circuits.handler("target_message_invalid", channel="*")
+    def _on_target_message_invalid(self, error: core.WireError) -> None:
+        self.unclear.append(error)
+
     @circuits.handler("target_announced", channel="runner")
     def _on_target_announced(self, announcement: core.Announcement) -> None:
         self.recorded_events.append("announced")
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -13,6 +13,7 @@
 from cowslipgate_transport import _logs
 from cowslipgate_transport import _message_socket
 from cowslipgate_transport import _metrics_page
+from cowslipgate_transport import _passed_over
 from cowslipgate_transport import _table_events
 from cowslipgate_transport import _timer
 
@@ -57,10 +58,13 @@
 KeyCheck = _curve.KeyCheck
 LinesDropped = _changes.LinesDropped
 Logs = _logs.Logs
+MAX_ANSWER_BYTES = _http_client.MAX_ANSWER_BYTES
 measure_traffic = _message_socket.measure_traffic
 message_malformed = _message_socket.message_malformed
 message_received = _message_socket.message_received
 message_unsent = _message_socket.message_unsent
+MessagePassedOver = _changes.MessagePassedOver
+MessagesPassedOver = _passed_over.MessagesPassedOver
 MessageSocket = _message_socket.MessageSocket
 METRICS_CONTENT_TYPE = _exposition.CONTENT_TYPE
 MetricsPage = _metrics_page.MetricsPage
@@ -73,6 +77,8 @@
 ProcessStarted = _changes.ProcessStarted
 ProcessStopping = _changes.ProcessStopping
 render_families = _exposition.render_families
+RowPassedOver = _changes.RowPassedOver
+RowsPassedOver = _passed_over.RowsPassedOver
 send_message = _message_socket.send_message
 ServerLimits = _http_exchanges.ServerLimits
 SettingsChanged = _changes.SettingsChanged
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -158,7 +158,7 @@
         connection.sent = False
         connection.received = 0
         connection.unsent = pending.request
-        connection.parser = parsers.HttpParser(RESPONSE_PARSER, True)
+        connection.parser = parsers.HttpParser(RESPONSE_PARSER)
         self._schedule_check()
         self._send(connection)
 
@@ -175,7 +175,12 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex((address.host, address.port))
+        try:
+            code = sock.connect_ex((address.host, address.port))
+        except (OSError, ValueError, OverflowError, TypeError) as error:
+            # No socket accepts such a host or port.
+            sock.close()
+            raise OSError(errno.EINVAL, str(error)) from error
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise OSError(code, os.strerror(code))
@@ -213,7 +218,12 @@
         if connection.received > MAX_ANSWER_BYTES:
             self._fail(connection, _http_calls.CallProblem.TOO_LARGE)
             return
-        parser.execute(data, len(data))
+        try:
+            parser.execute(data, len(data))
+        except Exception:
+            # It raises errors of many kinds when an answer is not HTTP.
+            self._fail(connection, _http_calls.CallProblem.PROTOCOL)
+            return
         if parser.errno is not None:
             self._fail(connection, _http_calls.CallProblem.PROTOCOL)
             return
