Count the time for which a VM is suspended

Cause: SystemClock read the steady clock. An agent that was suspended saw no silence of its entries, no pause of its own and leases that hadn't expired. An order that a cut had held up for that time counted as new, while its entry had given the agent up and run the task elsewhere.

Ruled out: a freeze of the same length in which the clock runs on passes before and after.

CLOCK_BOOTTIME is the steady clock plus suspensions, so that it never goes back either. Timers still use the steady clock; they fire late by less than their interval after a suspension, and what they check reads SystemClock.

--- a/packages/cowslipgate-core/src/cowslipgate_core/_clock.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/_clock.py
@@ -14,15 +14,18 @@
 
 
 class SystemClock(Clock):
-    """Wall-clock time at construction plus monotonic time since then."""
+    """Wall-clock time at construction plus steady time since then.
+
+    The steady time includes that for which the VM was suspended.
+    """
 
     def __init__(self) -> None:
         self._origin = datetime.datetime.now(datetime.UTC)
-        self._started = time.monotonic()
+        self._started = time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def now(self) -> datetime.datetime:
         """Return the current time in UTC."""
-        elapsed = time.monotonic() - self._started
+        elapsed = time.clock_gettime(time.CLOCK_BOOTTIME) - self._started
         return self._origin + datetime.timedelta(seconds=elapsed)
 
 
