Repeat the stop of a run that nobody needs until its agent answers

A caller whose connection breaks sends its job again 1.3 s later, and the run of the first submission went on.

Cause: the stop of an abandoned, late or failed job was sent once. A disruption that resets the caller's connection may reset the link to the agent as well, and the message is lost with it. The ledger sent it again only when a report named a new link, or 2 s later, or 15 s later if the agent's load covered the run:

- an agent that is leaving its entry sends goodbyes in place of reports, which name no link;
- a stop that was sent because of a new link is lost if that breaks in turn and no report follows.

The class of fault: a message whose loss only some other message reveals.

Ruled out: goodbyes that name the link. They would mend the first case alone.

Why this works: an agent answers each withdrawal of a run with one report. While answers are missing the stop is sent again, 300 ms after the last, whatever became of it, until the end is known or the agent counts as lost. A lost message leaves the count above zero, so that the answer to an inquiry that was sent earlier never passes for that to a stop. A stop that is answered adds no message, and the agent stops the run once, however often it is told.

This needs an agent that counts an entry as alive by what the entry confirms, not by any message that arrives. Where reports are lost and stops arrive, an agent that counts messages would keep the entry's other runs for longer.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
@@ -42,6 +42,7 @@
         by_agent: dict[tuple[str, int], list[int]] = {}
         for attempt in attempts:
             attempt.asked_at = now
+            attempt.unanswered += 1
             key = (attempt.agent, attempt.incarnation)
             by_agent.setdefault(key, []).append(attempt.sequence)
         return [
@@ -62,6 +63,15 @@
         actions = self.withdraw(needed, now, stop=False)
         return actions + self.withdraw(unneeded, now, stop=True)
 
+    def repeat_stops(
+        self, record: _roster.AgentRecord, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        """Stop attempts again that are not needed; a stop may be lost."""
+        due = self._list_unanswered(record, now, self._timing.stop_interval)
+        attempts = [self._attempts[sequence] for sequence in sorted(due)]
+        unneeded = [a for a in attempts if a.unneeded and a.unanswered]
+        return self.withdraw(unneeded, now, stop=True)
+
     def ask_overdue(
         self, record: _roster.AgentRecord, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
@@ -85,5 +95,5 @@
         return {
             sequence
             for sequence in record.outstanding
-            if now - self._attempts[sequence].asked_at > interval
+            if now - self._attempts[sequence].asked_at >= interval
         }
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -196,6 +196,10 @@
     asked_at: datetime.datetime
     """When the agent was last asked about the attempt."""
 
+    unanswered: int = 0
+    """Withdrawals that the agent has not answered. Each gets one answer, so
+    that it is above zero for good once one is lost."""
+
     stop_sent_at: datetime.datetime | None = None
     """When a stop was last sent because the run had stalled, or None."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -390,6 +390,7 @@
             return []
         _advance_attempt(attempt.machine, report.outcome)
         if not attempt.machine.final:
+            attempt.unanswered = max(0, attempt.unanswered - 1)
             return []
         self._close_attempt(attempt)
         actions = self._resolve_attempt(attempt, report, now)
@@ -525,7 +526,8 @@
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        actions = self._inquiries.ask_overdue(record, now)
+        actions = self._inquiries.repeat_stops(record, now)
+        actions.extend(self._inquiries.ask_overdue(record, now))
         outstanding = [
             self._attempts[sequence] for sequence in sorted(record.outstanding)
         ]
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_timing.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_timing.py
@@ -12,6 +12,10 @@
     resolve_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
     """Longest wait of a failed job for the outcomes of its attempts."""
 
+    stop_interval: datetime.timedelta = datetime.timedelta(milliseconds=300)
+    """Time after which an agent that has not answered is told again to stop
+    an attempt that is not needed."""
+
     inquiry_interval: datetime.timedelta = datetime.timedelta(seconds=2)
     """Time between inquiries about an attempt that its agent may not have."""
 
