Accept no job whose caller has closed its connection

A caller whose connection broke sent its job again after 1.3 s, and the first entry started the first submission only then, or ran it until its deadline.

Cause: the server reads a connection in order, and its end is the last thing that it reads. Two schedules, of one class: what is done depends on the order in which an entry reads what has already happened.

- An entry is frozen, or a cut holds up the caller's packets.
The request and the end of its connection arrive together.
The request was read, its job accepted and its task sent to an agent before the end was read, some milliseconds later; the target runs the task until the stop arrives.
By then the second submission may run elsewhere.
- A busy process polls between two events of a request.
The end of the connection was handled after the request and before the acceptance of its job, when nobody knew the job yet.
It then ran without a caller until its deadline.

Ruled out: remembering the exchanges that were abandoned, which mends the second schedule alone; a higher priority of the end of a connection, since priorities hold among the events of one round only.

Why this works: a submission is checked at the moment of its acceptance, by the state of the connection in the kernel (POLLRDHUP), which covers what has not been read. An end that is handled later finds an accepted job.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_job_responder.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_job_responder.py
@@ -37,6 +37,21 @@
         self._codec = codec
         self._jobs: dict[str, transport.Exchange] = {}
 
+    @circuits.handler("submit_job", channel="dispatcher", priority=10)
+    def _on_submit_job(
+        self, event: circuits.Event, submission: _requests.Submission
+    ) -> None:
+        # The end of a connection may be handled before its job is accepted,
+        # or be behind the request, unread.
+        if transport.has_hung_up(submission.exchange):
+            event.stop()
+            answer = core.JobAnswer(
+                "",
+                failure=core.Failure.CANCELLED,
+                message="the caller has closed the connection",
+            )
+            self.fire(_events.job_refused(submission, answer))
+
     @circuits.handler("http_abandoned")
     def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
         for job_id, waiting in list(self._jobs.items()):
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -5,6 +5,7 @@
 from cowslipgate_transport import _event_loop
 from cowslipgate_transport import _exposition
 from cowslipgate_transport import _file_watch
+from cowslipgate_transport import _hang_ups
 from cowslipgate_transport import _http_calls
 from cowslipgate_transport import _http_client
 from cowslipgate_transport import _http_exchanges
@@ -43,6 +44,7 @@
 FileWatch = _file_watch.FileWatch
 Gauge = _exposition.Gauge
 get_level = _changes.get_level
+has_hung_up = _hang_ups.has_hung_up
 http_abandoned = _http_exchanges.http_abandoned
 http_answered = _http_client.http_answered
 http_failed = _http_client.http_failed
