Send no task whose caller has closed its connection

An entry that was frozen started tasks of callers that had left meanwhile and whose jobs ran elsewhere by then.

Cause: an entry that wakes reads what has arrived in no particular order. A report with free slots, or an outcome which says that an agent stopped the runs of the frozen entry, leads to a dispatch three rounds of events later; the end of a caller's connection leads to a withdrawal after five. So the task was sent, and stopped some milliseconds after its start. The agent knows the wake of the entry only by its messages, which are new and valid.

Evidence: test_hang_ups.py of the entry. Before, a task that waited was sent after its caller had closed or reset its connection, and one that its agent had not run was sent again.

Ruled out: no dispatches for one tick after a pause, which depends on how long the entry reads; a dispatch only after the next poll, since an entry may be frozen between that poll and the dispatch; a look at each waiting job's connection, which grows with the backlog.

Why this works: all connections of callers that wait are watched by one epoll for their end (EPOLLRDHUP), and each assignment asks it first. Where callers have left, their jobs are withdrawn before the assignment, which is fired anew behind the withdrawals. What the kernel has received counts, read or not.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_job_responder.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_job_responder.py
@@ -36,6 +36,7 @@
         super().__init__()
         self._codec = codec
         self._jobs: dict[str, transport.Exchange] = {}
+        self._hang_ups = transport.HangUpWatch()
 
     @circuits.handler("submit_job", channel="dispatcher", priority=10)
     def _on_submit_job(
@@ -52,8 +53,22 @@
             )
             self.fire(_events.job_refused(submission, answer))
 
+    @circuits.handler("assign_tasks", channel="dispatcher", priority=10)
+    def _on_assign_tasks(self, event: circuits.Event) -> None:
+        # After a pause, agents may be heard before the ends of connections.
+        hung_up = self._hang_ups.take()
+        if hung_up:
+            event.stop()
+            for exchange in hung_up:
+                self._abandon(exchange)
+            self.fire(_events.assign_tasks(), "dispatcher")
+
     @circuits.handler("http_abandoned")
     def _on_http_abandoned(self, exchange: transport.Exchange) -> None:
+        self._abandon(exchange)
+
+    def _abandon(self, exchange: transport.Exchange) -> None:
+        self._hang_ups.discard(exchange)
         for job_id, waiting in list(self._jobs.items()):
             if waiting is exchange:
                 del self._jobs[job_id]
@@ -71,10 +86,12 @@
         self, submission: _requests.Submission, job: core.Job
     ) -> None:
         self._jobs[job.id] = submission.exchange
+        self._hang_ups.add(submission.exchange)
 
     @circuits.handler("job_answered")
     def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
         exchange = self._jobs.pop(job.id, None)
         if exchange is not None:
+            self._hang_ups.discard(exchange)
             reply = self._codec.encode_answer(answer)
             self.fire(transport.answer_http(exchange, reply))
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_hang_ups.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_hang_ups.py
@@ -38,6 +38,41 @@
     assert not harness.ledger.jobs
 
 
+# Guards against two runs of one task: an entry that wakes heard its agents
+# first and sent them tasks of callers that had left while it was frozen.
+@pytest.mark.parametrize("reset", [False, True])
+def test_waiting_task_whose_caller_has_gone_is_not_sent(
+    harness: caller_builders.CallerHarness, reset: bool
+) -> None:
+    caller = harness.connect()
+    caller.sendall(caller_builders.REQUEST)
+    harness.run()
+    assert len(harness.ledger.jobs) == 1
+    caller_builders.hang_up(caller, reset)
+    harness.start_agent()
+    assert harness.outbox.take(core.Dispatch) == []
+    assert not harness.ledger.jobs
+
+
+# Guards against two runs of one task: an entry that wakes heard that its runs
+# had been stopped and sent the tasks again for callers that had left.
+def test_stopped_task_whose_caller_has_gone_is_not_sent_again(
+    harness: caller_builders.CallerHarness,
+) -> None:
+    harness.start_agent()
+    caller = harness.connect()
+    caller.sendall(caller_builders.REQUEST)
+    harness.run()
+    (dispatch,) = harness.outbox.take(core.Dispatch)
+    caller_builders.hang_up(caller, reset=False)
+    refused = core.AttemptReport(
+        dispatch.orders[0].attempt, core.Outcome.NOT_STARTED
+    )
+    harness.deliver(caller_builders.build_results(refused))
+    assert harness.outbox.take(core.Dispatch) == [dispatch]
+    assert not harness.ledger.jobs
+
+
 # Guards against a run without a caller until its deadline: the end of the
 # connection was noticed between the request and the acceptance of its job.
 @pytest.mark.parametrize("steps", range(STEPS))
@@ -68,3 +103,28 @@
         assert len(harness.outbox.take(core.Dispatch)) == number
         harness.finish_task(number)
         assert harness.read_status(caller) == 200
+
+
+# Guards against a job that is cancelled for the caller of another: descriptors
+# of closed connections are used again.
+def test_only_the_jobs_of_callers_that_left_are_cancelled(
+    harness: caller_builders.CallerHarness,
+) -> None:
+    callers = [harness.connect() for _ in range(4)]
+    for caller in callers:
+        caller.sendall(caller_builders.REQUEST)
+    harness.run()
+    for caller in callers[1:3]:
+        caller_builders.hang_up(caller, reset=False)
+    harness.run()
+    callers.append(harness.connect())
+    callers[-1].sendall(caller_builders.REQUEST)
+    harness.run()
+    caller_builders.hang_up(callers[0], reset=True)
+    harness.start_agent()
+    assert len(harness.ledger.jobs) == 2
+    (dispatch,) = harness.outbox.take(core.Dispatch)
+    for order in dispatch.orders:
+        harness.finish_task(order.attempt)
+    for caller in (callers[3], callers[4]):
+        assert harness.read_status(caller) == 200
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -44,6 +44,7 @@
 FileWatch = _file_watch.FileWatch
 Gauge = _exposition.Gauge
 get_level = _changes.get_level
+HangUpWatch = _hang_ups.HangUpWatch
 has_hung_up = _hang_ups.has_hung_up
 http_abandoned = _http_exchanges.http_abandoned
 http_answered = _http_client.http_answered
