Count an agent's silence from its last message, whatever was not sent

What callers saw: nothing that was traced to this.

Cause: an entry whose dispatch could not be sent set back the time at which it had last heard the agent, by 1.2 s, so that the agent got no new work. That time also decides when an agent counts as lost and its runs as over.

It did not even do what it was for: where the agent had got work within the last 1.2 s it stayed in use, and the same task was sent to it again without pause until it had connected anew.

Evidence: test_silent_agents.py, both failed before: the attempt of the silent agent was gone too early, and the task that was not sent was sent to the same agent at once.

Why this works: an agent to which a dispatch could not be sent awaits its load, as one that refused a task does, until its next message. The time of its last message is left as it was.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -224,9 +224,7 @@
             actions.extend(self._apply_report(attempt, report, now))
         record = self._agents.get(agent)
         if record is not None:
-            record.last_received_at = now - self._roster.get_suspect_timeout(
-                record
-            )
+            record.awaits_load = True
             self._roster.update(record)
         return actions
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
@@ -27,7 +27,7 @@
     """Last report received from it."""
 
     last_received_at: datetime.datetime
-    """When a message was last received from it; a failed send backdates it."""
+    """When a message was last received from it."""
 
     load: _resources.Load
     """Last load received, in a report or with results."""
@@ -42,7 +42,8 @@
     """When an attempt was last sent to it while none was outstanding."""
 
     awaits_load: bool = False
-    """Whether it refused a task and has not reported its load since."""
+    """Whether it refused a task, or could not be sent one, and has not
+    reported its load since."""
 
     departing: bool = False
     """Whether it sent a goodbye and awaits its release."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_silent_agents.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_silent_agents.py
@@ -82,3 +82,50 @@
         ledger.submit(builders.build_job(ledger, job_id=f"job-{number}"))
     sent = ledger.assign(now, QUOTAS)
     assert {action.agent for action in sent} == {"agent-2"}
+
+
+# Guards against two runs of one task: a dispatch that could not be sent made
+# its agent count as silent for longer than it was, and as lost too early.
+def test_agent_is_not_lost_sooner_because_a_dispatch_was_not_sent() -> None:
+    ledger, job = _dispatch()
+    (attempt,) = ledger.attempts
+    heard = builders.NOW + 2 * LOST_AFTER
+    ledger.handle_report(builders.build_report(own=1), heard)
+    _dispatch_unsent(ledger, heard)
+    now = heard
+    while now < heard + LOST_AFTER:
+        now += TICK
+        ledger.tick(now)
+        assert ledger.attempts[attempt].agent == "agent-1"
+    ledger.tick(now + TICK)
+    assert job.waiting == {0}
+
+
+# Guards against a dispatch that is tried again without pause: the agent stayed
+# in use for as long as it had work from before.
+@pytest.mark.parametrize("seconds", [0, 5])
+def test_agent_gets_no_task_after_a_dispatch_was_not_sent_until_heard(
+    seconds: int,
+) -> None:
+    ledger, _ = _dispatch()
+    now = builders.NOW + datetime.timedelta(seconds=seconds)
+    ledger.handle_report(builders.build_report(own=1), now)
+    job = _dispatch_unsent(ledger, now)
+    assert ledger.assign(now, QUOTAS) == []
+    assert job.waiting == {0}
+    ledger.handle_report(builders.build_report(own=1), now)
+    (sent,) = ledger.assign(now, QUOTAS)
+    assert sent.agent == "agent-1"
+
+
+def _dispatch_unsent(ledger: core.Ledger, now: datetime.datetime) -> core.Job:
+    """Return a job whose task could not be sent to agent-1, the only one."""
+    ledger.handle_goodbye(core.Goodbye("agent-2", 1, 1), now)
+    job = builders.build_job(ledger, job_id="job-2")
+    job.terms = TERMS
+    ledger.submit(job)
+    (sent,) = ledger.assign(now, QUOTAS)
+    assert sent.agent == "agent-1"
+    attempts = tuple(order.attempt for order in sent.orders)
+    ledger.handle_unsent("agent-1", attempts, now)
+    return job
