Send no task after the deadline of its job

What callers saw: nothing that was traced to this.

Cause: only the tick fails jobs whose deadline has passed. An entry that wakes may hear of a free target before its next tick and send it a task whose caller has given up, and which is stopped by that tick. Where the end of the caller's connection is held up too, nothing else keeps that run from one of the second submission.

Evidence: test_task_is_not_sent_once_the_deadline_of_its_job_has_passed; before, the assignment sent the task.

test_any_order_of_outcomes_gives_one_complete_answer moved the time past the deadline of its job, 30 s, without a tick, and still expected a complete answer.

Why this works: an assignment first fails the jobs whose deadline has passed, by the same function as the tick.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -27,6 +27,8 @@
 from cowslipgate_core.placement import _roster
 from cowslipgate_core.placement import _targets
 
+_NEVER = datetime.datetime.max.replace(tzinfo=datetime.UTC)
+
 
 class Ledger:
     """Jobs, attempts and agents of one entry.
@@ -52,6 +54,8 @@
         self._jobs: dict[str, _jobs.Job] = {}
         self._attempts: dict[int, _jobs.Attempt] = {}
         self._sequence = 0
+        # No job that has not failed is due before this time.
+        self._next_deadline = _NEVER
         self.estimates = estimates or _estimates.Estimates()
         self._roster = _roster.Roster(
             self.estimates.get_present_speed,
@@ -135,6 +139,7 @@
         """Add a job to the backlog."""
         job.waiting = set(range(len(job.request.tasks)))
         self._jobs[job.id] = job
+        self._next_deadline = min(self._next_deadline, job.deadline)
         self._assigner.add_job(job)
 
     def handle_report(
@@ -272,18 +277,9 @@
         self, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
         """Handle passed deadlines, lost agents and overdue or stalled runs."""
-        actions: list[_ledger_actions.LedgerAction] = []
+        actions = self._fail_late_jobs(now)
         for job in list(self._jobs.values()):
-            if now >= job.deadline:
-                actions.extend(
-                    self.fail(
-                        job,
-                        _jobs.Failure.DEADLINE,
-                        "the deadline passed; allow more time",
-                        now,
-                    )
-                )
-            elif self._is_hopeless(job, now):
+            if self._is_hopeless(job, now):
                 actions.extend(
                     self.fail(
                         job,
@@ -307,12 +303,40 @@
     ) -> list[_ledger_actions.LedgerAction]:
         """Choose targets for waiting tasks and return the dispatches.
 
+        Jobs whose deadline has passed are failed first.
+
         :param quotas: slots that each team may use at this entry
         :param entries: number of entries that share the targets
         :param services: services with their configured weights
         """
+        # After a pause of the process, targets may be free before a tick.
+        actions = self._fail_late_jobs(now)
         chosen = self._assigner.choose(now, quotas, entries, services or {})
-        return self._send(chosen, now)
+        actions.extend(self._send(chosen, now))
+        return _ledger_actions.merge_withdraws(actions)
+
+    def _fail_late_jobs(
+        self, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        actions: list[_ledger_actions.LedgerAction] = []
+        if now < self._next_deadline:
+            return actions
+        self._next_deadline = _NEVER
+        for job in list(self._jobs.values()):
+            if job.failure is not None:
+                continue
+            if now < job.deadline:
+                self._next_deadline = min(self._next_deadline, job.deadline)
+                continue
+            actions.extend(
+                self.fail(
+                    job,
+                    _jobs.Failure.DEADLINE,
+                    "the deadline passed; allow more time",
+                    now,
+                )
+            )
+        return actions
 
     def _is_hopeless(self, job: _jobs.Job, now: datetime.datetime) -> bool:
         """Return whether a job, none of which ran, will miss its deadline."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_copies.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_copies.py
@@ -135,6 +135,8 @@
     rng = random.Random(seed)
     terms = core.JobTerms(attempts=50, rerun_lost=True, copies=True)
     ledger, job = _send_job(terms, tasks=6, slots=3, agents=4)
+    # Long enough for any order, since each step takes 20 times a run.
+    job.deadline = OVERDUE_AT + datetime.timedelta(days=1)
     answers: list[core.JobAnswer] = []
     now = OVERDUE_AT
     outcomes = [
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_ledger.py
@@ -190,3 +190,17 @@
     ledger.submit(builders.build_job(ledger, job_id="job-2"))
     (second,) = ledger.assign(later, QUOTAS)
     assert second.agent != first.agent
+
+
+# Guards against a run that its caller no longer waits for: after a pause a
+# target was free before the ledger's tick had looked at the deadlines.
+def test_task_is_not_sent_once_the_deadline_of_its_job_has_passed() -> None:
+    ledger = core.Ledger(core.LateBinding())
+    job = builders.build_job(ledger)
+    ledger.submit(job)
+    ledger.handle_report(builders.build_report(), job.deadline)
+    (action,) = ledger.assign(job.deadline, QUOTAS)
+    assert isinstance(action, core.AnswerJob)
+    assert action.answer.failure is core.Failure.DEADLINE
+    assert action.answer.started is core.Started.NONE
+    assert not ledger.jobs
