--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -54,7 +54,7 @@
         self._jobs: dict[str, _jobs.Job] = {}
         self._attempts: dict[int, _jobs.Attempt] = {}
         self._sequence = 0
-        # No job that is not failed has an earlier deadline.
+        # No job that has not failed is due before this time.
         self._next_deadline = _NEVER
         self.estimates = estimates or _estimates.Estimates()
         self._roster = _roster.Roster(
@@ -326,24 +326,21 @@
         actions: list[_ledger_actions.LedgerAction] = []
         if now < self._next_deadline:
             return actions
+        self._next_deadline = _NEVER
         for job in list(self._jobs.values()):
-            if now >= job.deadline:
-                actions.extend(
-                    self.fail(
-                        job,
-                        _jobs.Failure.DEADLINE,
-                        "the deadline passed; allow more time",
-                        now,
-                    )
+            if job.failure is not None:
+                continue
+            if now < job.deadline:
+                self._next_deadline = min(self._next_deadline, job.deadline)
+                continue
+            actions.extend(
+                self.fail(
+                    job,
+                    _jobs.Failure.DEADLINE,
+                    "the deadline passed; allow more time",
+                    now,
                 )
-        self._next_deadline = min(
-            (
-                job.deadline
-                for job in self._jobs.values()
-                if job.failure is None
-            ),
-            default=_NEVER,
-        )
+            )
         return actions
 
     def _is_hopeless(self, job: _jobs.Job, now: datetime.datetime) -> bool:
@@ -420,6 +417,7 @@
             return []
         _advance_attempt(attempt.machine, report.outcome)
         if not attempt.machine.final:
+            attempt.unanswered = max(0, attempt.unanswered - 1)
             return []
         self._close_attempt(attempt)
         actions = self._resolve_attempt(attempt, report, now)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_lost_withdrawals.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_lost_withdrawals.py
@@ -38,6 +38,14 @@
         report = attrs.evolve(builders.build_report(own=own), link=link)
         return self.ledger.handle_report(report, self.now)
 
+    def confirm(self) -> None:
+        """Handle the agent's answer that the attempt is running."""
+        running = core.AttemptReport(self.attempt, core.Outcome.RUNNING)
+        results = attrs.evolve(
+            builders.build_results(running), load=core.Load(8, 1, 0)
+        )
+        assert self.ledger.handle_results(results, self.now) == []
+
     def tick(self) -> list[core.LedgerAction]:
         """Let the time of one tick pass."""
         self.now += TICK
@@ -103,6 +111,23 @@
     assert entry.tick_until_stop() >= 2 * RESEND_AFTER
 
 
+def test_stop_is_not_sent_again_once_the_agent_has_answered_it() -> None:
+    entry = _Entry()
+    entry.ledger.cancel(entry.job, entry.now)
+    entry.confirm()
+    assert entry.tick_until_stop() >= 2 * RESEND_AFTER
+
+
+# Guards against a stop that counts as received because the agent answers an
+# inquiry that was sent before it.
+def test_answer_to_an_earlier_inquiry_confirms_no_stop() -> None:
+    entry = _Entry()
+    assert not _stops(entry.report(link=1), entry.attempt)
+    entry.ledger.cancel(entry.job, entry.now)
+    entry.confirm()
+    assert entry.tick_until_stop() < RESEND_AFTER * MARGIN
+
+
 def test_run_whose_result_is_needed_is_not_stopped() -> None:
     entry = _Entry()
     entry.report()
