--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -48,6 +48,10 @@
 """Time added to a lease after the start of the process; by then every run
 that an earlier process of the agent ordered has ended."""
 
+_NOT_CONNECTED = frozenset(
+    (transport.CallProblem.REFUSED, transport.CallProblem.UNREACHABLE)
+)
+
 
 @attrs.frozen(eq=False)
 class TargetHeartbeat:
@@ -69,6 +73,17 @@
     """Whether the target is about to leave."""
 
 
+@attrs.frozen
+class _SentWatch:
+    """A watch that is not answered yet."""
+
+    at: datetime.datetime
+    """When it was sent."""
+
+    instance: str
+    """Target that it names; empty for any."""
+
+
 class LeasedCalls(circuits.BaseComponent):
     """Client of a target that runs tasks under leases; owns the tracker.
 
@@ -99,7 +114,7 @@
         self._tracker = core.RunTracker(lease)
         self._numbers = itertools.count(1)
         self._orders: dict[int, core.CallStart | core.CallStop] = {}
-        self._watches: dict[int, datetime.datetime] = {}
+        self._watches: dict[int, _SentWatch] = {}
         self._next_watch = clock.now()
         self._earlier_runs_end_at = clock.now() + lease + STARTUP_GRACE
         self._runs_known = False
@@ -175,9 +190,11 @@
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
         self._broken_calls = 0
-        sent_at = self._watches.pop(answer.call.id, None)
-        if sent_at is not None:
-            self._handle_watch_reply(answer, sent_at)
+        watch = self._watches.pop(answer.call.id, None)
+        if watch is not None:
+            if self._names_present_target(watch):
+                self._handle_watch_reply(answer, watch.at)
+            self._send_due_watch()
             return
         order = self._orders.pop(answer.call.id, None)
         if isinstance(order, core.CallStart):
@@ -190,10 +207,12 @@
     def _on_http_failed(self, failure: transport.CallFailure) -> None:
         now = self._clock.now()
         self._count_broken_call(failure.problem, now)
-        if self._watches.pop(failure.call.id, None) is not None:
+        watch = self._watches.pop(failure.call.id, None)
+        if watch is not None:
             if not self._watches:
                 self._next_watch = now + RETRY_INTERVAL
-            self._handle_watch_failure(failure, now)
+            if self._names_present_target(watch):
+                self._handle_watch_failure(failure, now)
             return
         order = self._orders.pop(failure.call.id, None)
         if isinstance(order, core.CallStart):
@@ -205,10 +224,14 @@
             self._repeat_stop(order.name, failure.problem, now)
         self._send_due_watch()
 
+    def _names_present_target(self, watch: _SentWatch) -> bool:
+        # Word of an earlier target shows nothing about runs at the next one.
+        return watch.instance in ("", self._tracker.instance)
+
     def _count_broken_call(
         self, problem: transport.CallProblem, now: datetime.datetime
     ) -> None:
-        if problem is transport.CallProblem.UNREACHABLE:
+        if problem in _NOT_CONNECTED:
             self._broken_calls = BROKEN_CALLS
         elif problem is transport.CallProblem.CLOSED:
             self._broken_calls += 1
@@ -256,13 +279,12 @@
             self._report_runs_known()
         if now >= self._announce_at or not were_known:
             self._announce()
-        self._send_due_watch()
 
     def _handle_watch_failure(
         self, failure: transport.CallFailure, now: datetime.datetime
     ) -> None:
-        # The target is local, so an unreachable port means that none runs.
-        if failure.problem is not transport.CallProblem.UNREACHABLE:
+        # The target is local, so its process is gone if nothing listens.
+        if failure.problem is not transport.CallProblem.REFUSED:
             return
         reason = core.Reason.TARGET_UNREACHABLE
         self._perform(self._tracker.end_all_runs(reason, now))
@@ -304,7 +326,9 @@
         now = self._clock.now()
         if now < self._next_watch or not self._tracker.needs_watch:
             return
-        latest = max(self._watches.values(), default=None)
+        latest = max(
+            (watch.at for watch in self._watches.values()), default=None
+        )
         if latest is not None and now - latest < WATCH_RESEND_AFTER:
             return
         if len(self._watches) >= MAX_WATCHES:
@@ -314,7 +338,7 @@
         number = self._send_request(
             self._codec.encode_watch(watch), wait + WATCH_REPLY_TIMEOUT
         )
-        self._watches[number] = now
+        self._watches[number] = _SentWatch(now, watch.instance)
 
     def _find_lease_limit(self) -> datetime.datetime | None:
         confirmed_at = self._executor.get_oldest_confirmation()
