Let tasks run at entries whose confirmations arrive late

Callers would see: jobs that never end at an entry behind a slow path, and work that is lost there again and again.

Change: while a confirmation is older than 0.6 s, a link with work reports every 0.2 s in place of every 0.5 s. Orders that wait start as well once the entry has confirmed the report that was sent when they came, unless that is older than the time after which runs are stopped: it lived after they arrived, which is what the wait is for. No limit of a run or a lease changes.

Still so: a path of 0.4 s and more one way, or an entry that stands still for more than 0.45 s at the wrong moment, loses its runs. That follows from the callers' 1.3 s.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -34,6 +34,10 @@
 """Age of an entry's last confirmation, in heartbeats, after which a link with
 work needs a report though orders and outcomes go both ways."""
 
+REPEATED_REPORTS = 0.4
+"""Interval of reports, in heartbeats, while that confirmation is outstanding:
+on a slow path each one is confirmed late."""
+
 FRESH_SHARE = 2 / 3
 """Age of an entry's last confirmation, as a share of ``entry_lost_after``, up
 to which its orders start at once. An order may have been sent just after that
@@ -94,6 +98,9 @@
     held: list[core.Dispatch] = attrs.Factory(list)
     """Orders that wait until the entry is known to be alive."""
 
+    held_at: datetime.datetime | None = None
+    """When the first of these orders arrived."""
+
     def cancel_departure(self) -> None:
         """Record that the entry is in the subset, which ends a departure."""
         self.unchosen_at = None
@@ -264,10 +271,10 @@
         self._executor.confirm(incarnation, link.confirmed_at)
 
     def _pass_on(self, incarnation: int, link: Link, message: object) -> None:
-        fresh = self._settings.entry_lost_after * FRESH_SHARE
-        known_alive = link.received_at - link.confirmed_at <= fresh
+        known_alive = self._is_known_alive(link)
         if isinstance(message, core.Dispatch) and not known_alive:
             if not link.held:
+                link.held_at = link.received_at
                 self._send_report(incarnation, link)
             link.held.append(message)
             return
@@ -277,6 +284,19 @@
                 self.fire(_events.entry_message_received(dispatch), "runner")
         self.fire(_events.entry_message_received(message), "runner")
 
+    def _is_known_alive(self, link: Link) -> bool:
+        age = link.received_at - link.confirmed_at
+        limit = self._settings.entry_lost_after
+        if age <= limit * FRESH_SHARE:
+            return True
+        # On a slow path no confirmation is that fresh. One of the report that
+        # was sent for the orders shows that the entry lived after they came.
+        return (
+            bool(link.held)
+            and link.confirmed_at > link.held_at - MILLISECOND
+            and age <= limit
+        )
+
     def _handle_beat(self, beat: core.Beat) -> None:
         if beat.leaving:
             self._left[beat.entry] = self._clock.now()
@@ -310,20 +330,23 @@
         if since >= link.interval:
             return True
         heartbeat = self._settings.heartbeat
+        busy = bool(link.held or self._executor.count_own(incarnation))
+        unconfirmed = (
+            now - link.confirmed_at >= heartbeat * UNCONFIRMED_HEARTBEATS
+        )
+        if busy and unconfirmed and since >= heartbeat * REPEATED_REPORTS:
+            return True
         if since < heartbeat:
             return False
         if link.departure:
             return True
-        if not (link.held or self._executor.count_own(incarnation)):
+        if not busy:
             return False
         # Both sides detect a lost link sooner while it carries work. Orders
         # and outcomes show as well that it stands; an order confirms outcomes
         # sent before it.
         exchanged_at = min(link.sent_at, link.received_at)
-        return (
-            now - exchanged_at >= heartbeat
-            or now - link.confirmed_at >= heartbeat * UNCONFIRMED_HEARTBEATS
-        )
+        return now - exchanged_at >= heartbeat
 
     def _check_lost_entries(self, now: datetime.datetime) -> None:
         silent = [
