Count the validity of an entry's slots from the renewal it sent

Callers would see: more tasks of a team at once than its quota, in the product (the platform's composition has no quotas).

Cause: an entry may use its slots for 20 s after the answer to its renewal was read, while others count its lease as expired 30 s after they first saw the renewal, which may be long before that answer is read: by an entry that was frozen, say.

Change: the 20 s count from the sending of the renewal, which nobody can have seen earlier.

Before: test_limit_counts_from_the_renewal_and_not_from_its_answer failed with 6 slots 25 s after the renewal was sent.

--- a/packages/cowslipgate-core/src/cowslipgate_core/membership/_validity.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/membership/_validity.py
@@ -33,11 +33,14 @@
     _lost: bool = False
     """Whether other entries may have renewed their leases without this one."""
 
-    def record_renewal(self, now: datetime.datetime) -> None:
-        """Record that the lease was renewed."""
+    def record_renewal(self, sent_at: datetime.datetime) -> None:
+        """Record that the lease was renewed.
+
+        :param sent_at: time at which the renewal was sent to the service
+        """
         self._failing_since = None
         self._lost = False
-        self.until = now + LIMITS_VALID_FOR
+        self.until = sent_at + LIMITS_VALID_FOR
 
     def record_outage(self, now: datetime.datetime) -> None:
         """Record that the service could not be reached."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_leases.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_leases.py
@@ -53,6 +53,7 @@
         self._leaving = False
         self._next_renewal = clock.now()
         self._earliest_renewal = clock.now()
+        self._written_at = clock.now()
         self._validity = core.LimitValidity(
             clock.now() + core.LIMITS_VALID_FOR
         )
@@ -141,6 +142,7 @@
         self._renewal += 1
         lease = core.Lease(self._member, self._renewal, shares)
         value = msgspec.to_builtins([*live, lease])
+        self._written_at = now
         row = _requests.Row(*MEMBERS_ROW, value, revision)
         call = _requests.StoreCall(next(self._numbers), CHANNEL, writes=(row,))
         self.fire(_events.call_store(call), "store")
@@ -151,7 +153,8 @@
             case _requests.StoreResult.DONE:
                 self._revision += 1
                 self._quota_shares.confirm()
-                self._validity.record_renewal(now)
+                # Its answer may have been read much later.
+                self._validity.record_renewal(self._written_at)
                 self._fire_limits()
             case _requests.StoreResult.CONFLICT:
                 self._next_renewal = now + CONFLICT_RETRY
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_leases.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_leases.py
@@ -97,6 +97,18 @@
     assert _get_limit(harness) == QUOTA
 
 
+# Guards against two entries that use the same slots: the answer to a renewal
+# was read so late that other entries have counted its lease as expired.
+def test_limit_counts_from_the_renewal_and_not_from_its_answer() -> None:
+    harness = _build_harness()
+    harness.fire(_events.tick(), "leases")
+    harness.answer(harness.take_call(), _requests.StoreResult.ABSENT, None, 1)
+    write = harness.take_call()
+    harness.clock.advance(25 * SECOND)
+    harness.answer(write, _requests.StoreResult.DONE)
+    assert _get_limit(harness) == 0
+
+
 def test_entry_that_never_read_the_row_takes_an_equal_share() -> None:
     harness = _build_harness()
     members = [builders.MEMBER, control_builders.build_member(9, 3000)]
