Renew no lease beyond that of a run whose stop is not carried out

Cause: the agent repeats the order to stop, but each watch renews the lease of all runs at the target, that one included. The run went on for 2.5 to 5.4 s or to its end; its caller sends the job again after 1.3 s.

Ruled out: entries that are killed, cut off or frozen pass in the same way before, since leases don't go beyond the entry's last confirmation.

From the first order to stop a run that has started, no renewal and no order to start reaches further than one lease, so it ends 1.0 s later at the latest, 2% more on a slow clock. The other runs there end with it then and are run again; a target that stops what it is told within that time loses none. A run that isn't known to have started limits nothing: its own order expires, and targets that leave orders to start unanswered keep their other runs.

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -52,6 +52,12 @@
     """Time of the target's answer to the start or stop, or None. A listing
     requested later shows for certain whether the run is active."""
 
+    started: bool = False
+    """Whether the target is known to have started it."""
+
+    stopped_at: datetime.datetime | None = None
+    """When an order to stop it was first sent, or None."""
+
 
 _ENDS = {
     _run_records.RunEnd.DONE: (
@@ -140,7 +146,7 @@
             self._fence = 0
         elif self._incarnation and incarnation > self._incarnation:
             self._begin_incarnation(incarnation)
-            actions = self._stop_unconfirmed()
+            actions = self._stop_unconfirmed(now)
         self._instance = instance
         return actions
 
@@ -163,7 +169,7 @@
         return _run_records.CallWatch(
             self._fence,
             self._cursor,
-            self._renew_lease(now, limit)
+            self._renew_lease(now, self._limit_lease(limit))
             if has_runs and not first_contact
             else 0,
             wait,
@@ -183,7 +189,7 @@
             target refuses an order whose lease has ended
         """
         name = _run_records.RunName(order.name, order.run)
-        until = self._extend_lease(now, limit)
+        until = self._extend_lease(now, self._limit_lease(limit))
         machine = _charts.StateMachine(self._chart)
         self._runs[name] = _Run(
             key, name, now, until, machine, order.checkpoint
@@ -205,7 +211,9 @@
     ) -> list[_run_records.RunAction]:
         """Stop the run of an attempt, if there is one."""
         return [
-            self._stop(run) for run in self._runs.values() if run.key == key
+            self._stop(run, now)
+            for run in self._runs.values()
+            if run.key == key
         ]
 
     def handle_start_reply(
@@ -222,6 +230,7 @@
             return []
         if reply is _run_records.StartReply.ACCEPTED:
             run.machine.fire("accept")
+            run.started = True
             run.conclusive_after = run.conclusive_after or now
             return []
         if reply is _run_records.StartReply.STALE_TOKEN:
@@ -249,7 +258,9 @@
             run.machine.fire("clear")
             return [self._end(run, _UNREACHABLE, now)]
         run.machine.fire("miss")
-        return [self._stop(run)] if run.machine.state == "unanswered" else []
+        if run.machine.state != "unanswered":
+            return []
+        return [self._stop(run, now)]
 
     def handle_stop_reply(
         self, name: _run_records.RunName, now: datetime.datetime
@@ -264,7 +275,7 @@
     ) -> list[_run_records.RunAction]:
         """Repeat a stop order that the target did not accept."""
         run = self._runs.get(name)
-        return [self._stop(run)] if run is not None else []
+        return [self._stop(run, now)] if run is not None else []
 
     def handle_listing(
         self,
@@ -281,7 +292,7 @@
             return actions
         if self._incarnation and listing.incarnation > self._incarnation:
             self._begin_incarnation(listing.incarnation)
-            actions.extend(self._stop_unconfirmed())
+            actions.extend(self._stop_unconfirmed(now))
         self._incarnation = listing.incarnation
         if listing.clock_ms < self._listed_ms:
             # Replies to watches may arrive out of order.
@@ -298,7 +309,9 @@
                 self._runs[name].checkpoint = checkpoint
         running = set(listing.running)
         for run in list(self._runs.values()):
-            if run.name not in running:
+            if run.name in running:
+                run.started = True
+            else:
                 actions.extend(
                     self._resolve_absent(run, listing, asked_at, now)
                 )
@@ -338,6 +351,18 @@
             return self._clock_ms
         return self._clock_ms + (now - self._clock_at) // MILLISECOND
 
+    def _limit_lease(
+        self, limit: datetime.datetime | None
+    ) -> datetime.datetime | None:
+        # Orders to stop may get lost or be carried out seconds later. Without
+        # a renewal the run ends as soon as if the agent had died.
+        ends = [
+            run.stopped_at + self._lease
+            for run in self._runs.values()
+            if run.started and run.stopped_at is not None
+        ]
+        return min(ends if limit is None else [*ends, limit], default=None)
+
     def _renew_lease(
         self, now: datetime.datetime, limit: datetime.datetime | None
     ) -> int:
@@ -377,16 +402,21 @@
         self._listed_ms = 0
         self._unacknowledged = False
 
-    def _stop_unconfirmed(self) -> list[_run_records.RunAction]:
+    def _stop_unconfirmed(
+        self, now: datetime.datetime
+    ) -> list[_run_records.RunAction]:
         # A stop that the previous incarnation accepted has no effect now.
         return [
-            self._stop(run)
+            self._stop(run, now)
             for run in self._runs.values()
             if run.machine.state in ("unanswered", "stopping")
         ]
 
-    def _stop(self, run: _Run) -> _run_records.CallStop:
+    def _stop(
+        self, run: _Run, now: datetime.datetime
+    ) -> _run_records.CallStop:
         run.machine.fire("stop")
+        run.stopped_at = run.stopped_at or now
         run.conclusive_after = None
         return _run_records.CallStop(run.name, self._fence, self._instance)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -70,6 +70,38 @@
     assert call.lease_end_ms < 5_000
 
 
+# Guards against a run that goes on beside the next one of its task, because
+# the target carries out no order to stop while other runs keep its lease.
+def test_lease_is_not_renewed_beyond_that_of_a_run_to_be_stopped() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    tracker.handle_start_reply(
+        NAME, core.StartReply.ACCEPTED, 5_001, _later(1)
+    )
+    assert tracker.watch(_later(200), None).lease_end_ms == 6_200
+    tracker.stop(KEY, _later(300))
+    tracker.handle_stop_failure(NAME, _later(450))
+    assert tracker.watch(_later(500), None).lease_end_ms == 6_300
+    assert tracker.watch(_later(1_300), None).lease_end_ms == 0
+    listing = run_builders.build_listing(
+        6_301, (), (core.ListedEnd(1, NAME, core.RunEnd.LAPSED),)
+    )
+    tracker.handle_listing(listing, _later(1_300), _later(1_301))
+    other = core.AttemptKey(7, 2)
+    order = run_builders.build_order(2, 11)
+    (call,) = tracker.start(other, order, _later(1_301))
+    assert call.lease_end_ms == 7_301
+
+
+# Guards against leases that end, since the target leaves an order to start
+# unanswered and the run is stopped though it never began.
+def test_run_that_may_never_have_begun_limits_no_lease() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    tracker.handle_start_failure(NAME, True, _later(150))
+    assert tracker.watch(_later(500), None).lease_end_ms == 6_500
+
+
 def test_watch_renews_while_something_runs() -> None:
     tracker = run_builders.build_tracker()
     _start(tracker)
