--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -277,6 +277,7 @@
                 link.held_at = link.received_at
                 self._send_report(incarnation, link)
             link.held.append(message)
+            self.fire(_events.orders_held(message))
             return
         if known_alive:
             held, link.held = link.held, []
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
@@ -13,6 +13,7 @@
 from cowslipgate_agent import _events
 from cowslipgate_agent import _runner
 
+MAX_KINDS = 100
 TARGET_LAPSE = datetime.timedelta(hours=1)
 
 
@@ -24,8 +25,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.changes: list[transport.Change] = []
-        clock = core.ManualClock()
-        executor = core.Executor(1, 0)
+        self.clock = clock = core.ManualClock()
+        self.executor = executor = core.Executor(1, 0)
         _agent_log.AgentLog(executor, clock).register(self)
         _runner.Runner(executor, clock, TARGET_LAPSE).register(self)
 
@@ -82,3 +83,51 @@
         if isinstance(component, _agent_log.AgentLog)
     ]
     assert len(log._task_names) == _agent_log.MAX_TASK_NAMES
+
+
+# Guards against logs that don't tell a silent entry from a broken connection.
+def test_loss_of_an_entry_names_the_age_of_its_last_confirmation(
+    recorder: LogRecorder,
+) -> None:
+    recorder.executor.connect(7)
+    recorder.executor.confirm(7, recorder.clock.now())
+    recorder.clock.advance(datetime.timedelta(milliseconds=1_050))
+    for entry in (7, 8):
+        recorder.fire(_events.entry_dropped(entry), "runner")
+    recorder.deliver()
+    lost = [c for c in recorder.changes if isinstance(c, _changes.EntryLost)]
+    assert [(c.entry, c.unconfirmed_ms) for c in lost] == [(7, 1_050), (8, -1)]
+
+
+def test_orders_that_wait_are_logged(recorder: LogRecorder) -> None:
+    dispatch = core.Dispatch(7, 1, 0, (run_builders.build_order(4),))
+    recorder.fire(_events.orders_held(dispatch), "links")
+    recorder.deliver()
+    assert _changes.OrdersHeld(7, (4,), -1) in recorder.changes
+
+
+# Guards against a line for each listing of a target that has an odd row.
+def test_invalid_message_of_the_target_is_logged_once(
+    recorder: LogRecorder,
+) -> None:
+    for number in range(3 * MAX_KINDS):
+        for _ in range(2):
+            error = core.WireError(b"hold", f"problem {number}")
+            recorder.fire(_events.target_message_invalid(error), "target")
+            recorder.flush()
+    while len(recorder):
+        recorder.flush()
+    logged = [change.problem for change in recorder.changes]
+    assert len(logged) == len(set(logged)) == MAX_KINDS
+
+
+# Guards against messages of entries that are passed over without a trace.
+def test_invalid_message_of_an_entry_is_logged_once(
+    recorder: LogRecorder,
+) -> None:
+    for _ in range(3):
+        error = core.WireError(b"B\xff", "odd")
+        recorder.fire(transport.message_malformed(b"7", error), "entry-7-1")
+    while len(recorder):
+        recorder.flush()
+    assert recorder.changes == [transport.MessagePassedOver("B\ufffd", "odd")]
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -28,13 +28,16 @@
 from cowslipgate_core.membership import _gossip
 from cowslipgate_core.membership import _heartbeats
 from cowslipgate_core.membership import _lease_rows
+from cowslipgate_core.membership import _member_lists
 from cowslipgate_core.membership import _membership
 from cowslipgate_core.membership import _quotas
 from cowslipgate_core.membership import _validity
 from cowslipgate_core.messages import _attempts
 from cowslipgate_core.messages import _batches
 from cowslipgate_core.messages import _cancels
+from cowslipgate_core.messages import _decoding
 from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _fields
 from cowslipgate_core.messages import _reports
 from cowslipgate_core.messages import _resources
 from cowslipgate_core.messages import _sender_checks
@@ -77,8 +80,11 @@
 ConfigurationRequest = _documents.ConfigurationRequest
 count_gossip_rounds = _gossip.count_gossip_rounds
 CowslipgateError = _exceptions.CowslipgateError
+decode = _decoding.decode
 decode_leases = _lease_rows.decode_leases
+decode_members = _member_lists.decode_members
 decode_message = _wire.decode_message
+decode_rows = _decoding.decode_rows
 describe_settings = _settings.describe_settings
 digest_claim = _configuration.digest_claim
 digest_members = _membership.digest_members
@@ -106,6 +112,7 @@
 find_message_fault = _sender_checks.find_message_fault
 find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
+Count = _fields.Count
 covers_needs = _room.covers_needs
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
 FoundRoute = _routes.FoundRoute
@@ -197,6 +204,7 @@
 RunTracker = _runs.RunTracker
 RunEnd = _run_records.RunEnd
 RunName = _run_records.RunName
+RowFault = _tables.RowFault
 SendReports = _executor_actions.SendReports
 Sentinel = _settings.Sentinel
 Service = _configuration.Service
@@ -233,6 +241,7 @@
 TargetState = _target_state.TargetState
 TargetView = _targets.TargetView
 Team = _configuration.Team
+Text = _fields.Text
 UNBOUNDED_SLOTS = _room.UNBOUNDED_SLOTS
 UNLIMITED_SLOTS = _quotas.UNLIMITED_SLOTS
 VersionWatch = _versions.VersionWatch
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -55,6 +55,12 @@
     """Time of the target's answer to the start or stop, or None. A listing
     requested later shows for certain whether the run is active."""
 
+    started: bool = False
+    """Whether the target is known to have started it."""
+
+    stopped_at: datetime.datetime | None = None
+    """When an order to stop it was first sent, or None."""
+
 
 _ENDS = {
     _run_records.RunEnd.DONE: (
@@ -108,6 +114,7 @@
         self._listed_ms = 0
         self._unacknowledged = False
         self._unexpected: set[_run_records.RunName] = set()
+        self._hidden_runs_end_at: datetime.datetime | None = None
         self.leases_expire_at: datetime.datetime | None = None
 
     @property
@@ -126,6 +133,7 @@
             self._clock_at is not None
             and self._fenced
             and not self._unexpected
+            and self._hidden_runs_end_at is None
         )
 
     @property
@@ -133,7 +141,12 @@
         """Whether runs, ended runs or a missing listing need a watch."""
         if self._clock_at is None or not self._fenced:
             return True
-        return bool(self._runs or self._unexpected or self._unacknowledged)
+        return bool(
+            self._runs
+            or self._unexpected
+            or self._unacknowledged
+            or self._hidden_runs_end_at
+        )
 
     def __len__(self) -> int:
         return len(self._runs)
@@ -160,7 +173,7 @@
             self._fenced = False
         elif self._incarnation and incarnation > self._incarnation:
             self._begin_incarnation(incarnation)
-            actions = self._stop_unconfirmed()
+            actions = self._stop_unconfirmed(now)
         self._instance = instance
         self._raise_clock(clock_ms, now)
         return actions
@@ -184,7 +197,7 @@
         return _run_records.CallWatch(
             self._fence,
             self._cursor,
-            self._renew_lease(now, limit)
+            self._renew_lease(now, self._limit_lease(limit))
             if has_runs and not first_contact
             else 0,
             wait,
@@ -204,7 +217,7 @@
             target refuses an order whose lease has ended
         """
         name = _run_records.RunName(order.name, order.run)
-        until = self._extend_lease(now, limit)
+        until = self._extend_lease(now, self._limit_lease(limit))
         machine = _charts.StateMachine(self._chart)
         self._runs[name] = _Run(
             key, name, now, until, machine, order.checkpoint
@@ -226,7 +239,9 @@
     ) -> list[_run_records.RunAction]:
         """Stop the run of an attempt, if there is one."""
         return [
-            self._stop(run) for run in self._runs.values() if run.key == key
+            self._stop(run, now)
+            for run in self._runs.values()
+            if run.key == key
         ]
 
     def handle_start_reply(
@@ -243,6 +258,7 @@
             return []
         if reply is _run_records.StartReply.ACCEPTED:
             run.machine.fire("accept")
+            run.started = True
             run.conclusive_after = run.conclusive_after or now
             return []
         if reply is _run_records.StartReply.STALE_TOKEN:
@@ -270,7 +286,9 @@
             run.machine.fire("clear")
             return [self._end(run, _UNREACHABLE, now)]
         run.machine.fire("miss")
-        return [self._stop(run)] if run.machine.state == "unanswered" else []
+        if run.machine.state != "unanswered":
+            return []
+        return [self._stop(run, now)]
 
     def handle_stop_reply(
         self, name: _run_records.RunName, now: datetime.datetime
@@ -285,7 +303,7 @@
     ) -> list[_run_records.RunAction]:
         """Repeat a stop order that the target did not accept."""
         run = self._runs.get(name)
-        return [self._stop(run)] if run is not None else []
+        return [self._stop(run, now)] if run is not None else []
 
     def handle_listing(
         self,
@@ -302,12 +320,13 @@
             return actions
         if self._incarnation and listing.incarnation > self._incarnation:
             self._begin_incarnation(listing.incarnation)
-            actions.extend(self._stop_unconfirmed())
+            actions.extend(self._stop_unconfirmed(now))
         self._incarnation = listing.incarnation
         if listing.clock_ms < self._listed_ms:
             # Replies to watches may arrive out of order.
             return actions
         self._listed_ms = listing.clock_ms
+        self._expect_hidden_runs(listing, now)
         if self._fence_set_at is None:
             self._fence = max(self._fence, listing.clock_ms)
             self._fence_set_at = now
@@ -322,7 +341,9 @@
                 self._runs[name].checkpoint = checkpoint
         running = set(listing.running)
         for run in list(self._runs.values()):
-            if run.name not in running:
+            if run.name in running:
+                run.started = True
+            elif listing.complete:
                 actions.extend(
                     self._resolve_absent(run, listing, asked_at, now)
                 )
@@ -363,6 +384,18 @@
         elapsed = (now - self._clock_at) * SLOWEST_RATE
         return self._clock_ms + elapsed // MILLISECOND
 
+    def _limit_lease(
+        self, limit: datetime.datetime | None
+    ) -> datetime.datetime | None:
+        # Orders to stop may get lost or be carried out seconds later. Without
+        # a renewal the run ends as soon as if the agent had died.
+        ends = [
+            run.stopped_at + self._lease
+            for run in self._runs.values()
+            if run.started and run.stopped_at is not None
+        ]
+        return min(ends if limit is None else [*ends, limit], default=None)
+
     def _renew_lease(
         self, now: datetime.datetime, limit: datetime.datetime | None
     ) -> int:
@@ -387,6 +420,17 @@
             self._clock_ms = clock_ms
             self._clock_at = now
 
+    def _expect_hidden_runs(
+        self, listing: _run_records.Listing, now: datetime.datetime
+    ) -> None:
+        # A row that cannot be read may be a run of an earlier agent. It ends
+        # with its lease, as watches renew nothing while no run is ordered.
+        ends_at = self._hidden_runs_end_at
+        if listing.complete or (ends_at is not None and now >= ends_at):
+            self._hidden_runs_end_at = None
+        elif self._clock_at is None:
+            self._hidden_runs_end_at = now + self._lease + CLOCK_SLACK
+
     def _raise_clock(self, clock_ms: int, now: datetime.datetime) -> None:
         if self._clock_at is None:
             return
@@ -410,16 +454,21 @@
         self._listed_ms = 0
         self._unacknowledged = False
 
-    def _stop_unconfirmed(self) -> list[_run_records.RunAction]:
+    def _stop_unconfirmed(
+        self, now: datetime.datetime
+    ) -> list[_run_records.RunAction]:
         # A stop that the previous incarnation accepted has no effect now.
         return [
-            self._stop(run)
+            self._stop(run, now)
             for run in self._runs.values()
             if run.machine.state in ("unanswered", "stopping")
         ]
 
-    def _stop(self, run: _Run) -> _run_records.CallStop:
+    def _stop(
+        self, run: _Run, now: datetime.datetime
+    ) -> _run_records.CallStop:
         run.machine.fire("stop")
+        run.stopped_at = run.stopped_at or now
         run.conclusive_after = None
         return _run_records.CallStop(run.name, self._fence, self._instance)
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
@@ -56,10 +56,10 @@
     incarnation: _fields.Count
     """Incarnation of the entry process; it increases with each restart."""
 
-    address: str
+    address: _fields.Endpoint
     """ZeroMQ address for agents and other entries."""
 
-    http: str
+    http: _fields.Text
     """HTTP address for callers, ``host:port``."""
 
     domain: _fields.Text
@@ -85,7 +85,7 @@
     leaving: bool = False
     """Whether the entry is stopping."""
 
-    heartbeat_ms: _fields.Count = 0
+    heartbeat_ms: _fields.Interval = 0
     """Interval of reports on an idle link in milliseconds; zero for the
     agent's own setting."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
@@ -31,6 +31,20 @@
     """Whether the row was removed."""
 
 
+@attrs.frozen
+class RowFault:
+    """Why a row names nothing."""
+
+    key: str
+    """Key of the row, empty if it is unknown."""
+
+    version: int
+    """Version of the row, zero if it is unknown."""
+
+    problem: str
+    """What is wrong with it."""
+
+
 @attrs.frozen(eq=False)
 class TableRead:
     """A call that reads all rows of a table."""
@@ -89,6 +103,7 @@
     CONFLICT = "conflict"
     EXPIRED = "expired"
     REFUSED = "refused"
+    MALFORMED = "malformed"
     UNREACHABLE = "unreachable"
 
 
@@ -101,7 +116,8 @@
 
     result: TableResult
     """Result; EXPIRED means that the store no longer keeps the changes,
-    CONFLICT that a write had no effect since the row had another version."""
+    CONFLICT that a write had no effect since the row had another version,
+    MALFORMED that the answer cannot be decoded."""
 
     rows: tuple[TableRow, ...] = ()
     """Rows that were read or have changed."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -119,6 +119,38 @@
     assert call.lease_end_ms < 5_000
 
 
+# Guards against a run that goes on beside the next one of its task, because
+# the target carries out no order to stop while other runs keep its lease.
+def test_lease_is_not_renewed_beyond_that_of_a_run_to_be_stopped() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    tracker.handle_start_reply(
+        NAME, core.StartReply.ACCEPTED, 5_001, _later(1)
+    )
+    assert tracker.watch(_later(200), None).lease_end_ms == 6_196
+    tracker.stop(KEY, _later(300))
+    tracker.handle_stop_failure(NAME, _later(450))
+    assert tracker.watch(_later(500), None).lease_end_ms == 6_290
+    assert tracker.watch(_later(1_300), None).lease_end_ms == 0
+    listing = run_builders.build_listing(
+        6_301, (), (core.ListedEnd(1, NAME, core.RunEnd.LAPSED),)
+    )
+    tracker.handle_listing(listing, _later(1_300), _later(1_301))
+    other = core.AttemptKey(7, 2)
+    order = run_builders.build_order(2, 11)
+    (call,) = tracker.start(other, order, _later(1_301))
+    assert call.lease_end_ms == 7_301
+
+
+# Guards against leases that end, since the target leaves an order to start
+# unanswered and the run is stopped though it never began.
+def test_run_that_may_never_have_begun_limits_no_lease() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    tracker.handle_start_failure(NAME, True, _later(150))
+    assert tracker.watch(_later(500), None).lease_end_ms == 6_490
+
+
 def test_watch_renews_while_something_runs() -> None:
     tracker = run_builders.build_tracker()
     _start(tracker)
@@ -391,3 +423,45 @@
     # A target lost before the next checkpoint leaves this one.
     (end,) = tracker.end_all_runs(core.Reason.TARGET_UNREACHABLE, NOW)
     assert end.checkpoint == "c1"
+
+
+# Guards against a run that runs twice since its row could not be read.
+def test_incomplete_listing_shows_no_run_as_vanished() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    accepted = core.StartReply.ACCEPTED
+    tracker.handle_start_reply(NAME, accepted, 5_010, _later(10))
+    incomplete = attrs.evolve(
+        run_builders.build_listing(5_100), complete=False
+    )
+    actions = tracker.handle_listing(incomplete, _later(50), _later(100))
+    assert _get_ends(actions) == []
+    complete = run_builders.build_listing(5_200)
+    actions = tracker.handle_listing(complete, _later(150), _later(200))
+    assert [found[0] for found in _get_ends(actions)] == [core.Outcome.LOST]
+
+
+# Guards against tasks that run again while a run of theirs goes on unread.
+def test_runs_hidden_at_the_first_contact_are_over_after_their_lease() -> None:
+    tracker = core.RunTracker(run_builders.LEASE)
+    incomplete = attrs.evolve(run_builders.build_listing(), complete=False)
+    for milliseconds in (0, 500, 1_000):
+        now = _later(milliseconds)
+        tracker.handle_listing(incomplete, now, now)
+        assert not tracker.runs_known
+        assert tracker.needs_watch
+        assert not tracker.watch(now).lease_end_ms
+    tracker.handle_listing(incomplete, _later(1_100), _later(1_100))
+    assert tracker.runs_known
+    # A row that is odd later on hides no run of an earlier agent.
+    tracker.handle_listing(incomplete, _later(1_200), _later(1_200))
+    assert tracker.runs_known
+    assert not tracker.needs_watch
+
+
+def test_complete_listing_shows_that_no_run_is_hidden() -> None:
+    tracker = core.RunTracker(run_builders.LEASE)
+    incomplete = attrs.evolve(run_builders.build_listing(), complete=False)
+    tracker.handle_listing(incomplete, NOW, NOW)
+    tracker.handle_listing(run_builders.build_listing(), NOW, NOW)
+    assert tracker.runs_known
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -41,6 +41,7 @@
         self._leaving = False
         self._store_failed = False
         self._next_renewal = clock.now()
+        self._passed_over = transport.RowsPassedOver(self)
 
     @circuits.handler("started", channel="*")
     def _on_started(self, *arguments: object) -> None:
@@ -94,10 +95,11 @@
         self.fire(transport.call_table(call), "store")
 
     def _handle_rows(self, rows: tuple[core.TableRow, ...]) -> None:
-        leases = core.decode_leases(rows)
+        decoded = core.decode_leases(rows)
+        self._passed_over.log(core.ENTRIES_TABLE, decoded.faults)
         others = tuple(
             lease
-            for lease in leases
+            for lease in decoded.leases
             if lease.member.address != self._member.address
         )
         live = self._expiry_detector.filter_live(others, self._clock.now())
@@ -133,12 +135,10 @@
         for lease in self._expiry_detector.list_abandoned(
             leases, self._clock.now()
         ):
-            # A row under another key was written by another program.
-            version = versions.get(core.name_lease(lease.member))
-            if version is not None:
-                self._busy = True
-                self._write(lease.member, b"", version)
-                return
+            self._busy = True
+            version = versions[core.name_lease(lease.member)]
+            self._write(lease.member, b"", version)
+            return
 
     def _list_unseen(
         self, seen: tuple[core.Member, ...]
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -1,10 +1,11 @@
-"""Harness for tests of the HTTP client with real sockets."""
+"""An HTTP client beside a server that answers with any bytes."""
 
+from collections.abc import Iterator
 import contextlib
-import errno
-import os
+import datetime
 import socket
 import threading
+import zlib
 
 import circuits
 from circuits.core import events
@@ -13,64 +14,114 @@
 import cowslipgate_core as core
 import cowslipgate_transport as transport
 
-CHANNEL = "called"
-ROUNDS = 2_000
+CHANNEL = "client"
+ROUNDS = 400
 ROUND_SECONDS = 0.005
+TIMEOUT = datetime.timedelta(hours=1)
+"""Longer than a test; a call that waits for it counts as unanswered."""
 
 
-class FailingSocket(socket.socket):
-    """A socket that has no port of its own left to connect from."""
+class ClientHarness(circuits.BaseComponent):
+    """A client, its results, and the errors of its handlers."""
 
-    def connect_ex(self, address: object) -> int:
-        """Return the error of a machine without free ports."""
-        return errno.EADDRNOTAVAIL
+    channel = CHANNEL
 
-
-class ClientHarness:
-    """An HTTP client and the failures of its calls."""
-
-    def __init__(self) -> None:
-        self.clock = core.ManualClock()
-        self.root = circuits.BaseComponent(channel="root")
-        poller = pollers.EPoll().register(self.root)
-        transport.HttpClient(CHANNEL, poller, self.clock).register(self.root)
-        self.recorder = _FailureRecorder().register(self.root)
-
-    def call(self, port: int) -> transport.CallProblem:
-        """Call a port of this machine, and return why it failed."""
-        address = transport.Address("127.0.0.1", port)
-        call = transport.Call(1, address, "GET", "/")
-        self.root.fire(transport.call_http(call), CHANNEL)
-        for _ in range(ROUNDS):
-            if self.recorder.failures:
-                return self.recorder.failures.pop().problem
-            if not len(self.root):
-                event = events.generate_events(
-                    threading.RLock(), ROUND_SECONDS
-                )
-                self.root.fire(event, "*")
-            self.root.tick()
-        raise AssertionError(f"no failure in {ROUNDS} rounds")
-
-
-class _FailureRecorder(circuits.BaseComponent):
-    channel = "recorder"
-
-    def __init__(self) -> None:
+    def __init__(self, clock: core.ManualClock) -> None:
         super().__init__()
+        self.answers: list[transport.CallAnswer] = []
         self.failures: list[transport.CallFailure] = []
+        self.errors: list[BaseException] = []
+        poller = pollers.EPoll().register(self)
+        transport.HttpClient(CHANNEL, poller, clock).register(self)
 
-    @circuits.handler("http_failed", channel=CHANNEL)
+    @circuits.handler("http_answered")
+    def _on_http_answered(self, answer: transport.CallAnswer) -> None:
+        self.answers.append(answer)
+
+    @circuits.handler("http_failed")
     def _on_http_failed(self, failure: transport.CallFailure) -> None:
         self.failures.append(failure)
 
+    @circuits.handler("exception", channel="*")
+    def _on_exception(
+        self, kind: type, error: BaseException, *more: object, **rest: object
+    ) -> None:
+        self.errors.append(error)
+
+    @property
+    def results(self) -> int:
+        """Number of calls that were answered or have failed."""
+        return len(self.answers) + len(self.failures)
+
+    def call(self, address: transport.Address) -> None:
+        """Make a call."""
+        call = transport.Call(1, address, "GET", "/", timeout=TIMEOUT)
+        self.fire(transport.call_http(call), CHANNEL)
+        self.run_round()
+
+    def run_round(self) -> None:
+        """Run one round."""
+        if not len(self):
+            event = events.generate_events(threading.RLock(), ROUND_SECONDS)
+            self.fire(event, "*")
+        self.tick()
+
+
+class RawServer:
+    """Answers each connection with the same bytes."""
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self._connections: list[socket.socket] = []
+        host, port = self._listener.getsockname()
+        self.address = transport.Address(host, port)
+
+    def poll(self) -> None:
+        """Accept connections and answer on them."""
+        with contextlib.suppress(BlockingIOError):
+            connection, _ = self._listener.accept()
+            connection.sendall(self._answer)
+            self._connections.append(connection)
+
+    def close(self) -> None:
+        """Close the server and its connections."""
+        for sock in [self._listener, *self._connections]:
+            sock.close()
+
+
+@contextlib.contextmanager
+def serve(answer: bytes) -> Iterator[RawServer]:
+    """Yield a server, and close it."""
+    server = RawServer(answer)
+    try:
+        yield server
+    finally:
+        server.close()
+
+
+def get(answer: bytes) -> ClientHarness:
+    """Make a call of a server that answers with some bytes.
+
+    :return: the harness, once the call has ended or ROUNDS have passed
+    """
+    harness = ClientHarness(core.ManualClock())
+    with serve(answer) as server:
+        harness.call(server.address)
+        for _ in range(ROUNDS):
+            server.poll()
+            harness.run_round()
+            if harness.results or harness.errors:
+                break
+    return harness
 
-def raise_no_free_file(*arguments: object) -> None:
-    """Take the place of ``socket`` in a process with too many open files."""
-    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
 
+def compress(size: int, encoding: str) -> bytes:
+    """Return many zero bytes, compressed.
 
-def find_closed_port() -> int:
-    """Return a port of this machine at which nothing listens."""
-    with contextlib.closing(socket.create_server(("127.0.0.1", 0))) as sock:
-        return sock.getsockname()[1]
+    :param encoding: ``gzip`` or ``deflate``
+    """
+    window = zlib.MAX_WBITS + (16 if encoding == "gzip" else 0)
+    compressor = zlib.compressobj(wbits=window)
+    return compressor.compress(bytes(size)) + compressor.flush()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_connect_problems.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_connect_problems.py
@@ -5,12 +5,12 @@
 import pytest
 
 import cowslipgate_transport as transport
-from cowslipgate_transport.tests import client_builders
+from cowslipgate_transport.tests import connect_builders
 
 
 def test_port_at_which_nothing_listens_refuses_the_connection() -> None:
-    harness = client_builders.ClientHarness()
-    problem = harness.call(client_builders.find_closed_port())
+    harness = connect_builders.ClientHarness()
+    problem = harness.call(connect_builders.find_closed_port())
     assert problem is transport.CallProblem.REFUSED
 
 
@@ -18,12 +18,12 @@
 # file or port.
 @pytest.mark.parametrize(
     "replacement",
-    [client_builders.raise_no_free_file, client_builders.FailingSocket],
+    [connect_builders.raise_no_free_file, connect_builders.FailingSocket],
 )
 def test_error_of_this_side_is_no_refused_connection(
     monkeypatch: pytest.MonkeyPatch, replacement: object
 ) -> None:
-    harness = client_builders.ClientHarness()
-    port = client_builders.find_closed_port()
+    harness = connect_builders.ClientHarness()
+    port = connect_builders.find_closed_port()
     monkeypatch.setattr(socket, "socket", replacement)
     assert harness.call(port) is transport.CallProblem.UNREACHABLE
