--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -106,6 +106,8 @@
         self._instance = ""
         self._incarnation = 0
         self._fence = 0
+        self._fence_set_at: datetime.datetime | None = None
+        self._fenced = False
         self._cursor = 0
         self._clock_ms = 0
         self._clock_at: datetime.datetime | None = None
@@ -122,9 +124,14 @@
 
     @property
     def runs_known(self) -> bool:
-        """Whether the target listed its runs and all of them were ordered."""
+        """Whether all runs at the target were ordered by this process.
+
+        The target has listed its runs after it had seen the fencing token, so
+        that no late order of an earlier process starts another one.
+        """
         return (
             self._clock_at is not None
+            and self._fenced
             and not self._unexpected
             and self._hidden_runs_end_at is None
         )
@@ -132,7 +139,7 @@
     @property
     def needs_watch(self) -> bool:
         """Whether runs, ended runs or a missing listing need a watch."""
-        if self._clock_at is None:
+        if self._clock_at is None or not self._fenced:
             return True
         return bool(
             self._runs
@@ -162,6 +169,8 @@
             actions = self.end_all_runs(_REPLACED, now)
             self._begin_incarnation(incarnation)
             self._fence = 0
+            self._fence_set_at = None
+            self._fenced = False
         elif self._incarnation and incarnation > self._incarnation:
             self._begin_incarnation(incarnation)
             actions = self._stop_unconfirmed(now)
@@ -318,8 +327,11 @@
             return actions
         self._listed_ms = listing.clock_ms
         self._expect_hidden_runs(listing, now)
-        if self._clock_at is None:
+        if self._fence_set_at is None:
             self._fence = max(self._fence, listing.clock_ms)
+            self._fence_set_at = now
+        elif asked_at >= self._fence_set_at:
+            self._fenced = True
         self._record_clock(listing.clock_ms, now)
         self._unacknowledged = bool(listing.ended)
         for ended in listing.ended:
