Count leases as expired a whole lease after the last renewal, however short

What callers could see: two runs of one task (TWICE): a target is reborn under its id before its agent hears of it, and reads the end of a lease, which counts on the old clock, as far away: it grants a whole lease. Since an agent sends shorter ones and counted all runs as lapsed when the short one was over.

Why it works: whatever clock a target reads an end by, it grants no more than a lease from the arrival; the agent's own account is only the last resort anyway, since listings name the ends.

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -409,10 +409,9 @@
         end = now + self._lease
         if limit is not None:
             end = min(end, limit)
-        expire_at = end + CLOCK_SLACK
-        if self.leases_expire_at is not None:
-            expire_at = max(expire_at, self.leases_expire_at)
-        self.leases_expire_at = expire_at
+        # A target that was reborn unnoticed reads the end by another clock and
+        # grants a whole lease.
+        self.leases_expire_at = now + self._lease + CLOCK_SLACK
         return max(1, self.read_clock(now) + (end - now) // MILLISECOND)
 
     def _record_clock(self, clock_ms: int, now: datetime.datetime) -> None:
