--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -229,7 +229,7 @@
         elif sender == int(peer):
             self._renew_expired_link(sender, link)
             link.received_at = self._clock.now()
-            self._confirm(sender, link, message)
+            self._record_confirmation(sender, link, message)
             self._pass_on(sender, link, message)
             if isinstance(message, core.Beat):
                 self._update_interval(message, link)
@@ -253,7 +253,9 @@
         self._executor.connect(incarnation)
         self._send_report(incarnation, link)
 
-    def _confirm(self, incarnation: int, link: Link, message: object) -> None:
+    def _record_confirmation(
+        self, incarnation: int, link: Link, message: object
+    ) -> None:
         now = link.received_at
         confirmed_at = link.confirmed_at
         received_ms = getattr(message, "received_ms", 0)
@@ -470,7 +472,16 @@
         now = self._clock.now()
         component = self._open_socket(member)
         heartbeat = self._settings.heartbeat
-        link = Link(member, component, now, now, heartbeat, now, now, now)
+        link = Link(
+            member,
+            component,
+            received_at=now,
+            confirmed_at=now,
+            interval=heartbeat,
+            reported_at=now,
+            sent_at=now,
+            opened_at=now,
+        )
         self._links[member.incarnation] = link
         # The handshake may complete before the socket's events are monitored.
         self._executor.connect(member.incarnation)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_settings.py
@@ -75,10 +75,11 @@
     entry_lost_after: datetime.timedelta = core.setting(
         core.parse_duration,
         "a duration such as 20s",
-        "silence after which an entry's tasks are stopped",
+        "age of an entry's last confirmation at which its tasks are stopped",
         "20s",
     )
-    """Time without a message of an entry after which its tasks are stopped."""
+    """Time since the newest message was sent that an entry has confirmed,
+    after which its tasks are stopped."""
 
     link_expires_after: datetime.timedelta = core.setting(
         core.parse_duration,
