--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -391,6 +391,21 @@
     assert tracker.has_expired(_later(1_100))
 
 
+# Guards against a run that counts as lapsed while it goes on: a target that
+# was reborn unnoticed grants a whole lease to an end by its earlier clock.
+def test_short_lease_counts_as_expired_only_after_a_whole_one() -> None:
+    tracker = run_builders.build_tracker()
+    target = run_builders.TargetModel()
+    target.restart()
+    order = run_builders.build_order()
+    (call,) = tracker.start(KEY, order, NOW, _later(300))
+    assert target.start(call) is core.StartReply.ACCEPTED
+    target.advance(990)
+    assert target.running
+    assert not tracker.has_expired(_later(990))
+    assert tracker.has_expired(_later(1_100))
+
+
 @pytest.mark.parametrize(
     ("listed", "at_end", "reported"),
     [
