Answer a job that did not run as refused, whenever its end is noticed

Cause: since a job that waits is refused as overloaded once less time is left than half of a run. The ledger looks at its jobs every 0.1 s, so for short runs the tick just before the deadline decided whether the refusal or the deadline came first. Learned sizes and known targets decided as well.

Change: what ran decides (_late_jobs). When a job was not done in time and none of its tasks has run or will run, it is answered 503 overloaded with Retry-After, before the deadline or after it; else 504 deadline with "some" or "unknown". The answer is chosen when the outcomes of its attempts are known, so that "not run" is true: an attempt without an outcome counts as "unknown".

Why 503: a request that has not run is told when to come back, API.md says so of a job that waits and can no longer be done before its deadline, and a caller of 504 has to assume that it may have run. Ruled out: 504 for unreachable targets and 503 for full ones. A job whose deadline passes while its claim is written keeps its 504: its key may be used up.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -13,6 +13,7 @@
 from cowslipgate_core.configuration import _configuration
 from cowslipgate_core.jobs import _inquiries
 from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.jobs import _late_jobs
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
 from cowslipgate_core.jobs import _stalled_runs
@@ -288,8 +289,8 @@
                 actions.extend(
                     self.fail(
                         job,
-                        _jobs.Failure.OVERLOADED,
-                        "it can't be done in time; try later or allow more",
+                        _late_jobs.UNSERVED.failure,
+                        _late_jobs.UNSERVED.message,
                         now,
                     )
                 )
@@ -336,8 +337,8 @@
             actions.extend(
                 self.fail(
                     job,
-                    _jobs.Failure.DEADLINE,
-                    "the deadline passed; allow more time",
+                    _late_jobs.OVERDUE.failure,
+                    _late_jobs.OVERDUE.message,
                     now,
                 )
             )
@@ -531,6 +532,9 @@
         job.machine.fire("settle")
         self.counters.failed += 1
         del self._jobs[job.id]
+        if job.failure is _jobs.Failure.DEADLINE:
+            late = _late_jobs.classify_late_job(started)
+            job.failure, job.message = late.failure, late.message
         answer = _jobs.JobAnswer(
             job.id, (), job.failure, started, job.message, job.path
         )
