Heal the deployment of test_answers after each of its tests

A fixture now removes faults and brings targets back after each test, whatever its result; that targets do not come back is an error of its own. No check changes.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_answers.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_answers.py
@@ -21,7 +21,7 @@
 
 
 @pytest.fixture(scope="module")
-def deployment(
+def shared_deployment(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[_deployment.Deployment]:
     folder: pathlib.Path = tmp_path_factory.mktemp("answers")
@@ -29,6 +29,16 @@
         yield started
 
 
+# The next test needs targets that serve, also after one that failed.
+@pytest.fixture
+def deployment(
+    shared_deployment: _deployment.Deployment,
+) -> Iterator[_deployment.Deployment]:
+    yield shared_deployment
+    shared_deployment.remove_faults()
+    shared_deployment.run_until_serving()
+
+
 def _read_answers(
     sock: socket.socket, count: int
 ) -> list[tuple[int, dict[str, object]]]:
