--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -14,6 +14,7 @@
 from cowslipgate_core.jobs import _caller_watch
 from cowslipgate_core.jobs import _inquiries
 from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.jobs import _late_jobs
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
 from cowslipgate_core.jobs import _stalled_runs
@@ -316,8 +317,8 @@
                 actions.extend(
                     self.fail(
                         job,
-                        _jobs.Failure.OVERLOADED,
-                        "it can't be done in time; try later or allow more",
+                        _late_jobs.UNSERVED.failure,
+                        _late_jobs.UNSERVED.message,
                         now,
                     )
                 )
@@ -366,8 +367,8 @@
             actions.extend(
                 self.fail(
                     job,
-                    _jobs.Failure.DEADLINE,
-                    "the deadline passed; allow more time",
+                    _late_jobs.OVERDUE.failure,
+                    _late_jobs.OVERDUE.message,
                     now,
                 )
             )
@@ -577,6 +578,9 @@
         job.machine.fire("settle")
         self.counters.failed += 1
         del self._jobs[job.id]
+        if job.failure is _jobs.Failure.DEADLINE:
+            late = _late_jobs.classify_late_job(started)
+            job.failure, job.message = late.failure, late.message
         answer = _jobs.JobAnswer(
             job.id, (), job.failure, started, job.message, job.path
         )
