Let no lease go past the last word of an entry before it gave a run up

Orders to stop are lost several times in a row at a live agent, while the lease is renewed for another job's run at the same target.

The agent sends that when the withdrawal arrives, which may be 0.4 s after the caller's connection broke, and its confirmations went on: the entry lives, only its caller is gone. So a run lived until 0.4 + 1.0 s, 2% more on a slow clock. A run that wasn't known to have started, as each listing was lost, limited nothing at all.

The two tests of the executor and the one of the links fail without the parts they name.

Ruled out: orders to stop that are repeated sooner. They make the fault rarer, and the bound needs none of them now.

Why this works: messages of a connection keep their order, so each confirmation that was read before a withdrawal was sent before it. The agent keeps the last one of them with the attempt, and leases end 1.25 s after the oldest that any attempt at the target depends on, however many confirmations follow and whether or not the run is known to have started. The same holds for attempts of an entry that was lost. The date is taken as the messages are read, since a confirmation may be read together with the withdrawal before it.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -230,6 +230,8 @@
             self._renew_expired_link(sender, link)
             link.received_at = self._clock.now()
             self._record_confirmation(sender, link, message)
+            if isinstance(message, core.Withdraw):
+                self._record_withdrawal(sender, message)
             self._pass_on(sender, link, message)
             if isinstance(message, core.Beat):
                 self._update_interval(message, link)
@@ -272,6 +274,13 @@
             link.lost = False
         self._executor.confirm(incarnation, link.confirmed_at)
 
+    def _record_withdrawal(
+        self, incarnation: int, message: core.Withdraw
+    ) -> None:
+        # Messages that follow may be read before the event is handled.
+        if message.stop and message.incarnation == self._incarnation:
+            self._executor.give_up(incarnation, message.attempts)
+
     def _pass_on(self, incarnation: int, link: Link, message: object) -> None:
         known_alive = self._is_known_alive(link)
         if isinstance(message, core.Dispatch) and not known_alive:
@@ -368,6 +377,7 @@
             link.held.clear()
             if not link.lost:
                 link.lost = True
+                self._executor.give_up(incarnation)
                 self.fire(_events.entry_dropped(incarnation), "runner")
             self._reconnect(link)
 
@@ -514,6 +524,7 @@
 
     def _close(self, incarnation: int) -> None:
         self._links.pop(incarnation).socket.close()
+        self._executor.give_up(incarnation)
         self.fire(_events.entry_dropped(incarnation), "runner")
 
     def _send_all_reports(self) -> None:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_confirmations.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_confirmations.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator
 import datetime
 
+import attrs
 import cowslipgate_core as core
+import cowslipgate_transport as transport
 import pytest
 
 from cowslipgate_agent import _events
@@ -141,3 +143,23 @@
     link = harness.links.get_link(ENTRY)
     assert link.confirmed_at == link.received_at
     harness.close()
+
+
+# Guards against a confirmation that is read together with the order to stop
+# before it, and prolongs the lease of the run.
+def test_message_read_with_a_withdrawal_confirms_nothing_for_its_tasks(
+    harness: link_builders.LinksHarness, entry: link_builders.FakeEntry
+) -> None:
+    harness.deliver(entry, _build_dispatch(harness))
+    before = harness.executor.get_oldest_confirmation()
+    entry.answering = False
+    harness.pass_time(1.0)
+    entry.received_ms = 1_000
+    beat = attrs.evolve(entry.beat, received_ms=entry.received_ms)
+    channel = harness.links.get_link(ENTRY).socket.channel
+    for message in (core.Withdraw(ENTRY, 1, (1,), True), beat):
+        event = transport.message_received(str(ENTRY).encode(), message)
+        harness.root.fire(event, channel)
+    harness.run_until(lambda: not len(harness.root), "idle")
+    assert harness.executor.get_confirmed_at(ENTRY) > before
+    assert harness.executor.get_oldest_confirmation() == before
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -4,6 +4,7 @@
 an attempt at most once and keeps its outcome until acknowledged.
 """
 
+from collections.abc import Collection
 import datetime
 
 import attrs
@@ -148,17 +149,39 @@
         return session.confirmed_at if session is not None else None
 
     def get_oldest_confirmation(self) -> datetime.datetime | None:
-        """Return the oldest confirmation among entries with attempts here."""
+        """Return the oldest confirmation that an attempt here depends on.
+
+        That is the last one of its entry, or for an attempt that the entry
+        gave up the last one before. Later ones show nothing about its caller.
+        """
+        confirmations = [
+            session.confirmed_at
+            for entry in self._slots.get_entries()
+            if (session := self._sessions.get(entry)) is not None
+        ]
+        confirmations += [
+            held.needed_at for held in self._slots.running.values()
+        ]
         return min(
-            (
-                session.confirmed_at
-                for entry in self._slots.get_entries()
-                if (session := self._sessions.get(entry)) is not None
-                and session.confirmed_at is not None
-            ),
-            default=None,
+            (at for at in confirmations if at is not None), default=None
         )
 
+    def give_up(
+        self, entry: int, attempts: Collection[int] | None = None
+    ) -> None:
+        """Record that an entry needs running attempts no more.
+
+        To be called before later confirmations of the entry are recorded.
+
+        :param attempts: numbers of the attempts, or None for all of the entry
+        """
+        confirmed_at = self.get_confirmed_at(entry)
+        for key, held in self._slots.running.items():
+            if key.entry != entry or held.needed_at is not None:
+                continue
+            if attempts is None or key.attempt in attempts:
+                held.needed_at = confirmed_at
+
     def connect(self, entry: int) -> None:
         """Open a new link to an entry that was connected.
 
@@ -222,6 +245,8 @@
             # An earlier incarnation may have started the attempts.
             return actions
         session = self._open_session(withdraw.entry)
+        if withdraw.stop:
+            self.give_up(withdraw.entry, withdraw.attempts)
         reports = []
         for attempt in withdraw.attempts:
             key = _executor_actions.AttemptKey(withdraw.entry, attempt)
@@ -283,6 +308,7 @@
         session.link = self._links
         session.connected = False
         session.dropped_at = now
+        self.give_up(entry)
         keys = self._slots.withdraw_all(entry)
         reports = [
             self._refuse(key.attempt, _attempts.Reason.WITHDRAWN)
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
@@ -38,6 +38,10 @@
     stalled: bool = False
     """Whether it is stopped as a stalled run, which counts as a failure."""
 
+    needed_at: datetime.datetime | None = None
+    """When its entry was last known to be alive before it gave the attempt
+    up, or None while it may need the result."""
+
 
 class Slots:
     """Queued and running attempts, started in order of arrival."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_executor.py
@@ -180,3 +180,36 @@
     assert executor.get_oldest_confirmation() == NOW
     assert executor.get_confirmed_at(7) == NOW
     assert executor.get_confirmed_at(9) is None
+
+
+# Guards against leases that a live entry's later messages prolong for a run
+# whose caller has gone.
+def test_confirmations_after_a_withdrawal_prolong_no_withdrawn_attempt() -> (
+    None
+):
+    executor = builders.build_executor()
+    orders = [builders.build_order(n) for n in (1, 2)]
+    executor.dispatch(builders.build_dispatch(*orders), NOW)
+    executor.confirm(7, NOW)
+    later = NOW + datetime.timedelta(seconds=1)
+    executor.withdraw(core.Withdraw(7, 1, (1,), stop=False), later)
+    executor.confirm(7, later)
+    assert executor.get_oldest_confirmation() == later
+    executor.withdraw(core.Withdraw(7, 1, (1,), stop=True), later)
+    last = later + datetime.timedelta(seconds=1)
+    executor.confirm(7, last)
+    executor.withdraw(core.Withdraw(7, 1, (1,), stop=True), last)
+    assert executor.get_oldest_confirmation() == later
+    report = core.AttemptReport(1, core.Outcome.STOPPED)
+    executor.end_task(core.AttemptKey(7, 1), report, last)
+    assert executor.get_oldest_confirmation() == last
+
+
+def test_confirmations_after_a_loss_prolong_no_attempt_of_the_lost() -> None:
+    executor = builders.build_executor()
+    executor.dispatch(builders.build_dispatch(builders.build_order(1)), NOW)
+    executor.confirm(7, NOW)
+    later = NOW + datetime.timedelta(seconds=1)
+    executor.drop_entry(7, later)
+    executor.confirm(7, later)
+    assert executor.get_oldest_confirmation() == NOW
