Count withdrawals that only repeat earlier ones apart

The counter "withdrawals" of an entry does not tell such repeats, which follow from a slow agent or link, from a wave that is sent message by message. The entry now counts them as "repeated_withdrawals" too; "withdrawals" stays the total. A message that also withdraws something for the first time is no repeat.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_inquiries.py
@@ -33,11 +33,13 @@
         now: datetime.datetime,
         stop: bool,
         stalled: bool = False,
+        repeated: bool = False,
     ) -> list[_ledger_actions.LedgerAction]:
         """Return one withdrawal for each agent.
 
         :param stop: whether running attempts are stopped too
         :param stalled: whether the targets appear to be the cause
+        :param repeated: whether the agents were told to stop them before
         """
         by_agent: dict[tuple[str, int], list[int]] = {}
         for attempt in attempts:
@@ -47,7 +49,7 @@
             by_agent.setdefault(key, []).append(attempt.sequence)
         return [
             _ledger_actions.SendWithdraw(
-                agent, incarnation, tuple(sequences), stop, stalled
+                agent, incarnation, tuple(sequences), stop, stalled, repeated
             )
             for (agent, incarnation), sequences in by_agent.items()
         ]
@@ -61,7 +63,7 @@
         needed = [a for a in attempts if not a.unneeded]
         unneeded = [a for a in attempts if a.unneeded]
         actions = self.withdraw(needed, now, stop=False)
-        return actions + self.withdraw(unneeded, now, stop=True)
+        return actions + self._stop_again(unneeded, now)
 
     def repeat_stops(
         self, record: _roster.AgentRecord, now: datetime.datetime
@@ -70,7 +72,7 @@
         due = self._list_unanswered(record, now, self._timing.stop_interval)
         attempts = [self._attempts[sequence] for sequence in sorted(due)]
         unneeded = [a for a in attempts if a.unneeded and a.unanswered]
-        return self.withdraw(unneeded, now, stop=True)
+        return self._stop_again(unneeded, now)
 
     def ask_overdue(
         self, record: _roster.AgentRecord, now: datetime.datetime
@@ -86,6 +88,11 @@
             )
         return self.ask(overdue, now) if overdue else []
 
+    def _stop_again(
+        self, attempts: list[_jobs.Attempt], now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        return self.withdraw(attempts, now, stop=True, repeated=True)
+
     def _list_unanswered(
         self,
         record: _roster.AgentRecord,
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -39,6 +39,9 @@
     stalled: bool = False
     """Whether the target appears to be the cause."""
 
+    repeated: bool = False
+    """Whether it stops only attempts that it was told to stop before."""
+
 
 @attrs.frozen
 class AnswerJob:
@@ -58,6 +61,7 @@
     """Return the actions with withdrawals of one kind merged by agent."""
     merged: list[LedgerAction] = []
     attempts: dict[tuple[str, int, bool, bool], list[int]] = {}
+    repeated: dict[tuple[str, int, bool, bool], bool] = {}
     for action in actions:
         if not isinstance(action, SendWithdraw):
             merged.append(action)
@@ -69,8 +73,17 @@
             action.stalled,
         )
         attempts.setdefault(key, []).extend(action.attempts)
-    for (agent, incarnation, stop, stalled), sequences in attempts.items():
+        repeated[key] = repeated.get(key, True) and action.repeated
+    for key, sequences in attempts.items():
+        agent, incarnation, stop, stalled = key
         merged.append(
-            SendWithdraw(agent, incarnation, tuple(sequences), stop, stalled)
+            SendWithdraw(
+                agent,
+                incarnation,
+                tuple(sequences),
+                stop,
+                stalled,
+                repeated[key],
+            )
         )
     return merged
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
@@ -51,6 +51,9 @@
     withdrawals: int = 0
     """Messages that withdrew attempts and stopped running ones."""
 
+    repeated_withdrawals: int = 0
+    """Those of them that only repeated earlier ones."""
+
     inquiry_messages: int = 0
     """Messages that asked about attempts without stopping them."""
 
@@ -60,10 +63,11 @@
     heartbeats: int = 0
     """Heartbeats from agents and the replies to them."""
 
-    def record_withdraw(self, stop: bool) -> None:
+    def record_withdraw(self, stop: bool, repeated: bool = False) -> None:
         """Count a withdrawal, or an inquiry without ``stop``."""
         if stop:
             self.withdrawals += 1
+            self.repeated_withdrawals += repeated
         else:
             self.inquiry_messages += 1
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
@@ -67,7 +67,8 @@
             action.stop,
             action.stalled,
         )
-        self._ledger.counters.record_withdraw(action.stop)
+        counters = self._ledger.counters
+        counters.record_withdraw(action.stop, action.repeated)
         self.send_to(action.agent, action.incarnation, message)
 
     def acknowledge(self, agents: list[str]) -> None:
