Read what arrived in a pause of the entry before repeating a stop

Cause: an entry that answers 500 callers at once does not look at its messages meanwhile. The entry counted its own pause as silence of the agents and sent more messages while it was busiest.

Change: after a pause of more than 0.2 s between two ticks, one tick sends no repeated stops and no inquiries (_own_pauses). Messages are read until the next one, 0.1 s later, which counts in any case, so that a lost stop is sent again even by an entry that is always late.

Ruled out: counting only time in which the entry was awake. A lost stop would be repeated later for each pause, and its caller comes again after 1.3 s.

Tests: test_repeated_withdrawals; without the change 6 of its 10 tests fail, the stop is sent again at the first tick after a pause of 300 to 2,500 ms. All tests of core pass.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -16,6 +16,7 @@
 from cowslipgate_core.jobs import _late_jobs
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
+from cowslipgate_core.jobs import _own_pauses
 from cowslipgate_core.jobs import _stalled_runs
 from cowslipgate_core.jobs import _timing
 from cowslipgate_core.jobs import _traceparents
@@ -72,6 +73,7 @@
         self._inquiries = _inquiries.Inquiries(
             self._attempts, timing, self.counters
         )
+        self._own_pauses = _own_pauses.OwnPauses()
         self._stalled_runs = _stalled_runs.StalledRuns(
             self._assigner, self._inquiries, self.counters
         )
@@ -295,9 +297,10 @@
                     )
                 )
             actions.extend(self._resolve_failed_job(job, now))
+        judges = self._own_pauses.may_judge_silence(now)
         for name, record in list(self._agents.items()):
             if not self._is_idle_and_heard(record, now):
-                actions.extend(self._check_agent(name, record, now))
+                actions.extend(self._check_agent(name, record, now, judges))
         return _ledger_actions.merge_withdraws(actions)
 
     def assign(
@@ -551,14 +554,20 @@
         )
 
     def _check_agent(
-        self, name: str, record: _roster.AgentRecord, now: datetime.datetime
+        self,
+        name: str,
+        record: _roster.AgentRecord,
+        now: datetime.datetime,
+        judges_silence: bool,
     ) -> list[_ledger_actions.LedgerAction]:
         limit = self._timing.agent_lost_after
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        actions = self._inquiries.repeat_stops(record, now)
-        actions.extend(self._inquiries.ask_overdue(record, now))
+        actions: list[_ledger_actions.LedgerAction] = []
+        if judges_silence:
+            actions.extend(self._inquiries.repeat_stops(record, now))
+            actions.extend(self._inquiries.ask_overdue(record, now))
         outstanding = [
             self._attempts[sequence] for sequence in sorted(record.outstanding)
         ]
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_repeated_withdrawals.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_repeated_withdrawals.py
@@ -9,9 +9,11 @@
 import attrs
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
+import pytest
 
 QUOTAS = {"hall": 100}
-TICK = datetime.timedelta(milliseconds=100)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+TICK = 100 * MILLISECOND
 
 
 class _Entry:
@@ -87,5 +89,43 @@
 
 def test_inquiry_is_no_repeat() -> None:
     entry = _Entry()
-    (inquiry,) = entry.tick(core.Timing().inquiry_interval)
+    ticks = core.Timing().inquiry_interval // TICK
+    (inquiry,) = [sent for _ in range(ticks) for sent in entry.tick()]
     assert (inquiry.stop, inquiry.repeated) == (False, False)
+
+
+# Guards against a message more for each agent while the entry is busiest: the
+# answers had arrived, but it looked at its attempts before it read them.
+@pytest.mark.parametrize("pause_ms", [300, 400, 900, 2_500])
+def test_pause_of_the_entry_is_no_silence_of_the_agent(pause_ms: int) -> None:
+    entry = _Entry()
+    entry.cancel(2)
+    assert entry.tick(pause_ms * MILLISECOND) == []
+    entry.answer()
+    assert [entry.tick() for _ in range(3)] == [[], [], []]
+
+
+# Guards against a lost stop that is sent again late, since the entry paused.
+def test_stop_without_an_answer_is_repeated_right_after_a_pause() -> None:
+    entry = _Entry()
+    entry.cancel(2)
+    assert entry.tick(900 * MILLISECOND) == []
+    (repeat,) = entry.tick()
+    assert (repeat.stop, repeat.repeated) == (True, True)
+
+
+# Guards against a stop that is never sent again by an entry that is always
+# late.
+def test_stop_is_repeated_by_an_entry_that_pauses_between_all_ticks() -> None:
+    entry = _Entry()
+    entry.cancel(2)
+    sent = [entry.tick(400 * MILLISECOND) for _ in range(6)]
+    assert [len(withdraws) for withdraws in sent] == [0, 1, 0, 1, 0, 1]
+
+
+# Guards against a repeat that waits although the entry kept its time.
+def test_slightly_late_ticks_delay_no_repeat() -> None:
+    entry = _Entry()
+    entry.cancel(2)
+    sent = [entry.tick(150 * MILLISECOND) for _ in range(2)]
+    assert [len(withdraws) for withdraws in sent] == [0, 1]
