--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -312,6 +312,10 @@
         """Return the number of withdrawals that an entry has sent."""
         return self.read_counter(entry, "withdrawals")
 
+    def count_repeats(self, entry: Node) -> int:
+        """Return how many of these withdrawals only repeated earlier ones."""
+        return self.read_counter(entry, "repeated_withdrawals")
+
     def read_counter(self, entry: Node, name: str) -> int:
         """Return the entry's counter ``name``."""
         reply = self.call("GET", "/v1/status", port=entry.port)
