Probe a caller early enough that one 0.3 s away is seen in time

What callers saw: a caller 0.3 s away (each way) that waits for a task of more than 0.9 s: its tasks are stopped and run again from the start, though it is there.

Cause: a request is dated by the check before the last, up to 0.2 s before it is read, and its first probe went out 0.2 to 0.3 s after. With the way there and back (0.6 s) and the next check the caller is seen 1.10 s after that date, but counts as lost after 1.05 s. Later probes are answered in time, 0.9 s.

Why it works: the interval to the first probe counts from the check before the request at the latest, so the caller is seen 0.9 to 1.0 s after the date. A job that takes 0.1 to 0.3 s gets at most one probe more.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_caller_probes.py
@@ -31,9 +31,9 @@
 _ALLOWANCE = datetime.timedelta(milliseconds=20)
 """Earliness with which a probe may be sent; checks are not exactly regular."""
 
-_READ_AFTER = datetime.timedelta(seconds=2 * CHECK_SECONDS)
-"""Longest time from the arrival of a request until it is read, without a pause
-of the process."""
+_FIRST_PROBE_DELAY = datetime.timedelta(seconds=CHECK_SECONDS)
+"""Time from the date of a request, the check before the last, from which the
+interval to its first probe counts."""
 
 _COUNTER = struct.Struct("i")
 
@@ -80,8 +80,12 @@
         """Probe the caller of a request until it is discarded."""
         if exchange.seen_at is None:
             return
-        # After a pause of the process the next check probes the caller.
-        probed_at = min(exchange.seen_at + _READ_AFTER, self._clock.now())
+        # The first probe goes out one check later than the next: its answer
+        # from a distant caller has to come before the caller counts as lost,
+        # and most short requests are answered before.
+        probed_at = min(
+            exchange.seen_at + _FIRST_PROBE_DELAY, self._clock.now()
+        )
         self._callers[exchange] = _Probed(exchange.seen_at, probed_at)
 
     def discard(self, exchange: _http_exchanges.Exchange) -> None:
