End no run because the next target sends a heartbeat

The one before drains and still runs tasks when the next one, of another id, sends its first heartbeat.

Cause: the agent ended every run as lost at that heartbeat, and their entry started the tasks elsewhere at once. The heartbeat shows that the next target has started, not that the one before has ended; their runs went on until the end of the lease or of the target. The class: a party acts on its own belief about another.

While tasks run, the heartbeat of another target now only stops the renewal of the lease and new tasks. Where the target before has ended already, as usual, the next watch finds out within some milliseconds.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -125,6 +125,7 @@
         self._announce_at = clock.now()
         self._broken_calls = 0
         self._beat: TargetHeartbeat | None = None
+        self._successor: TargetHeartbeat | None = None
 
     @property
     def tracker(self) -> core.RunTracker:
@@ -139,6 +140,18 @@
     def _on_target_heartbeat_received(self, beat: TargetHeartbeat) -> None:
         if self._is_outdated(beat):
             return
+        if len(self._tracker) and beat.instance != self._tracker.instance:
+            # The target before may still run tasks. A refused connection, an
+            # answer of another target or the end of the lease shows the end.
+            if self._successor is None:
+                self.fire(_events.target_disconnected(), "runner")
+            self._successor = beat
+            self._send_due_watch()
+            return
+        self._accept_heartbeat(beat)
+        self._send_due_watch()
+
+    def _accept_heartbeat(self, beat: TargetHeartbeat) -> None:
         now = self._clock.now()
         self._beat = beat
         self._perform(
@@ -147,7 +160,14 @@
             )
         )
         self._announce()
-        self._send_due_watch()
+
+    def _accept_successor(self) -> None:
+        beat = self._successor
+        if beat is None or len(self._tracker):
+            return
+        self._successor = None
+        if not self._is_outdated(beat):
+            self._accept_heartbeat(beat)
 
     def _is_outdated(self, beat: TargetHeartbeat) -> bool:
         if self._tracker.is_outdated(beat.incarnation):
@@ -216,6 +236,7 @@
                 self._next_watch = now + RETRY_INTERVAL
             if self._names_present_target(watch):
                 self._handle_watch_failure(failure, now)
+            self._accept_successor()
             return
         order = self._orders.pop(failure.call.id, None)
         if isinstance(order, core.CallStart):
@@ -326,6 +347,7 @@
             self.fire(_events.target_left(), "runner")
 
     def _send_due_watch(self) -> None:
+        self._accept_successor()
         now = self._clock.now()
         if now < self._next_watch or not self._tracker.needs_watch:
             return
@@ -336,7 +358,9 @@
             return
         if len(self._watches) >= MAX_WATCHES:
             return
-        watch = self._tracker.watch(now, self._find_lease_limit())
+        # Runs beside the next target end with the lease that they have.
+        limit = now if self._successor else self._find_lease_limit()
+        watch = self._tracker.watch(now, limit)
         wait = datetime.timedelta(milliseconds=watch.wait_ms)
         number = self._send_request(
             self._codec.encode_watch(watch), wait + WATCH_REPLY_TIMEOUT
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_leased_calls.py
@@ -176,6 +176,46 @@
     assert len(harness.ended) == 1
 
 
+# Guards against a task that is started elsewhere while its run goes on, since
+# the next target sends a heartbeat before the present one has ended.
+def test_heartbeat_of_the_next_target_ends_no_run_of_the_present_one(
+    harness: leased_builders.LeasedCallsHarness,
+) -> None:
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
+    leased_builders.announce_next_target(harness)
+    harness.pass_time(40)
+    assert harness.ended == []
+    sent = harness.codec.sent[-1]
+    assert (sent.instance, sent.lease_end_ms) == ("i-1", 0)
+    harness.fail(
+        leased_builders.find_watch(harness), transport.CallProblem.REFUSED
+    )
+    reasons = [report.reason for report in harness.ended]
+    assert reasons == [core.Reason.TARGET_UNREACHABLE]
+    harness.pass_time(100)
+    assert harness.codec.sent[-1].instance == "i-2"
+
+
+# Guards against runs that never end for their entry, as the present target
+# answers nothing any more and the next one is not reached.
+def test_runs_end_with_their_lease_once_the_next_target_is_there(
+    harness: leased_builders.LeasedCallsHarness,
+) -> None:
+    leased_builders.connect_target(harness)
+    leased_builders.start_task(harness)
+    lease_ms = run_builders.LEASE // datetime.timedelta(milliseconds=1)
+    for _ in range(lease_ms // 100 + 2):
+        leased_builders.announce_next_target(harness)
+        watch = leased_builders.find_watch(harness)
+        harness.fail(watch, transport.CallProblem.TIMEOUT)
+        harness.pass_time(100)
+    reasons = [report.reason for report in harness.ended]
+    assert reasons == [core.Reason.LEASE_LAPSED]
+    harness.pass_time(100)
+    assert harness.codec.sent[-1].instance == "i-2"
+
+
 def test_target_reachable_again_in_the_same_incarnation_serves_again() -> None:
     harness = leased_builders.LeasedCallsHarness()
     executor = core.Executor(1, 0)
