--- /dev/null
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_standins.py
@@ -0,0 +1,78 @@
+"""The stand-ins of the fault soak, apart from the programs."""
+
+import datetime
+import http
+import json
+
+import circuits
+import cowslipgate_core as core
+from cowslipgate_platform.tests import store_standin
+from cowslipgate_platform.tests import target_standin
+import cowslipgate_transport as transport
+
+
+class Answers(circuits.BaseComponent):
+    """Collects the statuses of answers."""
+
+    channel = "*"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.statuses: list[int] = []
+
+    @circuits.handler("answer_http")
+    def _on_answer_http(
+        self, exchange: transport.Exchange, answer: transport.Answer
+    ) -> None:
+        self.statuses.append(answer.status)
+
+
+def _build_exchange(path: str, **body: object) -> transport.Exchange:
+    content = json.dumps(body).encode()
+    query = {"table": "op"}
+    return transport.Exchange("POST", path, query, {}, content, None)
+
+
+# A component registered for each delayed answer made the process look up all
+# handlers again, and the stand-ins answered nobody.
+def test_slow_store_answers_later_without_a_new_component() -> None:
+    clock = core.ManualClock()
+    root = Answers()
+    store = store_standin.Store(clock).register(root)
+    root.flush()
+    store.fault = store_standin.StoreFault.SLOW
+    components = len(store.components)
+    store._on_http_requested(_build_exchange("/cowslipgate/rows-get"))
+    assert len(store.components) == components
+    seen = []
+    for _ in range(2):
+        store._on_check_feeds()
+        root.flush()
+        seen.append(list(root.statuses))
+        clock.advance(datetime.timedelta(seconds=1))
+    assert seen == [[], [http.HTTPStatus.OK]]
+
+
+# The same for orders that a target carries out late.
+def test_late_target_starts_a_run_later_without_a_new_component() -> None:
+    clock = core.ManualClock()
+    address = transport.Address("127.0.0.1", 1)
+    target = target_standin.Target("side-1", address, address, clock)
+    target.fault = target_standin.TargetFault.LATE
+    components = len(target.components)
+    order = _build_exchange(
+        "/cowslipgate/run-start",
+        fencing_token=1,
+        task="0000000000000001.0.0.0",
+        run=1,
+        until_ms=60_000,
+        spec="300",
+    )
+    target._on_http_requested(order)
+    assert len(target.components) == components
+    started = []
+    for _ in range(2):
+        target._on_check_runs()
+        started.append(len(target.journal))
+        clock.advance(datetime.timedelta(seconds=4))
+    assert started == [0, 1]
