Bound the connections of the fault soak's proxy

The fault soak with 8 entries and 48 agents ran out of descriptors, all of them sockets of its own process: the proxy accepted every connection at once and connected it to its stand-in, also when the client had long given up. An agent that gets no answer in 150 to 300 ms opens a new connection; dozens of processes that start at once, or a cut, thus left thousands in CLOSE_WAIT in the proxy, each with a second one to the stand-in, and the work for them made the next calls time out. Of 2,600 descriptors at a load average of 19, 1,169 were such clients and 802 their other sides; at 45 the count reached 8,580 and grew, before the first fault.

A link now accepts a limited number of connections: 32 from an agent to its target or from a process to the store, 64 from callers. Others wait in the listener's queue, which takes no descriptor, and whoever left it is not connected any further. A connection that is reset during a hold no longer waits for the hold's end. Processes start in batches of eight.

The tests failed before: 21 connections in place of one reached the upstream, and none of 100 clients had to wait. Ruled out: the stand-ins' own clients, whose 152 connections stayed as many.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -8,6 +8,7 @@
 import contextlib
 from collections.abc import Callable, Coroutine
 import enum
+import select
 import socket
 import struct
 import threading
@@ -19,6 +20,9 @@
 READ_SIZE_BYTES = 65_536
 SNIFF_LIMIT_BYTES = 1_024
 COMMAND_TIMEOUT_SECONDS = 10.0
+MAX_CONNECTIONS = 1_024
+"""Default limit of a link's connections at once."""
+
 _IDENTITY_PROPERTY = b"\x08Identity"  # Name of a property in ZMTP's READY.
 
 
@@ -93,18 +97,25 @@
     """A port that forwards to an upstream port, with switchable faults.
 
     The public methods, except ``listen``, may be called from any thread
-    outside the proxy's and return when the fault is in force.
+    outside the proxy's and return when the fault is in force. Connections
+    beyond the limit wait in the listener's queue, without a descriptor.
     """
 
     def __init__(
-        self, proxy: "Proxy", upstream: int, upstream_host: str = HOST
+        self,
+        proxy: "Proxy",
+        upstream: int,
+        upstream_host: str = HOST,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._proxy = proxy
         self._upstream_host = upstream_host
         self._faults: tuple[Fault, ...] = ()
         self._changed = asyncio.Event()
         self._connections: list[_Connection] = []
-        self._server: asyncio.Server | None = None
+        self._free = asyncio.Semaphore(max_connections)
+        self._accepting: asyncio.Task[None] | None = None
+        self._serving: set[asyncio.Task[None]] = set()
         self.upstream = upstream
         self.port = 0
         self.resets = 0
@@ -112,8 +123,10 @@
 
     async def listen(self) -> None:
         """Listen on a port that the system assigns, and on it again later."""
-        self._server = await asyncio.start_server(self._serve, HOST, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        listener = socket.create_server((HOST, self.port))
+        listener.setblocking(False)
+        self.port = listener.getsockname()[1]
+        self._accepting = asyncio.create_task(self._accept(listener))
 
     def inject(self, *faults: Fault) -> None:
         """Replace the faults in force."""
@@ -137,7 +150,7 @@
 
     def close(self) -> None:
         """Refuse connections and reset the open ones, until ``open``."""
-        self._proxy.call(self._server.close)
+        self._proxy.run(self._stop_listening())
         self.reset()
 
     def open(self) -> None:
@@ -161,6 +174,9 @@
         for fault in faults:
             if fault.refused:
                 self._reset_peer(fault.peer)
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -174,6 +190,7 @@
             self._connections.remove(connection)
             self.resets += 1
             connection.reset()
+            self._notify()
 
     def _find_fault(self, connection: _Connection) -> Fault:
         for fault in self._faults:
@@ -181,9 +198,34 @@
                 return fault
         return Fault()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _stop_listening(self) -> None:
+        self._accepting.cancel()
+        await asyncio.gather(self._accepting, return_exceptions=True)
+
+    async def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with listener:
+            while True:
+                await self._free.acquire()
+                try:
+                    sock, _ = await loop.sock_accept(listener)
+                except BaseException:
+                    self._free.release()
+                    raise
+                task = loop.create_task(self._serve(sock))
+                self._serving.add(task)
+                task.add_done_callback(self._end_serving)
+
+    def _end_serving(self, task: asyncio.Task[None]) -> None:
+        self._serving.discard(task)
+        self._free.release()
+
+    async def _serve(self, sock: socket.socket) -> None:
+        # Whoever waited in the queue may have left.
+        if _has_hung_up(sock):
+            sock.close()
+            return
+        reader, writer = await asyncio.open_connection(sock=sock)
         try:
             upstream = await asyncio.open_connection(
                 self._upstream_host, self.upstream
@@ -191,6 +233,9 @@
         except OSError:
             writer.transport.abort()
             return
+        except asyncio.CancelledError:
+            writer.close()
+            raise
         self.accepted += 1
         connection = _Connection(writer, upstream[1])
         self._connections.append(connection)
@@ -255,7 +300,10 @@
     async def _wait_while_held(
         self, connection: _Connection, direction: Direction
     ) -> None:
-        while direction in self._find_fault(connection).held:
+        while (
+            connection in self._connections
+            and direction in self._find_fault(connection).held
+        ):
             await self._changed.wait()
 
 
@@ -278,9 +326,14 @@
         self._thread.join()
         self._loop.close()
 
-    def open_link(self, upstream: int = 0, upstream_host: str = HOST) -> Link:
+    def open_link(
+        self,
+        upstream: int = 0,
+        upstream_host: str = HOST,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> Link:
         """Return a link to the port ``upstream``; 0 if it is set later."""
-        link = Link(self, upstream, upstream_host)
+        link = Link(self, upstream, upstream_host, max_connections)
         self.run(link.listen())
         return link
 
@@ -298,6 +351,12 @@
         future.result(COMMAND_TIMEOUT_SECONDS)
 
 
+def _has_hung_up(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def _cancel_others() -> None:
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -36,6 +36,14 @@
 MAX_CONCURRENT_CALLS = 64
 """Maximum number of concurrent calls."""
 
+MAX_LINK_CONNECTIONS = 32
+"""Maximum number of connections of an agent to its target, or of a process to
+the store. Those that calls gave up during a cut stay open until its end."""
+
+START_BATCH = 8
+"""Processes that start at once. With dozens, the calls of those that are ready
+time out, since the stand-ins get no processor time."""
+
 MAX_SEEDS = 3
 """Maximum number of entries that the settings of each process name."""
 
@@ -103,8 +111,14 @@
     def start(self) -> None:
         """Start all processes and wait until each entry counts each agent."""
         self._thread, _ = self._root.start()
-        for node in self.nodes:
-            node.start()
+        for first in range(0, len(self.nodes), START_BATCH):
+            batch = self.nodes[first : first + START_BATCH]
+            for node in batch:
+                node.start()
+            _waits.wait_until(
+                lambda: all(calls.is_started(node.ip) for node in batch),
+                f"{batch[0].name} and the next ones starting",
+            )
         self.wait_ready()
 
     def close(self) -> None:
@@ -266,12 +280,16 @@
         ).register(self._root)
 
     def _make_entry(self, ip: str) -> _nodes.Node:
-        link = self._proxy.open_link(_nodes.CALLERS_PORT, ip)
+        link = self._proxy.open_link(
+            _nodes.CALLERS_PORT, ip, MAX_CONCURRENT_CALLS
+        )
         return self._make_node(_nodes.Role.ENTRY, ip, link)
 
     def _make_agent(self) -> _nodes.Node:
         ip = _allocate_ip()
-        link = self._proxy.open_link(_nodes.TARGET_PORT, ip)
+        link = self._proxy.open_link(
+            _nodes.TARGET_PORT, ip, MAX_LINK_CONNECTIONS
+        )
         target = target_standin.Target(
             f"side-{ip}",
             transport.Address(_proxy.HOST, link.port),
@@ -288,7 +306,9 @@
     def _make_node(
         self, role: _nodes.Role, ip: str, work_link: _proxy.Link
     ) -> _nodes.Node:
-        store_link = self._proxy.open_link(_nodes.STORE_PORT, self._store_ip)
+        store_link = self._proxy.open_link(
+            _nodes.STORE_PORT, self._store_ip, MAX_LINK_CONNECTIONS
+        )
         return _nodes.make_node(
             self._folder, role, ip, self._seeds, work_link, store_link
         )
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_proxy.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import socket
+import threading
+import time
 
 import attrs
 
 from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
 
 
 @attrs.define
@@ -70,3 +73,53 @@
 
     problems = asyncio.run(connect_and_reset())
     assert problems == [ConnectionResetError] * 2
+
+
+def _serve_nobody(stack: contextlib.ExitStack) -> int:
+    """Return the port of a server that accepts no connection."""
+    server = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+    return server.getsockname()[1]
+
+
+def _connect(
+    stack: contextlib.ExitStack, link: _proxy.Link, count: int
+) -> list[socket.socket]:
+    address = _proxy.HOST, link.port
+    return [
+        stack.enter_context(socket.create_connection(address))
+        for _ in range(count)
+    ]
+
+
+# A late proxy that connected all of them ran out of descriptors.
+def test_clients_that_left_before_they_were_accepted_are_not_served() -> None:
+    with contextlib.ExitStack() as stack:
+        proxy = stack.enter_context(_proxy.Proxy())
+        link = proxy.open_link(_serve_nobody(stack))
+        busy, released = threading.Event(), threading.Event()
+        for command in (busy.set, released.wait):
+            proxy._loop.call_soon_threadsafe(command)
+        assert busy.wait(5)
+        for sock in _connect(stack, link, 20):
+            sock.sendall(b"order")
+            sock.close()
+        _connect(stack, link, 1)
+        released.set()
+        _waits.wait_until(lambda: link.accepted, "a connection served")
+        assert (link.accepted, link.count_connections()) == (1, 1)
+
+
+# Calls that time out in a cut leave a connection each, until the cut ends.
+def test_connections_beyond_the_limit_wait_for_those_before() -> None:
+    with contextlib.ExitStack() as stack:
+        proxy = stack.enter_context(_proxy.Proxy())
+        link = proxy.open_link(_serve_nobody(stack), max_connections=2)
+        link.hold(*_proxy.Direction)
+        clients = _connect(stack, link, 5)
+        _waits.wait_until(lambda: link.accepted == 2, "two connections")
+        time.sleep(0.2)
+        assert link.count_connections() == 2
+        link.clear_faults()
+        for sock in clients[:2]:
+            sock.close()
+        _waits.wait_until(lambda: link.accepted == 4, "the next two")
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_standins.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_standins.py
@@ -3,12 +3,22 @@
 import datetime
 import http
 import json
+import pathlib
+import socket
 
 import circuits
 import cowslipgate_core as core
 from cowslipgate_platform.tests import store_standin
 from cowslipgate_platform.tests import target_standin
 import cowslipgate_transport as transport
+import pytest
+
+from cowslipgate_bench import _proxy
+from cowslipgate_bench import _waits
+from cowslipgate_bench import faultsoak
+
+LINK_CONNECTIONS = 32
+CLIENTS = 100
 
 
 class Answers(circuits.BaseComponent):
@@ -76,3 +86,31 @@
         started.append(len(target.journal))
         clock.advance(datetime.timedelta(seconds=4))
     assert started == [0, 1]
+
+
+@pytest.mark.parametrize("link", ["work_link", "store_link"])
+# A fleet of 48 agents took all descriptors of the soak's process.
+def test_links_of_an_agent_hold_few_connections(
+    link: str, tmp_path: pathlib.Path
+) -> None:
+    system = faultsoak.Deployment(tmp_path, 1, 1)
+    clients = []
+    try:
+        cut = getattr(system.agents[0], link)
+        cut.hold(*_proxy.Direction)
+        for _ in range(CLIENTS):
+            address = _proxy.HOST, cut.port
+            clients.append(socket.create_connection(address))
+        _waits.wait_until(
+            lambda: cut.count_connections() >= LINK_CONNECTIONS,
+            "connections held",
+        )
+        cut.reset()
+        _waits.wait_until(
+            lambda: cut.count_connections() == LINK_CONNECTIONS, "the next"
+        )
+        assert cut.accepted == 2 * LINK_CONNECTIONS
+    finally:
+        for client in clients:
+            client.close()
+        system.close()
