Cut agents off one way, and isolate entries, in the fault soak

An entry now binds another port for agents than it announces, by a script that starts it, and the proxy serves the announced one. CutAgents holds the bytes of up to half of the agents in one direction or both, by the identity that they connect with, during up to 14 configurations in 5.6 s, longer than the 3.5 s after which an entry gives the runs of a silent agent up; tasks take up to 5 s. IsolateEntry holds all of an entry's bytes and resets its callers; the entry hears of it once the cut ends. Overlapping runs of a task are found by _violations.py as before.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -72,12 +72,11 @@
     def reset(self) -> None:
         """Reset both sides with a TCP RST."""
         for writer in (self.client, self.server):
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            # One side may have been closed while the other is still open.
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            _reset_side(writer)
+
+    def reset_client(self) -> None:
+        """Reset the connecting side; the other hears of it after a hold."""
+        _reset_side(self.client)
 
     def sniff(self, data: bytes) -> None:
         """Search the first forward bytes for the identity and record it."""
@@ -93,6 +92,15 @@
         self.peer = name.decode(errors="replace")
 
 
+def _reset_side(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    # One side may have been closed while the other is still open.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Link:
     """A port that forwards to an upstream port, with switchable faults.
 
@@ -107,6 +115,7 @@
         upstream: int,
         upstream_host: str = HOST,
         max_connections: int = MAX_CONNECTIONS,
+        bind: tuple[str, int] = (HOST, 0),
     ) -> None:
         self._proxy = proxy
         self._upstream_host = upstream_host
@@ -117,13 +126,13 @@
         self._accepting: asyncio.Task[None] | None = None
         self._serving: set[asyncio.Task[None]] = set()
         self.upstream = upstream
-        self.port = 0
+        self.host, self.port = bind
         self.resets = 0
         self.accepted = 0
 
     async def listen(self) -> None:
-        """Listen on a port that the system assigns, and on it again later."""
-        listener = socket.create_server((HOST, self.port))
+        """Listen on its port; one that the system assigns stays the same."""
+        listener = socket.create_server((self.host, self.port))
         listener.setblocking(False)
         self.port = listener.getsockname()[1]
         self._accepting = asyncio.create_task(self._accept(listener))
@@ -132,6 +141,10 @@
         """Replace the faults in force."""
         self._proxy.call(lambda: self._inject(faults))
 
+    def add_fault(self, fault: Fault) -> None:
+        """Add a fault; of those of a peer, the first one counts."""
+        self._proxy.call(lambda: self._inject((*self._faults, fault)))
+
     def clear_faults(self) -> None:
         """Remove every fault and release the bytes held back."""
         self.inject()
@@ -161,6 +174,15 @@
         """Reset the connections that are open now."""
         self._proxy.call(lambda: self._reset_peer(peer))
 
+    def reset_clients(self) -> None:
+        """Reset the connecting sides; in a cut the upstream hears nothing."""
+
+        def reset() -> None:
+            for connection in list(self._connections):
+                connection.reset_client()
+
+        self._proxy.call(reset)
+
     def count_connections(self, peer: str = "") -> int:
         """Return the number of open connections."""
         return sum(
@@ -331,9 +353,10 @@
         upstream: int = 0,
         upstream_host: str = HOST,
         max_connections: int = MAX_CONNECTIONS,
+        bind: tuple[str, int] = (HOST, 0),
     ) -> Link:
         """Return a link to the port ``upstream``; 0 if it is set later."""
-        link = Link(self, upstream, upstream_host, max_connections)
+        link = Link(self, upstream, upstream_host, max_connections, bind)
         self.run(link.listen())
         return link
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/__init__.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/__init__.py
@@ -1,8 +1,9 @@
 """Fault injection into entry and agent processes behind ``platform/``.
 
 Callers, targets, the store and the operator are stand-ins that speak the
-platform's protocols. All links except those between agents and entries pass
-a proxy that delays, holds back, cuts in one direction or resets.
+platform's protocols. All links, except those between agents and entries in a
+large fleet, pass a proxy that delays, holds back, cuts in one direction or
+resets.
 """
 
 from cowslipgate_platform.tests import calls
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -28,6 +28,7 @@
 
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _waits
+from cowslipgate_bench.faultsoak import _entry_main
 from cowslipgate_bench.faultsoak import _nodes
 
 STOP_SECONDS = 20.0
@@ -44,6 +45,10 @@
 """Processes that start at once. With dozens, the calls of those that are ready
 time out, since the stand-ins get no processor time."""
 
+MAX_CUT_AGENTS = 12
+"""Largest fleet whose links between agents and entries pass the proxy; it
+would delay the messages of a larger one."""
+
 MAX_SEEDS = 3
 """Maximum number of entries that the settings of each process name."""
 
@@ -81,6 +86,7 @@
         self._proxy = self._cleanup.enter_context(_proxy.Proxy())
         self._root = circuits.BaseComponent(channel="root")
         self._poller = pollers.EPoll().register(self._root)
+        self._cuts_agents = agents <= MAX_CUT_AGENTS
         self._store_ip = _allocate_ip()
         self.store = store_standin.Store(self._clock).register(self._root)
         self._serve(self._store_ip, _nodes.STORE_PORT, store_standin.CHANNEL)
@@ -155,6 +161,22 @@
         node.send_signal(signal.SIGSTOP)
         self._paused.add(node)
 
+    def cut_agent(
+        self, number: int, directions: frozenset[_proxy.Direction]
+    ) -> None:
+        """Cut an agent off from all entries until the deployment is healed."""
+        identity = f"{self.agents[number].name}/"
+        fault = _proxy.Fault(identity, held=directions)
+        for node in self.entries:
+            node.agents_link.add_fault(fault)
+
+    def isolate_entry(self, number: int) -> None:
+        """Cut an entry off from agents and callers, who are reset."""
+        node = self.entries[number]
+        node.agents_link.hold(*_proxy.Direction)
+        node.work_link.hold(*_proxy.Direction)
+        node.work_link.reset_clients()
+
     def kill_until_heal(self, node: _nodes.Node) -> None:
         """Kill a process; ``heal`` starts it again."""
         node.kill()
@@ -191,6 +213,8 @@
         for node in self.nodes:
             node.work_link.clear_faults()
             node.store_link.clear_faults()
+            if node.agents_link is not None:
+                node.agents_link.clear_faults()
             if node in self._paused and node.running:
                 node.send_signal(signal.SIGCONT)
             if not node.running:
@@ -283,7 +307,14 @@
         link = self._proxy.open_link(
             _nodes.CALLERS_PORT, ip, MAX_CONCURRENT_CALLS
         )
-        return self._make_node(_nodes.Role.ENTRY, ip, link)
+        node = self._make_node(_nodes.Role.ENTRY, ip, link)
+        if self._cuts_agents:
+            node.agents_link = self._proxy.open_link(
+                _nodes.AGENTS_PORT + _entry_main.PORT_OFFSET,
+                ip,
+                bind=(ip, _nodes.AGENTS_PORT),
+            )
+        return node
 
     def _make_agent(self) -> _nodes.Node:
         ip = _allocate_ip()
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
@@ -5,6 +5,7 @@
 
 import functools
 import random
+import time
 
 import attrs
 from cowslipgate_platform.tests import store_standin
@@ -23,6 +24,16 @@
 BURST_VERSIONS = 10
 """Versions of the configuration in a burst of writes."""
 
+ONE_WAY_SHARE = 0.75
+"""Share of the cuts between agents and entries in one direction only."""
+
+CONFIGURE_SECONDS = 0.4
+"""Time between the versions of a series, which agents hear of one by one."""
+
+SERIES_VERSIONS = (1, 14)
+"""Range of the versions of a series: up to 5.6 s, longer than the 3.5 s after
+which an entry counts the runs of a silent agent as over."""
+
 ADDED_ROUTES = 200
 """Number of routes that a large configuration adds."""
 
@@ -145,6 +156,32 @@
     """Number of routes that the last one adds to the first configuration."""
 
 
+@attrs.frozen
+class CutAgents:
+    """Cut agents off from all entries during a series of configurations."""
+
+    agents: tuple[int, ...]
+    """Indices of the agents."""
+
+    directions: frozenset[_proxy.Direction]
+    """Directions that are cut."""
+
+    versions: int
+    """Number of configurations of the series."""
+
+
+@attrs.frozen
+class IsolateEntry:
+    """Cut an entry off from all agents and from its callers.
+
+    The callers' connections are reset, which the entry hears once the cut
+    ends.
+    """
+
+    number: int
+    """Index of the entry."""
+
+
 Fault = (
     KillNode
     | LoseNode
@@ -157,6 +194,8 @@
     | FaultTarget
     | CrashTarget
     | Configure
+    | CutAgents
+    | IsolateEntry
 )
 
 # Repeated kinds are drawn more often: those after which a task may run at two
@@ -184,6 +223,8 @@
     Configure,
 )
 
+_CUTS = (CutAgents, CutAgents, CutAgents, IsolateEntry, IsolateEntry)
+
 _WEIGHTED_TARGET_FAULTS = (
     *list(target_standin.TargetFault)[1:],
     target_standin.TargetFault.LATE,
@@ -193,7 +234,8 @@
 
 def draw_fault(rng: random.Random, entries: int, agents: int) -> Fault:
     """Draw the next fault of a schedule."""
-    kind = rng.choice(_WEIGHTED_KINDS)
+    cuts_agents = agents <= _deployment.MAX_CUT_AGENTS
+    kind = rng.choice(_WEIGHTED_KINDS + _CUTS * cuts_agents)
     role = rng.choice(list(_nodes.Role))
     count = entries if role is _nodes.Role.ENTRY else agents
     number = rng.randrange(count)
@@ -212,11 +254,24 @@
         return FaultTarget(rng.randrange(agents), fault, share)
     if kind is CrashTarget:
         return CrashTarget(rng.randrange(agents))
+    if kind is CutAgents:
+        return _draw_cut(rng, agents)
+    if kind is IsolateEntry:
+        return IsolateEntry(rng.randrange(entries))
     return Configure(
         rng.choice((1, BURST_VERSIONS)), rng.choice((0, ADDED_ROUTES))
     )
 
 
+def _draw_cut(rng: random.Random, agents: int) -> CutAgents:
+    numbers = rng.sample(range(agents), rng.randint(1, max(1, agents // 2)))
+    directions = list(_proxy.Direction)
+    if rng.random() < ONE_WAY_SHARE:
+        directions = [rng.choice(directions)]
+    versions = rng.randint(*SERIES_VERSIONS)
+    return CutAgents(tuple(numbers), frozenset(directions), versions)
+
+
 def _draw_link_fault(rng: random.Random) -> _proxy.Fault:
     direction = frozenset({rng.choice(list(_proxy.Direction))})
     return rng.choice(
@@ -307,3 +362,19 @@
     for _ in range(fault.versions - 1):
         system.configure()
     system.configure(fault.added_routes)
+
+
+@inject.register
+def _cut_agents(fault: CutAgents, system: _deployment.Deployment) -> None:
+    for number in fault.agents:
+        system.cut_agent(number, fault.directions)
+    for _ in range(fault.versions):
+        system.configure()
+        time.sleep(CONFIGURE_SECONDS)
+
+
+@inject.register
+def _isolate_entry(
+    fault: IsolateEntry, system: _deployment.Deployment
+) -> None:
+    system.isolate_entry(fault.number)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_nodes.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_nodes.py
@@ -22,6 +22,10 @@
 CONTROL_PORT = 8_166
 TARGET_PORT = 8_165
 STORE_PORT = 8_169
+AGENTS_PORT = 7_720
+
+ENTRY_MAIN = pathlib.Path(__file__).with_name("_entry_main.py")
+"""Script that runs an entry behind a proxy for its agents."""
 
 SETTINGS_TEMPLATE = """
 node_name = "{name}"
@@ -29,7 +33,7 @@
 ip = "{ip}"
 zone = "ruwi"
 region = "muscat"
-internal_ports = [7720, 7735]
+internal_ports = [{agents_port}, 7735]
 seeds = {seeds}
 {target}
 [listen]
@@ -72,12 +76,17 @@
     store_link: _proxy.Link
     """Link from the process to the store."""
 
+    agents_link: _proxy.Link | None = None
+    """Link from agents to an entry, or None where it is direct."""
+
     process: "subprocess.Popen[bytes] | None" = None
     """Current process, or None before the first start."""
 
     def start(self) -> None:
         """Start the process."""
         command = [sys.executable, "-P", "-m", "cowslipgate_platform"]
+        if self.agents_link is not None:
+            command[2:] = [str(ENTRY_MAIN)]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [*command, self.role],
@@ -151,6 +160,7 @@
             name=name,
             machine_class=machine_class,
             ip=ip,
+            agents_port=AGENTS_PORT,
             seeds=json.dumps(list(seeds)),
             target=target.format(address=f"{_proxy.HOST}:{work_link.port}"),
             listen="\n".join(listen),
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
@@ -33,8 +33,9 @@
 TASK_MS = (10, 600)
 """Range of run times in milliseconds; most tasks of both sites take less."""
 
-LONG_TASK_MS = (1_000, 3_000)
-"""Range of run times that outlast the 1.3 s until a caller resubmits."""
+LONG_TASK_MS = (1_000, 5_000)
+"""Range of run times that outlast the 1.3 s until a caller resubmits, or the
+3.5 s after which an entry counts the runs of a silent agent as over."""
 
 LONG_SHARE = 0.2
 """Share of the jobs with long tasks."""
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_proxy.py
@@ -7,6 +7,7 @@
 import time
 
 import attrs
+import pytest
 
 from cowslipgate_bench import _proxy
 from cowslipgate_bench import _waits
@@ -123,3 +124,24 @@
         for sock in clients[:2]:
             sock.close()
         _waits.wait_until(lambda: link.accepted == 4, "the next two")
+
+
+# Agents and entries heard at once of a reset that a cut should have lost.
+def test_reset_of_clients_reaches_the_upstream_after_the_hold() -> None:
+    with contextlib.ExitStack() as stack:
+        proxy = stack.enter_context(_proxy.Proxy())
+        server = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        link = proxy.open_link(server.getsockname()[1])
+        (client,) = _connect(stack, link, 1)
+        accepted = stack.enter_context(server.accept()[0])
+        link.hold(*_proxy.Direction)
+        link.reset_clients()
+        client.settimeout(5)
+        with pytest.raises(ConnectionResetError):
+            client.recv(1)
+        accepted.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            accepted.recv(1)
+        link.clear_faults()
+        accepted.settimeout(5)
+        assert accepted.recv(1) == b""
