Replace targets in the fault soak

A target could crash and come back under its id, or say that it drains until the round's end, but no step replaced it: the old one drains, ends, and another one with a new id answers at its address, while the old one's last heartbeat and its DELETE reach the agent among those of the new one, in any order.

ReplaceTarget does so after 0.2 to 3 s of draining, beside the other faults of the round. The stand-in answers orders that expect another id by 421, as the protocol says.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
@@ -18,6 +18,9 @@
 DELAY_SECONDS = 0.1
 """Latency of a slow link, many times that between failure domains."""
 
+DRAIN_SECONDS = (0.2, 3.0)
+"""Range of the time for which a replaced target drains; `drain_ms` is 2 s."""
+
 LOST_SHARES = (0.1, 0.9)
 """Range of the share of a target's answers that are lost."""
 
@@ -145,6 +148,20 @@
     """Index of the target."""
 
 
+@attrs.frozen
+class ReplaceTarget:
+    """Drain a target and start another one with a new id at its address.
+
+    The last calls of the old one reach the agent among those of the new one.
+    """
+
+    number: int
+    """Index of the target."""
+
+    seconds: float
+    """Time for which the old one drains."""
+
+
 @attrs.frozen
 class Configure:
     """Write configurations with increasing versions."""
@@ -193,6 +210,7 @@
     | FaultStore
     | FaultTarget
     | CrashTarget
+    | ReplaceTarget
     | Configure
     | CutAgents
     | IsolateEntry
@@ -220,6 +238,8 @@
     FaultTarget,
     CrashTarget,
     CrashTarget,
+    ReplaceTarget,
+    ReplaceTarget,
     Configure,
 )
 
@@ -254,6 +274,9 @@
         return FaultTarget(rng.randrange(agents), fault, share)
     if kind is CrashTarget:
         return CrashTarget(rng.randrange(agents))
+    if kind is ReplaceTarget:
+        seconds = rng.uniform(*DRAIN_SECONDS)
+        return ReplaceTarget(rng.randrange(agents), seconds)
     if kind is CutAgents:
         return _draw_cut(rng, agents)
     if kind is IsolateEntry:
@@ -357,6 +380,13 @@
     system.targets[fault.number].crash()
 
 
+@inject.register
+def _replace_target(
+    fault: ReplaceTarget, system: _deployment.Deployment
+) -> None:
+    system.targets[fault.number].replace(fault.seconds)
+
+
 @inject.register
 def _configure(fault: Configure, system: _deployment.Deployment) -> None:
     for _ in range(fault.versions - 1):
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_standins.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_standins.py
@@ -114,3 +114,46 @@
         for client in clients:
             client.close()
         system.close()
+
+
+class Calls(circuits.BaseComponent):
+    """Collects methods, ids and states of a target's calls."""
+
+    channel = "*"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.seen: list[tuple[str, str, str]] = []
+
+    @circuits.handler("call_http")
+    def _on_call_http(self, call: transport.Call) -> None:
+        instance = call.path.rpartition("/")[2]
+        state = json.loads(call.body)["state"] if call.body else ""
+        self.seen.append((call.method, instance, state))
+
+
+# No target was replaced: a crashed one comes back under its id.
+def test_replaced_target_drains_and_is_heard_beside_its_successor() -> None:
+    clock = core.ManualClock()
+    root = Calls()
+    address = transport.Address("127.0.0.1", 1)
+    target = target_standin.Target("side-1", address, address, clock)
+    target.register(root)
+    root.flush()
+    target.replace(1)
+    root.flush()
+    for _ in range(20):
+        target._on_send_heartbeat()
+        root.flush()
+        clock.advance(datetime.timedelta(seconds=0.5))
+        target._on_check_runs()
+    assert root.seen[:2] == [("PUT", "i-side-1", "draining")] * 2
+    assert root.seen.count(("PUT", "i-side-1", "draining")) == 3
+    assert root.seen.count(("DELETE", "i-side-1", "")) == 1
+    assert root.seen.count(("PUT", "i-side-1-1", "ready")) == 18
+    order = _build_exchange("/cowslipgate/run-stop", fencing_token=1)
+    order.headers["x-expect-instance"] = "i-side-1"
+    answers = Answers().register(target)
+    target._on_http_requested(order)
+    root.flush()
+    assert answers.statuses == [http.HTTPStatus.MISDIRECTED_REQUEST]
