--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_proxy.py
@@ -8,6 +8,7 @@
 import contextlib
 from collections.abc import Callable, Coroutine
 import enum
+import select
 import socket
 import struct
 import threading
@@ -19,6 +20,9 @@
 READ_SIZE_BYTES = 65_536
 SNIFF_LIMIT_BYTES = 1_024
 COMMAND_TIMEOUT_SECONDS = 10.0
+MAX_CONNECTIONS = 1_024
+"""Default limit of a link's connections at once."""
+
 _IDENTITY_PROPERTY = b"\x08Identity"  # Name of a property in ZMTP's READY.
 
 
@@ -68,12 +72,11 @@
     def reset(self) -> None:
         """Reset both sides with a TCP RST."""
         for writer in (self.client, self.server):
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            # One side may have been closed while the other is still open.
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            _reset_side(writer)
+
+    def reset_client(self) -> None:
+        """Reset the connecting side; the other hears of it after a hold."""
+        _reset_side(self.client)
 
     def sniff(self, data: bytes) -> None:
         """Search the first forward bytes for the identity and record it."""
@@ -89,36 +92,59 @@
         self.peer = name.decode(errors="replace")
 
 
+def _reset_side(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    # One side may have been closed while the other is still open.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Link:
     """A port that forwards to an upstream port, with switchable faults.
 
     The public methods, except ``listen``, may be called from any thread
-    outside the proxy's and return when the fault is in force.
+    outside the proxy's and return when the fault is in force. Connections
+    beyond the limit wait in the listener's queue, without a descriptor.
     """
 
     def __init__(
-        self, proxy: "Proxy", upstream: int, upstream_host: str = HOST
+        self,
+        proxy: "Proxy",
+        upstream: int,
+        upstream_host: str = HOST,
+        max_connections: int = MAX_CONNECTIONS,
+        bind: tuple[str, int] = (HOST, 0),
     ) -> None:
         self._proxy = proxy
         self._upstream_host = upstream_host
         self._faults: tuple[Fault, ...] = ()
         self._changed = asyncio.Event()
         self._connections: list[_Connection] = []
-        self._server: asyncio.Server | None = None
+        self._free = asyncio.Semaphore(max_connections)
+        self._accepting: asyncio.Task[None] | None = None
+        self._serving: set[asyncio.Task[None]] = set()
         self.upstream = upstream
-        self.port = 0
+        self.host, self.port = bind
         self.resets = 0
         self.accepted = 0
 
     async def listen(self) -> None:
-        """Listen on a port that the system assigns, and on it again later."""
-        self._server = await asyncio.start_server(self._serve, HOST, self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on its port; one that the system assigns stays the same."""
+        listener = socket.create_server((self.host, self.port))
+        listener.setblocking(False)
+        self.port = listener.getsockname()[1]
+        self._accepting = asyncio.create_task(self._accept(listener))
 
     def inject(self, *faults: Fault) -> None:
         """Replace the faults in force."""
         self._proxy.call(lambda: self._inject(faults))
 
+    def add_fault(self, fault: Fault) -> None:
+        """Add a fault; of those of a peer, the first one counts."""
+        self._proxy.call(lambda: self._inject((*self._faults, fault)))
+
     def clear_faults(self) -> None:
         """Remove every fault and release the bytes held back."""
         self.inject()
@@ -137,7 +163,7 @@
 
     def close(self) -> None:
         """Refuse connections and reset the open ones, until ``open``."""
-        self._proxy.call(self._server.close)
+        self._proxy.run(self._stop_listening())
         self.reset()
 
     def open(self) -> None:
@@ -148,6 +174,15 @@
         """Reset the connections that are open now."""
         self._proxy.call(lambda: self._reset_peer(peer))
 
+    def reset_clients(self) -> None:
+        """Reset the connecting sides; in a cut the upstream hears nothing."""
+
+        def reset() -> None:
+            for connection in list(self._connections):
+                connection.reset_client()
+
+        self._proxy.call(reset)
+
     def count_connections(self, peer: str = "") -> int:
         """Return the number of open connections."""
         return sum(
@@ -161,6 +196,9 @@
         for fault in faults:
             if fault.refused:
                 self._reset_peer(fault.peer)
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -174,6 +212,7 @@
             self._connections.remove(connection)
             self.resets += 1
             connection.reset()
+            self._notify()
 
     def _find_fault(self, connection: _Connection) -> Fault:
         for fault in self._faults:
@@ -181,9 +220,34 @@
                 return fault
         return Fault()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _stop_listening(self) -> None:
+        self._accepting.cancel()
+        await asyncio.gather(self._accepting, return_exceptions=True)
+
+    async def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with listener:
+            while True:
+                await self._free.acquire()
+                try:
+                    sock, _ = await loop.sock_accept(listener)
+                except BaseException:
+                    self._free.release()
+                    raise
+                task = loop.create_task(self._serve(sock))
+                self._serving.add(task)
+                task.add_done_callback(self._end_serving)
+
+    def _end_serving(self, task: asyncio.Task[None]) -> None:
+        self._serving.discard(task)
+        self._free.release()
+
+    async def _serve(self, sock: socket.socket) -> None:
+        # Whoever waited in the queue may have left.
+        if _has_hung_up(sock):
+            sock.close()
+            return
+        reader, writer = await asyncio.open_connection(sock=sock)
         try:
             upstream = await asyncio.open_connection(
                 self._upstream_host, self.upstream
@@ -191,6 +255,9 @@
         except OSError:
             writer.transport.abort()
             return
+        except asyncio.CancelledError:
+            writer.close()
+            raise
         self.accepted += 1
         connection = _Connection(writer, upstream[1])
         self._connections.append(connection)
@@ -255,7 +322,10 @@
     async def _wait_while_held(
         self, connection: _Connection, direction: Direction
     ) -> None:
-        while direction in self._find_fault(connection).held:
+        while (
+            connection in self._connections
+            and direction in self._find_fault(connection).held
+        ):
             await self._changed.wait()
 
 
@@ -278,9 +348,15 @@
         self._thread.join()
         self._loop.close()
 
-    def open_link(self, upstream: int = 0, upstream_host: str = HOST) -> Link:
+    def open_link(
+        self,
+        upstream: int = 0,
+        upstream_host: str = HOST,
+        max_connections: int = MAX_CONNECTIONS,
+        bind: tuple[str, int] = (HOST, 0),
+    ) -> Link:
         """Return a link to the port ``upstream``; 0 if it is set later."""
-        link = Link(self, upstream, upstream_host)
+        link = Link(self, upstream, upstream_host, max_connections, bind)
         self.run(link.listen())
         return link
 
@@ -298,6 +374,12 @@
         future.result(COMMAND_TIMEOUT_SECONDS)
 
 
+def _has_hung_up(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def _cancel_others() -> None:
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
