Give the cancellation wave the time limits that the programs have

What was seen: with the proxy gone, test_cancellation_wave_stops_everything_with_ few_messages still failed in its set-up in 2 of 6 runs beside a load average of 48 to 75: "all jobs of the wave did not happen within 30.0 s".

Trace of the second: 997 of 1,000 jobs waited, and three had been answered 502 outcome_unknown, "some". Their six runs were stopped by their agent at one time, 12 s after they started. The deployments of these tests have short limits, so that losses are noticed soon: an agent stops the runs of an entry that confirmed nothing for 2 s. Here 13 and more processes shared a processor, and the entry accepted 500 jobs at once. The stop is what the setting asks for; the answers were true.

Change: the wave loses no process and no link, so its programs get their usual limits (20 s for an entry, 5 and 20 s for an agent, inquiries after 2 s). No check changes. Inquiries after 0.5 s that stopped runs again had added to the withdrawals as well.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_workload_faults.py
@@ -14,6 +14,15 @@
 REST_JOBS = 20
 SLOTS = 4
 WAVE_SLOTS = 16
+USUAL_ENTRY_FLAGS = (
+    "--inquiry-interval=2s",
+    "--agent-suspect-after=5s",
+    "--agent-lost-after=20s",
+)
+USUAL_AGENT_FLAGS = ("--entry-lost-after=20s",)
+"""Time limits of the programs, where nothing is lost. The short ones of other
+tests take processes for lost that only wait for a processor."""
+
 STOP_INTERVAL_SECONDS = core.Timing().stop_interval.total_seconds()
 RESOLVE_SECONDS = core.Timing().resolve_timeout.total_seconds()
 WAVE_TASK_MS = 45_000.0
@@ -78,6 +87,8 @@
     with _deployment.deploy(
         tmp_path,
         slots=WAVE_SLOTS,
+        entry_flags=USUAL_ENTRY_FLAGS,
+        agent_flags=USUAL_AGENT_FLAGS,
         callers=WAVE_JOBS + REST_JOBS,
         proxied=False,
     ) as deployment:
