Hold the cut of the postmortem against runs at the same time

The step of the fault soak that cuts agents off one way during a series of configurations was shown to start, not to find anything.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_fault_cuts.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_fault_cuts.py
@@ -14,6 +14,9 @@
 from cowslipgate_bench.faultsoak import _faults
 
 DRAWS = 500
+JOBS = 4
+LONG_TASK_MS = 5_500
+VERSIONS = 14
 FLEET = _deployment.MAX_CUT_AGENTS
 
 
@@ -43,6 +46,27 @@
     _waits.wait_until(lambda: _count_agents(system) == 2, "both agents")
 
 
+# An agent that heard the notices of configurations, but was not heard, went on
+# with its runs beside those that the entry had started elsewhere.
+def test_task_of_an_agent_cut_off_one_way_has_one_run_at_a_time(
+    system: faultsoak.Deployment,
+) -> None:
+    answers = [
+        system.submit(0, system.make_job(1, LONG_TASK_MS)) for _ in range(JOBS)
+    ]
+    _waits.wait_until(lambda: len(system.list_runs()) == JOBS, "all runs")
+    cut = _faults.CutAgents(
+        (0,), frozenset({_proxy.Direction.FORWARD}), VERSIONS
+    )
+    _faults.inject(cut, system)
+    system.heal()
+    assert {answer.result().status for answer in answers} == {200}
+    system.wait_ended()
+    runs = system.list_runs()
+    assert len(runs) > JOBS
+    assert not faultsoak.find_violations((), runs)
+
+
 # Nobody reset a caller while its entry heard neither it nor its agents.
 def test_callers_of_an_isolated_entry_are_reset(
     system: faultsoak.Deployment,
