Look at callers that left before a message of an agent is answered

Callers saw: two runs of one task, after an entry stood still for 0.5 to 0.8 s while its caller's connection broke, if orders to stop are lost as well.

Cause: the entry woke, read the agents' reports that waited and answered them, and only then read that its caller had gone. The answer confirms to the agent that the entry needs its runs, at a time after the break, so that the lease went on for 1.25 s from there.

As before tasks are sent, the state of the connections is looked at before a message of an agent is handled. If a caller has gone, the messages are handled again after its job was abandoned, in their order, so that the withdrawal is sent first. Ruled out: priorities of events, which circuits regards only within what is queued already.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_job_responder.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_job_responder.py
@@ -8,6 +8,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_entry import _events
+from cowslipgate_entry.agents import _dispatcher
 from cowslipgate_entry.callers import _answers
 from cowslipgate_entry.callers import _requests
 import cowslipgate_transport as transport
@@ -39,6 +40,8 @@
         self._codec = codec
         self._jobs: dict[str, transport.Exchange] = {}
         self._hang_ups = transport.HangUpWatch()
+        # Jobs whose callers have left, which the dispatcher handles next.
+        self._abandoned: set[str] = set()
 
     @circuits.handler("submit_job", channel="dispatcher", priority=10)
     def _on_submit_job(
@@ -65,6 +68,26 @@
                 self._abandon(exchange)
             self.fire(_events.assign_tasks(), "dispatcher")
 
+    @circuits.handler(
+        "message_received", channel=_dispatcher.AGENTS_CHANNEL, priority=7
+    )
+    def _on_message_received(
+        self, event: circuits.Event, identity: bytes, message: object
+    ) -> None:
+        # The answer to a message confirms that its entry needs the runs, which
+        # it does not if it paused and a caller left meanwhile. Messages keep
+        # their order.
+        for exchange in self._hang_ups.take():
+            self._abandon(exchange)
+        if self._abandoned:
+            event.stop()
+            again = transport.message_received(identity, message)
+            self.fire(again, _dispatcher.AGENTS_CHANNEL)
+
+    @circuits.handler("abandon_job", channel="dispatcher", priority=-1)
+    def _on_abandon_job(self, job_id: str) -> None:
+        self._abandoned.discard(job_id)
+
     @circuits.handler("callers_seen")
     def _on_callers_seen(
         self, seen: Mapping[transport.Exchange, datetime.datetime]
@@ -86,6 +109,7 @@
         for job_id, waiting in list(self._jobs.items()):
             if waiting is exchange:
                 del self._jobs[job_id]
+                self._abandoned.add(job_id)
                 self.fire(_events.abandon_job(job_id), "dispatcher")
 
     @circuits.handler("job_refused")
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/caller_builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/caller_builders.py
@@ -107,10 +107,11 @@
         report = core.AttemptReport(attempt, core.Outcome.FINISHED)
         self.deliver(build_results(report))
 
-    def deliver(self, message: object) -> None:
-        """Deliver a message of an agent, before any socket is read."""
-        event = transport.message_received(b"", message)
-        self.root.fire(event, _dispatcher.AGENTS_CHANNEL)
+    def deliver(self, *messages: object) -> None:
+        """Deliver messages of an agent, before any socket is read."""
+        for message in messages:
+            event = transport.message_received(b"", message)
+            self.root.fire(event, _dispatcher.AGENTS_CHANNEL)
         self.flush_all()
 
     def read_status(self, sock: socket.socket) -> int:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_hang_ups.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_hang_ups.py
@@ -10,6 +10,7 @@
 import cowslipgate_core as core
 import pytest
 
+from cowslipgate_entry.tests import builders
 from cowslipgate_entry.tests import caller_builders
 
 STEPS = 12
@@ -73,6 +74,23 @@
     assert not harness.ledger.jobs
 
 
+# Guards against a lease that an entry confirms as it wakes, for the run of a
+# caller that left while it was frozen.
+@pytest.mark.parametrize("reports", [1, 3])
+def test_stop_for_a_caller_that_has_gone_comes_before_any_confirmation(
+    harness: caller_builders.CallerHarness, reports: int
+) -> None:
+    harness.start_agent()
+    caller = harness.connect()
+    caller.sendall(caller_builders.REQUEST)
+    harness.run()
+    caller_builders.hang_up(caller, reset=False)
+    harness.outbox.messages.clear()
+    harness.deliver(*[builders.build_report()] * reports)
+    kinds = [type(message) for message in harness.outbox.messages]
+    assert kinds == [core.Withdraw] + [core.Beat] * reports
+
+
 # Guards against a run without a caller until its deadline: the end of the
 # connection was noticed between the request and the acceptance of its job.
 @pytest.mark.parametrize("steps", range(STEPS))
