--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -11,10 +11,13 @@
 
 from cowslipgate_core import _charts
 from cowslipgate_core.configuration import _configuration
+from cowslipgate_core.jobs import _caller_watch
 from cowslipgate_core.jobs import _inquiries
 from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.jobs import _late_jobs
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
+from cowslipgate_core.jobs import _own_pauses
 from cowslipgate_core.jobs import _stalled_runs
 from cowslipgate_core.jobs import _timing
 from cowslipgate_core.jobs import _traceparents
@@ -56,6 +59,9 @@
         self._sequence = 0
         # No job that has not failed is due before this time.
         self._next_deadline = _NEVER
+        self._caller_watch = _caller_watch.CallerWatch(
+            timing.caller_lost_after
+        )
         self.estimates = estimates or _estimates.Estimates()
         self._roster = _roster.Roster(
             self.estimates.get_present_speed,
@@ -71,6 +77,7 @@
         self._inquiries = _inquiries.Inquiries(
             self._attempts, timing, self.counters
         )
+        self._own_pauses = _own_pauses.OwnPauses()
         self._stalled_runs = _stalled_runs.StalledRuns(
             self._assigner, self._inquiries, self.counters
         )
@@ -141,6 +148,29 @@
         self._jobs[job.id] = job
         self._next_deadline = min(self._next_deadline, job.deadline)
         self._assigner.add_job(job)
+        self._caller_watch.add(job)
+
+    def confirm_callers(
+        self,
+        seen: Mapping[str, datetime.datetime],
+        now: datetime.datetime,
+    ) -> list[_ledger_actions.LedgerAction]:
+        """Record when callers were last known to be connected.
+
+        :param seen: these times by job id
+        """
+        actions: list[_ledger_actions.LedgerAction] = []
+        for job_id, seen_at in seen.items():
+            job = self._jobs.get(job_id)
+            if job is None or job.caller_seen_at is None:
+                continue
+            job.caller_seen_at = max(job.caller_seen_at, seen_at)
+            if job.suspended and self._caller_watch.is_seen(job, now):
+                job.suspended = False
+                self._assigner.resume_job(job)
+                self._caller_watch.add(job)
+                actions.append(_ledger_actions.ResumeJob(job))
+        return actions
 
     def handle_report(
         self, report: _reports.Report, now: datetime.datetime
@@ -281,22 +311,24 @@
     def tick(
         self, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
-        """Handle passed deadlines, lost agents and overdue or stalled runs."""
+        """Handle passed deadlines, lost peers and overdue or stalled runs."""
         actions = self._fail_late_jobs(now)
+        actions.extend(self._suspend_unseen_jobs(now))
         for job in list(self._jobs.values()):
             if self._is_hopeless(job, now):
                 actions.extend(
                     self.fail(
                         job,
-                        _jobs.Failure.OVERLOADED,
-                        "it can't be done in time; try later or allow more",
+                        _late_jobs.UNSERVED.failure,
+                        _late_jobs.UNSERVED.message,
                         now,
                     )
                 )
             actions.extend(self._resolve_failed_job(job, now))
+        judges = self._own_pauses.may_judge_silence(now)
         for name, record in list(self._agents.items()):
             if not self._is_idle_and_heard(record, now):
-                actions.extend(self._check_agent(name, record, now))
+                actions.extend(self._check_agent(name, record, now, judges))
         return _ledger_actions.merge_withdraws(actions)
 
     def assign(
@@ -308,7 +340,8 @@
     ) -> list[_ledger_actions.LedgerAction]:
         """Choose targets for waiting tasks and return the dispatches.
 
-        Jobs whose deadline has passed are failed first.
+        Jobs whose deadline has passed are failed first, and those whose
+        caller was not seen lately are suspended.
 
         :param quotas: slots that each team may use at this entry
         :param entries: number of entries that share the targets
@@ -316,6 +349,7 @@
         """
         # After a pause of the process, targets may be free before a tick.
         actions = self._fail_late_jobs(now)
+        actions.extend(self._suspend_unseen_jobs(now))
         chosen = self._assigner.choose(now, quotas, entries, services or {})
         actions.extend(self._send(chosen, now))
         return _ledger_actions.merge_withdraws(actions)
@@ -336,13 +370,29 @@
             actions.extend(
                 self.fail(
                     job,
-                    _jobs.Failure.DEADLINE,
-                    "the deadline passed; allow more time",
+                    _late_jobs.OVERDUE.failure,
+                    _late_jobs.OVERDUE.message,
                     now,
                 )
             )
         return actions
 
+    def _suspend_unseen_jobs(
+        self, now: datetime.datetime
+    ) -> list[_ledger_actions.LedgerAction]:
+        actions: list[_ledger_actions.LedgerAction] = []
+        for job in self._caller_watch.list_unseen(self._jobs.values(), now):
+            job.suspended = True
+            self._assigner.suspend_job(job)
+            self.counters.suspended += 1
+            actions.append(_ledger_actions.SuspendJob(job))
+            actions.extend(
+                self._inquiries.withdraw(
+                    list(job.active.values()), now, stop=True
+                )
+            )
+        return actions
+
     def _is_hopeless(self, job: _jobs.Job, now: datetime.datetime) -> bool:
         """Return whether a job, none of which ran, will miss its deadline."""
         if job.active or not job.waiting:
@@ -531,6 +581,9 @@
         job.machine.fire("settle")
         self.counters.failed += 1
         del self._jobs[job.id]
+        if job.failure is _jobs.Failure.DEADLINE:
+            late = _late_jobs.classify_late_job(started)
+            job.failure, job.message = late.failure, late.message
         answer = _jobs.JobAnswer(
             job.id, (), job.failure, started, job.message, job.path
         )
@@ -547,14 +600,20 @@
         )
 
     def _check_agent(
-        self, name: str, record: _roster.AgentRecord, now: datetime.datetime
+        self,
+        name: str,
+        record: _roster.AgentRecord,
+        now: datetime.datetime,
+        judges_silence: bool,
     ) -> list[_ledger_actions.LedgerAction]:
         limit = self._timing.agent_lost_after
         if self._roster.is_lost(record, limit, now):
             self._roster.remove(name)
             return self._lose_attempts(record, now)
-        actions = self._inquiries.repeat_stops(record, now)
-        actions.extend(self._inquiries.ask_overdue(record, now))
+        actions: list[_ledger_actions.LedgerAction] = []
+        if judges_silence:
+            actions.extend(self._inquiries.repeat_stops(record, now))
+            actions.extend(self._inquiries.ask_overdue(record, now))
         outstanding = [
             self._attempts[sequence] for sequence in sorted(record.outstanding)
         ]
