--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_caller_probes.py
@@ -1,8 +1,8 @@
 """When callers that wait for an answer were last known to be connected.
 
-A caller that is gone, or a path that is cut, may not show on a connection. An
-interim response makes the caller's kernel acknowledge some bytes, and shows at
-the time of sending that the caller was connected later.
+A connection may not show that its caller has gone or that the path is cut. An
+interim response makes the caller's kernel acknowledge some bytes. Once it has,
+the caller is known to have been connected after they were sent.
 """
 
 import collections
@@ -46,7 +46,8 @@
     """When it was last known to be connected."""
 
     probed_at: datetime.datetime
-    """When the request was read or the last probe was sent."""
+    """When the last probe was sent; until then, the time from which the
+    interval to the first one counts."""
 
     sent: collections.deque[datetime.datetime] = attrs.Factory(
         collections.deque
@@ -95,9 +96,9 @@
     def check(
         self,
     ) -> dict[_http_exchanges.Exchange, datetime.datetime]:
-        """Return when callers were seen, of those seen since the last check.
+        """Return when callers were seen, for those seen since the last check.
 
-        The callers of requests without an open connection are left out.
+        These are the callers that have acknowledged a probe meanwhile.
         """
         now = self._clock.now()
         self._checks = (self._checks[1], now)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
@@ -94,7 +94,7 @@
 
 
 # Guards against a caller on a slow path, of which a probe is always under way.
-def test_probes_under_way_don_t_hide_earlier_acknowledgements(
+def test_probes_under_way_hide_no_earlier_acknowledgement(
     fixture: _Fixture,
 ) -> None:
     for _ in range(6):
