--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -91,6 +91,8 @@
     """The platform's store: rows in tables, over HTTP."""
 
     def __init__(self, host: str) -> None:
+        self.calls: list[tuple[float, str, str]] = []
+        """When each reading call came, its path and its table."""
         self._rows: dict[tuple[str, str, str], dict] = {}
         self._version = 0
         self._changed = threading.Condition()
@@ -100,6 +102,7 @@
             def do_GET(self) -> None:
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
+                store.calls.append((now(), url.path, query.get("table", "")))
                 time.sleep(0.004)
                 if url.path == "/cowslipgate/rows-get":
                     self.reply(200, store.read(query))
@@ -189,6 +192,71 @@
             return 200, self._envelope([])
 
 
+class Proxy:
+    """Relays connections to an address; open ones can go silent for good."""
+
+    def __init__(self, host: str, target: str) -> None:
+        self._target = target
+        self._pairs: list[Pair] = []
+        self._lock = threading.Lock()
+        self._listener = socket.create_server((host, 0), backlog=256)
+        self.address = f"{host}:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self._listener.accept()
+            host, _, port = self._target.rpartition(":")
+            try:
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
+            pair = Pair(near, far)
+            with self._lock:
+                self._pairs = [p for p in self._pairs if not p.ended]
+                self._pairs.append(pair)
+            pair.start()
+
+    def silence(self) -> int:
+        """Relay nothing more on open connections; return their number."""
+        with self._lock:
+            kept = [pair for pair in self._pairs if not pair.ended]
+            for pair in kept:
+                pair.silent = True
+        return len(kept)
+
+
+class Pair:
+    """The two sockets of a relayed connection."""
+
+    def __init__(self, near: socket.socket, far: socket.socket) -> None:
+        self._near = near
+        self._far = far
+        self.silent = False
+        self.ended = False
+
+    def start(self) -> None:
+        for ends in ((self._near, self._far), (self._far, self._near)):
+            for end in ends:
+                end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(
+                target=self._relay, args=ends, daemon=True
+            ).start()
+
+    def _relay(self, source: socket.socket, sink: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                if not self.silent:
+                    sink.sendall(data)
+        if self.silent and source is self._far:
+            return
+        self.ended = True
+        for end in (self._near, self._far):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
+
 class Run:
     def __init__(self, worker: str, task: str, number: int, spec: str) -> None:
         self.worker = worker
@@ -505,6 +573,8 @@
         # The port of the metrics is fixed, so each program has an address.
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.store = Store(f"{net}.250")
+        # All programs reach the store by this proxy.
+        self.store_link = Proxy(f"{net}.250", self.store.address)
         self.store.put("op", "config", build_configuration(1, *routes))
         self.entries: list[Program] = []
         self.agents: list[Program] = []
@@ -587,7 +657,7 @@
                 "resend_ms": 1_300,
                 "remote_factor": 1.5,
             },
-            "platform": {"address": self.store.address, "form": "table"},
+            "platform": {"address": self.store_link.address, "form": "table"},
         }
         lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
         for table, fields in tables.items():
