Show that a task starts on a worker without the label required

A worker comes back as another kind, one answer is lost, and its agent goes on by the labels of the life before.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -293,12 +293,28 @@
         self.control = ""
         self.runs: list[Run] = []
         self.late_starts = 0.0
+        self.labels = ["a", "r1-1"]
+        self.calls = 0
+        """Calls that it has carried out."""
+        self.lost_holds = 0
+        """Next calls of its lists whose answers are lost."""
         self.life = 0
+        self.registered = 0
+        """Last life whose heartbeat was acknowledged."""
         self._changed = threading.Condition()
         self._alive = False
+        self._open: set[socket.socket] = set()
         worker = self
 
         class Calls(Handler):
+            def setup(self) -> None:
+                super().setup()
+                worker._open.add(self.connection)
+
+            def finish(self) -> None:
+                worker._open.discard(self.connection)
+                super().finish()
+
             def do_POST(self) -> None:
                 body = json.loads(self.read_body())
                 worker.handle(self, body)
@@ -346,16 +362,22 @@
                     "state": "ready",
                     "cold_left_ms": 0,
                     "capacity": self.capacity,
-                    "labels": ["a", "r1-1"],
+                    "labels": self.labels,
                     "clock_ms": self.clock_ms(),
                     "seq": self._seq,
                     "born": self._born,
                 }
                 path = f"/cowslipgate/instances/{self.name}"
+                life = self.life
                 answer = call(self.control, "PUT", path, body, timeout=1.0)
-                time.sleep(1.5 if answer.status == 200 else 0.2)
+                if answer.status == 200:
+                    self.registered = life
+                until = now() + (1.5 if answer.status == 200 else 0.2)
+                # The next life registers at once.
+                while now() < until and (life == self.life or not self._alive):
+                    time.sleep(0.002)
             else:
-                time.sleep(0.05)
+                time.sleep(0.002)
 
     def handle(self, call_: Handler, body: dict) -> None:
         meant = call_.headers.get("X-Expect-Instance", "")
@@ -377,8 +399,38 @@
             else:
                 status, reply = 404, {}
             reply["clock_ms"] = self.clock_ms()
+            self.calls += 1
+            lost = path == "/cowslipgate/hold" and self.lost_holds > 0
+            if lost:
+                self.lost_holds -= 1
+                self.record.add(f"{self.name}: the answer to a hold is lost")
+        if lost:
+            # The caller hears nothing more on this connection.
+            call_.connection.recv(1)
+            call_.close_connection = True
+            return
         call_.reply(status, reply)
 
+    def crash(self, down: float, labels: list[str]) -> None:
+        """Lose all runs, be down for a time, and start again by the id."""
+        with self._changed:
+            self._alive = False
+            for run in list(self._running.values()):
+                self._end(run, "crashed")
+        self.record.add(f"{self.name} crashes")
+        self.server.shutdown()
+        self.server.server_close()
+        for sock in list(self._open):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        time.sleep(down)
+        host, _, port = self.address.rpartition(":")
+        with self._changed:
+            self.labels = labels
+            self._start_life()
+        self.server = serve(host, self._handler, int(port))
+        self.record.add(f"{self.name} is back, with the labels {labels}")
+
     def _start(self, body: dict) -> tuple[int, dict]:
         task, number = body["task"], body["run"]
         if body["until_ms"] < self.clock_ms():
