--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -21,6 +21,7 @@
 import threading
 import time
 import urllib.parse
+from collections.abc import Callable
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SERVICE = "print-desk"
@@ -29,6 +30,7 @@
 LEASE_MS = 1_000
 STOP_SECONDS = 0.02
 ENDS_PER_LIST = 500
+SCRIPT_SECONDS = 112
 now = time.monotonic
 
 
@@ -64,7 +66,9 @@
 def serve(host: str, handler: type, port: int = 0) -> Server:
     server = Server((host, port), handler)
     threading.Thread(
-        target=server.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True
+        target=server.serve_forever,
+        kwargs={"poll_interval": 0.05},
+        daemon=True,
     ).start()
     return server
 
@@ -192,11 +196,55 @@
             return 200, self._envelope([])
 
 
+class StoreView:
+    """The store as the agents read it, with a proxy in place of an entry.
+
+    An entry's row names the address that it listens on, so that nothing else
+    can stand between it and the agents.
+    """
+
+    def __init__(self, store: Store, host: str) -> None:
+        self.proxies: dict[str, str] = {}
+        """Address of the proxy by that of the entry, ``host:port``."""
+        view = self
+
+        class Calls(Handler):
+            def do_GET(self) -> None:
+                url = urllib.parse.urlsplit(self.path)
+                query = dict(urllib.parse.parse_qsl(url.query))
+                time.sleep(0.004)
+                answer = store.read(query)
+                rows = [view.translate(row) for row in answer["rows"]]
+                self.reply(200, answer | {"rows": rows})
+
+        self.server = serve(host, Calls)
+        self.address = f"{host}:{self.server.server_port}"
+
+    def translate(self, row: dict) -> dict:
+        proxy = self.proxies.get(row["key"])
+        if row["table"] != "entries" or proxy is None:
+            return row
+        text = base64.b64decode(row["value"]).decode()
+        value = text.replace(f"//{row['key']}", f"//{proxy}").encode()
+        return row | {
+            "key": proxy,
+            "value": base64.b64encode(value).decode(),
+        }
+
+
 class Proxy:
-    """Relays connections to an address; open ones can go silent for good."""
+    """Relays connections to an address.
+
+    Open ones can go silent for good, and a cut holds up what is sent.
+    """
 
     def __init__(self, host: str, target: str) -> None:
         self._target = target
+        self.passing = threading.Event()
+        """Whether there is no cut."""
+        self.passing.set()
+        self.answered_at = 0.0
+        """When something came back last."""
         self._pairs: list[Pair] = []
         self._lock = threading.Lock()
         self._listener = socket.create_server((host, 0), backlog=256)
@@ -212,7 +260,7 @@
             except OSError:
                 near.close()
                 continue
-            pair = Pair(near, far)
+            pair = Pair(self, near, far)
             with self._lock:
                 self._pairs = [p for p in self._pairs if not p.ended]
                 self._pairs.append(pair)
@@ -230,7 +278,10 @@
 class Pair:
     """The two sockets of a relayed connection."""
 
-    def __init__(self, near: socket.socket, far: socket.socket) -> None:
+    def __init__(
+        self, proxy: Proxy, near: socket.socket, far: socket.socket
+    ) -> None:
+        self._proxy = proxy
         self._near = near
         self._far = far
         self.silent = False
@@ -247,8 +298,12 @@
     def _relay(self, source: socket.socket, sink: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(65_536):
+                self._proxy.passing.wait()
+                if source is self._far:
+                    self._proxy.answered_at = now()
                 if not self.silent:
                     sink.sendall(data)
+        self._proxy.passing.wait()
         if self.silent and source is self._far:
             return
         self.ended = True
@@ -258,13 +313,15 @@
 
 
 class Run:
-    def __init__(self, worker: str, task: str, number: int, spec: str) -> None:
+    def __init__(
+        self, worker: str, task: str, number: int, spec: str, speed: float
+    ) -> None:
         self.worker = worker
         self.task = task
         self.number = number
         self.spec = spec
         self.started_at = now()
-        self.ends_at = self.started_at + float(spec) / 1000
+        self.ends_at = self.started_at + float(spec) / 1000 / speed
         self.stop_at: float | None = None
         self.ended_at: float | None = None
         self.how = ""
@@ -296,6 +353,7 @@
         self.labels = ["a", "r1-1"]
         self.calls = 0
         """Calls that it has carried out."""
+        self.speed = 1.0
         self.lost_holds = 0
         """Next calls of its lists whose answers are lost."""
         self.life = 0
@@ -440,7 +498,7 @@
         self._extend(body["until_ms"])
         if number <= self._highest.get(task, 0):
             return 409, {"reason": "old"}
-        run = Run(self.name, task, number, body["spec"])
+        run = Run(self.name, task, number, body["spec"], self.speed)
         run.life = self.life
         self._running[task, number] = run
         self.runs.append(run)
@@ -591,7 +649,14 @@
         environment["COWSLIPGATE_CONFIG"] = str(self._settings)
         with self._log.open("ab") as log:
             self.process = subprocess.Popen(
-                ["python3", "-S", "-P", "-m", "cowslipgate_platform", self.role],
+                [
+                    "python3",
+                    "-S",
+                    "-P",
+                    "-m",
+                    "cowslipgate_platform",
+                    self.role,
+                ],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -619,6 +684,7 @@
         agents: int,
         cpu: int = 8_000,
         routes: tuple[dict, ...] = (),
+        cut_entry: bool = False,
     ) -> None:
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
@@ -628,6 +694,13 @@
         # All programs reach the store by this proxy.
         self.store_link = Proxy(f"{net}.250", self.store.address)
         self.store.put("op", "config", build_configuration(1, *routes))
+        # Between the first entry and the agents, if that path is to be cut.
+        self.entry_link: Proxy | None = None
+        self._view: StoreView | None = None
+        if cut_entry:
+            self._view = StoreView(self.store, f"{net}.251")
+        self._net = net
+        self._controls: list[str] = []
         self.entries: list[Program] = []
         self.agents: list[Program] = []
         self.workers: list[Worker] = []
@@ -643,6 +716,7 @@
             for host in hosts
         ]
         seeds = [listen["control"] for listen in listens]
+        self._controls = list(seeds)
         for number, (host, listen) in enumerate(zip(hosts, listens), 1):
             self.fronts.append(listen["front"])
             self._ready.append(listen["ready"])
@@ -651,6 +725,9 @@
                     "entry", f"edge-{number}", "edge", host, listen, seeds
                 )
             )
+        if cut_entry:
+            # Seeds that are down: they would name the entry itself.
+            seeds = [f"{net}.252:9"]
         for number in range(1, agents + 1):
             host = f"{net}.{100 + number}"
             worker = Worker(host, f"i-{number:08x}", record, cpu)
@@ -681,6 +758,9 @@
     ) -> Program:
         port = pick_port(host)
         serves = ["edge", "control"] if role == "entry" else ["side"]
+        store = self.store_link.address
+        if role == "agent" and self._view is not None:
+            store = self._view.address
         top = {
             "node_name": name,
             "role": role,
@@ -709,7 +789,7 @@
                 "resend_ms": 1_300,
                 "remote_factor": 1.5,
             },
-            "platform": {"address": self.store_link.address, "form": "table"},
+            "platform": {"address": store, "form": "table"},
         }
         lines = [f"{key} = {json.dumps(value)}" for key, value in top.items()]
         for table, fields in tables.items():
@@ -721,11 +801,15 @@
 
     def start(self, timeout: float = 20.0) -> bool:
         """Start all programs; return whether they are ready to work."""
-        for program in (*self.entries, *self.agents):
+        until = now() + timeout
+        for program in self.entries:
+            program.start()
+        if self._view is not None and not self._link_entry(until):
+            return False
+        for program in self.agents:
             program.start()
         for worker in self.workers:
             worker.join(worker.control)
-        until = now() + timeout
         for address in self._ready:
             while now() < until:
                 if call(address, "GET", "/cowslipgate/readyz").status == 200:
@@ -738,6 +822,27 @@
                 return True
         return False
 
+    def _link_entry(self, until: float) -> bool:
+        """Put a proxy before the first entry, once all know each other."""
+        while now() < until:
+            lists = [
+                call(control, "GET", "/v1/members", timeout=1.0)
+                for control in self._controls
+            ]
+            if all(
+                answer.status == 200
+                and len(json.loads(answer.body)) == len(self.entries)
+                for answer in lists
+            ):
+                break
+            time.sleep(0.1)
+        host = f"{self._net}.1:"
+        for row in self.store.read({"table": "entries"})["rows"]:
+            if row["key"].startswith(host):
+                self.entry_link = Proxy(f"{self._net}.240", row["key"])
+                self._view.proxies[row["key"]] = self.entry_link.address
+        return self.entry_link is not None
+
     def _serves(self, front: str) -> bool:
         answer = submit(front, make_id(), [step(1, 10)], 2_000)
         return answer.status == 200
@@ -755,6 +860,48 @@
         self.folder.rmdir()
 
 
+class OutOfTime(Exception):
+    """The script was stopped, by its limit of time or from outside."""
+
+
+def stop_script(*arguments: object) -> None:
+    raise OutOfTime
+
+
+def run_check(
+    folder: pathlib.Path,
+    judge: Callable[[Deployment, Record], int],
+    entries: int,
+    agents: int,
+    cpu: int = 8_000,
+    routes: tuple[dict, ...] = (),
+    kinds: tuple[str, ...] = (),
+) -> int:
+    """Start a deployment and judge it; return the script's exit status.
+
+    :param judge: returns 1 if the rule was broken, 0 if it held
+    :param kinds: kinds of the first workers; the others are of kind ``a``
+    """
+    signal.signal(signal.SIGALRM, stop_script)
+    signal.signal(signal.SIGTERM, stop_script)
+    signal.alarm(SCRIPT_SECONDS)
+    record = Record(folder / "record.txt")
+    deployment = Deployment(record, entries, agents, cpu, routes)
+    for worker, kind in zip(deployment.workers, kinds):
+        worker.labels = [kind, "r1-1"]
+    try:
+        if deployment.start():
+            return judge(deployment, record)
+        record.add("the deployment was not ready in time")
+    except OutOfTime:
+        record.add("stopped before the end")
+    finally:
+        signal.alarm(0)
+        deployment.close()
+        record.write()
+    return 2
+
+
 def make_id() -> str:
     return f"{random.getrandbits(64):016x}"
 
