Decide nothing by an announcement of an earlier life

Cause: the agent passed the announcement of a new life on only once a list had dated the life, and went on by the labels of the life before until then. The refusal of an order that was sent meanwhile gave a clock reading and ended the search for a list, so that the announcement waited for the next heartbeat.

Now a heartbeat whose announcement can't be passed on yet takes the one before out of force (state `superseded` of the target's chart), the clock of a new life is read from its lists alone, and a start that was decided by another announcement than the newest is given back as not started.

The agent's own refusal no longer counts as a failure of its target.

Not closed: an order that was sent before the change could be known may be carried out by the new life, as orders name the id alone.

Two builders of tests change: the start of a task names the announcement that was made, and a replaced target lists its runs twice, as an agent starts nothing before that; the answer of before was to a watch already answered.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -15,6 +15,10 @@
     """The target closed a connection unanswered, or nothing listens there."""
 
 
+class target_superseded(circuits.Event):
+    """The target is known to have changed since its last announcement."""
+
+
 class target_heartbeat_received(circuits.Event):
     """A target sent a heartbeat; the argument is a TargetHeartbeat."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -126,6 +126,8 @@
         self._broken_calls = 0
         self._beat: TargetHeartbeat | None = None
         self._successor: TargetHeartbeat | None = None
+        # What the runner decides by; None if by nothing.
+        self._announced: core.Announcement | None = None
 
     @property
     def tracker(self) -> core.RunTracker:
@@ -143,9 +145,8 @@
         if len(self._tracker) and beat.instance != self._tracker.instance:
             # The target before may still run tasks. A refused connection, an
             # answer of another target or the end of the lease shows the end.
-            if self._successor is None:
-                self.fire(_events.target_disconnected(), "runner")
             self._successor = beat
+            self._withhold()
             self._send_due_watch()
             return
         self._accept_heartbeat(beat)
@@ -172,18 +173,24 @@
     def _is_outdated(self, beat: TargetHeartbeat) -> bool:
         if self._tracker.is_outdated(beat.incarnation):
             return True
-        last = self._beat
-        if last is None or (last.instance, last.incarnation) != (
-            beat.instance,
-            beat.incarnation,
-        ):
-            return False
-        return beat.number < last.number
+        successor = self._successor
+        if successor and 0 < beat.incarnation < successor.incarnation:
+            return True
+        return any(
+            (last.instance, last.incarnation)
+            == (beat.instance, beat.incarnation)
+            and beat.number < last.number
+            for last in (self._beat, successor)
+            if last is not None
+        )
 
     @circuits.handler("target_ended")
     def _on_target_ended(self, instance: str) -> None:
+        if self._successor and instance == self._successor.instance:
+            self._successor = None
         if self._beat is not None and instance == self._beat.instance:
             self._beat = None
+            self._announced = None
             self.fire(_events.target_left(), "runner")
 
     @circuits.handler("start_task")
@@ -191,10 +198,23 @@
         self, start: core.StartTask, announcement: core.Announcement
     ) -> None:
         now = self._clock.now()
+        beat = self._beat
+        if beat is None or beat.draining or announcement != self._announced:
+            # Decided before the target was known to have changed.
+            self._refuse_start(start)
+            return
         limit = self._find_lease_limit()
         self._perform(self._tracker.start(start.key, start.order, now, limit))
         self._send_due_watch()
 
+    def _refuse_start(self, start: core.StartTask) -> None:
+        report = core.AttemptReport(
+            start.key.attempt,
+            core.Outcome.NOT_STARTED,
+            core.Reason.NOT_SERVING,
+        )
+        self.fire(_events.task_ended(start.key, report), "runner")
+
     @circuits.handler("stop_task")
     def _on_stop_task(self, stop: core.StopTask) -> None:
         self._perform(self._tracker.stop(stop.key, self._clock.now()))
@@ -303,6 +323,8 @@
             self._report_runs_known()
         if now >= self._announce_at or not were_known:
             self._announce()
+        elif not self._is_of_present_life(self._beat):
+            self._withhold()
 
     def _handle_watch_failure(
         self, failure: transport.CallFailure, now: datetime.datetime
@@ -339,13 +361,32 @@
 
     def _announce(self) -> None:
         beat = self._beat
-        if beat is None or not self._tracker.runs_known:
+        if not self._is_of_present_life(beat):
+            self._withhold()
             return
-        self._announce_at = self._clock.now() + ANNOUNCE_INTERVAL
-        self.fire(_events.target_announced(beat.announcement), "runner")
+        if self._tracker.runs_known:
+            self._announce_at = self._clock.now() + ANNOUNCE_INTERVAL
+            self._announced = beat.announcement
+            self.fire(_events.target_announced(beat.announcement), "runner")
+        elif beat.announcement != self._announced:
+            self._withhold()
         if beat.draining:
             self.fire(_events.target_left(), "runner")
 
+    def _is_of_present_life(self, beat: TargetHeartbeat | None) -> bool:
+        # A list may show the next life before its first heartbeat arrives.
+        return (
+            beat is not None
+            and self._successor is None
+            and not self._tracker.is_outdated(beat.incarnation)
+        )
+
+    def _withhold(self) -> None:
+        """Let the runner start nothing by an outdated announcement."""
+        if self._announced is not None:
+            self._announced = None
+            self.fire(_events.target_superseded(), "runner")
+
     def _send_due_watch(self) -> None:
         self._accept_successor()
         now = self._clock.now()
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
@@ -42,6 +42,12 @@
         self._perform(self._executor.leave(self._clock.now()))
         self._report_state_change(before)
 
+    @circuits.handler("target_superseded")
+    def _on_target_superseded(self) -> None:
+        before = self._read_state()
+        self._perform(self._executor.supersede(self._clock.now()))
+        self._report_state_change(before)
+
     @circuits.handler("target_disconnected")
     def _on_target_disconnected(self) -> None:
         before = self._read_state()
@@ -87,10 +93,13 @@
         self._perform(self._executor.leave(self._clock.now()))
         self.fire(_events.send_reports(), "links")
 
-    def _read_state(self) -> tuple[str, int]:
-        return self._executor.state, self._executor.links
+    def _read_state(self) -> tuple[str, int, core.Announcement | None]:
+        executor = self._executor
+        return executor.state, executor.links, executor.announcement
 
-    def _report_state_change(self, before: tuple[str, int]) -> None:
+    def _report_state_change(
+        self, before: tuple[str, int, core.Announcement | None]
+    ) -> None:
         if self._read_state() != before:
             self.fire(_events.send_reports(), "links")
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
@@ -60,6 +60,7 @@
         self.calls: list[transport.Call] = []
         self.ended: list[core.AttemptReport] = []
         self.recorded_events: list[str] = []
+        self.announcement: core.Announcement | None = None
         self.executor = core.Executor(1, 0)
         self.unclear: list[core.WireError] = []
         _leased_calls.LeasedCalls(
@@ -88,6 +89,7 @@
     @circuits.handler("target_announced", channel="runner")
     def _on_target_announced(self, announcement: core.Announcement) -> None:
         self.recorded_events.append("announced")
+        self.announcement = announcement
 
     @circuits.handler("target_left", channel="runner")
     def _on_target_left(self) -> None:
@@ -129,8 +131,9 @@
     number: int = 1,
     draining: bool = False,
     instance: str = "i-1",
+    labels: tuple[str, ...] = (),
 ) -> _leased_calls.TargetHeartbeat:
-    room = core.Resources(1_000, 0, 32_000)
+    room = core.Resources(1_000, 0, 32_000, labels)
     announcement = core.Announcement(
         "print", "http://127.0.0.1:1", 9, 9, room, room, str(incarnation)
     )
@@ -150,10 +153,12 @@
     announce_next_target(harness)
     harness.pass_time(40)
     harness.answer(find_watch(harness), core.Replaced())
-    harness.pass_time(40)
     incarnation = run_builders.INCARNATION + 1
     listing = run_builders.build_listing(incarnation=incarnation)
-    harness.answer(find_watch(harness), listing)
+    harness.pass_time(100)
+    # A target is announced after the second list.
+    for _ in range(2):
+        harness.answer(find_watch(harness), listing)
 
 
 def connect_target(harness: LeasedCallsHarness) -> None:
@@ -164,7 +169,7 @@
 
 def start_task(harness: LeasedCallsHarness) -> transport.Call:
     start = core.StartTask(KEY, ORDER)
-    harness.send(_events.start_task(start, build_beat().announcement))
+    harness.send(_events.start_task(start, harness.announcement))
     sent = harness.codec.sent
     return harness.calls[
         [isinstance(s, core.CallStart) for s in sent].index(True)
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -200,9 +200,22 @@
     ) -> list[_executor_actions.ExecutorAction]:
         """Handle an announcement of the target."""
         actions = self._handle_pause(now)
+        known = self._target.announcement
         self._target.announce(announcement, now)
+        if known is not None and known != announcement:
+            actions.extend(self._refuse_unfit(known, announcement, now))
         return actions + self._advance(now)
 
+    def supersede(
+        self, now: datetime.datetime
+    ) -> list[_executor_actions.ExecutorAction]:
+        """Start nothing until the target's next announcement.
+
+        The target is known to have changed since the present one.
+        """
+        self._target.supersede()
+        return self._advance(now)
+
     def leave(
         self, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
@@ -425,6 +438,8 @@
             return _attempts.Reason.STALE_CONFIGURATION
         if self.slots == 0:
             return _attempts.Reason.NOT_SERVING
+        if dispatch.service not in ("", self._target.service):
+            return _attempts.Reason.NOT_SERVING
         if self._outcomes.full:
             return _attempts.Reason.BUSY
         if len(self._slots) >= self.slots + self._queue_limit:
@@ -432,6 +447,9 @@
         return _attempts.Reason.NONE
 
     def _has_room(self, order: _attempts.Order) -> bool:
+        if not self._target.covers(order.needs):
+            # The entry chose the target by an earlier announcement.
+            return False
         # Another target may start the task at once; here it would wait.
         room = self._target.room
         if room is msgspec.UNSET or self._slots.queued < self._queue_limit:
@@ -493,11 +511,30 @@
             actions.append(_executor_actions.StartTask(held.key, held.order))
         return actions
 
+    def _refuse_unfit(
+        self,
+        known: _executor_actions.Announcement,
+        announcement: _executor_actions.Announcement,
+        now: datetime.datetime,
+    ) -> list[_executor_actions.ExecutorAction]:
+        if known.service != announcement.service:
+            return self._refuse_queued(_attempts.Reason.NOT_SERVING, now)
+        keys = self._slots.withdraw_unfit(self._target.covers)
+        return self._refuse_keys(keys, _attempts.Reason.NO_ROOM, now)
+
     def _refuse_queued(
         self, reason: _attempts.Reason, now: datetime.datetime
+    ) -> list[_executor_actions.ExecutorAction]:
+        return self._refuse_keys(self._slots.withdraw_all(), reason, now)
+
+    def _refuse_keys(
+        self,
+        keys: list[_executor_actions.AttemptKey],
+        reason: _attempts.Reason,
+        now: datetime.datetime,
     ) -> list[_executor_actions.ExecutorAction]:
         by_entry: dict[int, list[_attempts.AttemptReport]] = {}
-        for key in self._slots.withdraw_all():
+        for key in keys:
             report = self._refuse(key.attempt, reason)
             by_entry.setdefault(key.entry, []).append(report)
         actions: list[_executor_actions.ExecutorAction] = []
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -45,6 +45,9 @@
     lease_end_ms: int
     """Time on the target's clock at which the order expires."""
 
+    incarnation: int
+    """Incarnation of the target that was known then."""
+
     machine: _charts.StateMachine
     """State in ``charts/run.toml``."""
 
@@ -220,7 +223,13 @@
         until = self._extend_lease(now, self._limit_lease(limit))
         machine = _charts.StateMachine(self._chart)
         self._runs[name] = _Run(
-            key, name, now, until, machine, order.checkpoint
+            key,
+            name,
+            now,
+            until,
+            self._incarnation,
+            machine,
+            order.checkpoint,
         )
         return [
             _run_records.CallStart(
@@ -252,10 +261,12 @@
         now: datetime.datetime,
     ) -> list[_run_records.RunAction]:
         """Handle the target's reply to a start order."""
-        self._record_clock(clock_ms, now)
         run = self._runs.get(name)
         if run is None:
             return []
+        if self._clock_at is not None and run.incarnation == self._incarnation:
+            # Only a listing tells whose clock the first reading is.
+            self._record_clock(clock_ms, now)
         if reply is _run_records.StartReply.ACCEPTED:
             run.machine.fire("accept")
             run.started = True
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_slots.py
@@ -1,6 +1,7 @@
 """Queue and running attempts of one agent."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterator
 import datetime
 
@@ -89,6 +90,19 @@
             del self._queue[key]
         return keys
 
+    def withdraw_unfit(
+        self, covers: Callable[[_resources.Resources], bool]
+    ) -> list[_executor_actions.AttemptKey]:
+        """Remove the queued attempts whose needs are not covered."""
+        keys = [
+            key
+            for key, held in self._queue.items()
+            if not covers(held.order.needs)
+        ]
+        for key in keys:
+            del self._queue[key]
+        return keys
+
     @property
     def queued(self) -> int:
         """Number of queued attempts."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -10,10 +10,20 @@
 from cowslipgate_core.execution import _slots
 from cowslipgate_core.messages import _attempts
 from cowslipgate_core.messages import _resources
+from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _targets
 
 _LOST = _attempts.Outcome.LOST
 
+_AGENT_REASONS = frozenset(
+    (
+        # The agent's fencing token was stale; its next one is higher.
+        _attempts.Reason.STALE_TOKEN,
+        # The agent did not call the target.
+        _attempts.Reason.NOT_SERVING,
+    )
+)
+
 
 class TargetState:
     """Announcement and health of one target, as in ``charts/target.toml``."""
@@ -35,6 +45,12 @@
         announcement = self.announcement
         return announcement.address if announcement is not None else ""
 
+    @property
+    def service(self) -> str:
+        """Service of the target, empty before its first announcement."""
+        announcement = self.announcement
+        return announcement.service if announcement is not None else ""
+
     @property
     def room(self) -> _resources.Room:
         """Resources that all tasks of the target share, or unset."""
@@ -55,6 +71,13 @@
                 return min(1, announced)
         return 0
 
+    def covers(self, needs: _resources.Resources) -> bool:
+        """Return whether the target has what a task needs, were it idle."""
+        announcement = self.announcement
+        return announcement is not None and _room.covers_needs(
+            announcement.resources, needs
+        )
+
     def announce(
         self,
         announcement: _executor_actions.Announcement,
@@ -81,6 +104,13 @@
         """Stop taking work, because the target or the agent is leaving."""
         self._machine.fire("leave")
 
+    def supersede(self) -> None:
+        """Stop taking work until the target's next announcement.
+
+        The present one is known to be outdated.
+        """
+        self._machine.fire("supersede")
+
     def disconnect(self) -> None:
         """Stop taking work until the next announcement."""
         self._fire_allowed("disconnect")
@@ -139,7 +169,6 @@
     """Return whether an unfinished run counts as the target's failure."""
     if held.stopping:
         return held.stalled
-    if report.reason is _attempts.Reason.STALE_TOKEN:
-        # The agent's fencing token was stale; its next one is higher.
+    if report.reason in _AGENT_REASONS:
         return False
     return report.outcome is not _LOST
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -410,7 +410,10 @@
             by_agent.setdefault(assignment.agent, []).append(order)
         return [
             _ledger_actions.SendOrders(
-                agent, self._agents[agent].report.incarnation, tuple(orders)
+                agent,
+                self._agents[agent].report.incarnation,
+                tuple(orders),
+                self._agents[agent].report.service,
             )
             for agent, orders in by_agent.items()
         ]
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -19,6 +19,9 @@
     orders: tuple[_attempts.Order, ...]
     """The attempts."""
 
+    service: str = ""
+    """Service of the agent's target for which they were chosen."""
+
 
 @attrs.frozen
 class SendWithdraw:
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_attempts.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_attempts.py
@@ -154,6 +154,10 @@
     received_ms: _fields.Count = 0
     """Highest ``sent_ms`` received from the agent, as in a heartbeat."""
 
+    service: str = ""
+    """Service of the target for which the attempts were chosen; empty from
+    entries of earlier versions."""
+
 
 @attrs.frozen
 class Withdraw:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
@@ -54,6 +54,7 @@
                 self._acknowledgements.take(action.agent),
                 self._get_link(action.agent),
                 self._get_received_ms(action.agent),
+                action.service,
             )
             self._ledger.counters.dispatches += 1
             self.send_to(action.agent, action.incarnation, message)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
@@ -72,6 +72,18 @@
     assert [beat.received_ms for beat in beats] == [400, 700, 700]
 
 
+# Guards against a task at a target that has come to belong to another service
+# since the entry chose it: the agent can tell.
+def test_orders_name_the_service_for_which_their_target_was_chosen() -> None:
+    harness = builders.DispatcherHarness()
+    report = builders.build_report()
+    harness.deliver(report)
+    harness.submit()
+    (dispatch,) = harness.outbox.take(core.Dispatch)
+    assert report.service
+    assert dispatch.service == report.service
+
+
 def test_new_incarnation_of_an_agent_begins_with_its_own_messages() -> None:
     harness = builders.DispatcherHarness()
     report = attrs.evolve(builders.build_report(), sent_ms=9_000)
