Wait once for connections that have gone silent

Cause: a call that timed out gave up its own connection, and the next call took an idle one, as silent. The follower of the configuration paused for 0.2 s after each.

Now a time-out of a call that was sent closes the idle connections to that server, and fails the reads that wait on connections not heard since that call began; their senders repeat them. Calls that may change something wait for their own limits and are never sent again by the client. The follower's pause counts from the sending of the call that failed, so that none follows a time-out; it still makes five calls a second at most.

Why all idle connections and not only those last heard before the overdue call began: a call for changes waits 1.3 s, and a connection heard in that time may have gone silent since.

The same client serves the calls of agents to targets and to the store, the discovery and the product's store, so the mend goes for those. Links between VMs are ZeroMQ with heartbeats of their own. Not changed: up to four watches of a target under way at once each wait for their own 0.65 s, in the same time.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_configuration_follower.py
@@ -21,8 +21,8 @@
 the 2 s in which a configuration has to be in force."""
 
 RETRY_INTERVAL = datetime.timedelta(milliseconds=200)
-"""Delay after a failed call; five calls per second from each entry are far
-below what the store allows."""
+"""Least time between a call that failed and the next; five calls per second
+from each entry are far below what the store allows."""
 
 Reader = Callable[[core.TableRow], core.Configuration]
 
@@ -51,6 +51,7 @@
         self._position: int | None = None
         self._busy = False
         self._next_call = clock.now()
+        self._called_at = clock.now()
 
     @circuits.handler("started", channel="*")
     def _on_started(self, *arguments: object) -> None:
@@ -66,7 +67,8 @@
         if answer.result is core.TableResult.EXPIRED:
             self._position = None
         elif answer.result is not core.TableResult.DONE:
-            self._next_call = self._clock.now() + RETRY_INTERVAL
+            # A call that has timed out has waited long enough.
+            self._next_call = self._called_at + RETRY_INTERVAL
             if answer.result is core.TableResult.MALFORMED:
                 # The same changes would be returned again.
                 self._position = None
@@ -87,6 +89,7 @@
         if self._busy or self._clock.now() < self._next_call:
             return
         self._busy = True
+        self._called_at = self._clock.now()
         call: core.TableCall = core.TableRead(CHANNEL, self._table)
         if self._position is not None:
             call = core.TableFollow(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
@@ -145,6 +145,21 @@
     assert len(harness.calls) > before
 
 
+# Guards against a configuration that is in force late: a call that has timed
+# out has taken longer than the interval already.
+def test_call_that_has_timed_out_is_repeated_at_once(
+    harness: StoreHarness,
+) -> None:
+    harness.answer("configuration-manager", rows=(_row(b"5"),), version=40)
+    before = len(harness.calls)
+    harness.pass_time(1.3)
+    unreachable = core.TableResult.UNREACHABLE
+    harness.answer("configuration-manager", unreachable)
+    assert harness.calls[before:] == [harness.last("configuration-manager")]
+    harness.answer("configuration-manager", unreachable)
+    assert len(harness.calls) == before + 1
+
+
 # Guards against a follower that asks for the same odd changes without end.
 def test_table_is_read_whole_again_after_undecodable_changes(
     harness: StoreHarness,
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -26,6 +26,9 @@
 RESPONSE_PARSER = 1
 """Kind of ``HttpParser`` that parses responses."""
 
+REPEATABLE_METHODS = frozenset(("GET", "HEAD"))
+"""Methods of calls that change nothing at the server."""
+
 TICK_SECONDS = 0.1
 """Interval between checks for calls that have timed out."""
 
@@ -98,10 +101,13 @@
             problem = _http_calls.CallProblem.TIMEOUT
             self._fire_failure(pending, problem, sent=False)
         for connection in self._pool.get_active():
+            if connection.pending is None:
+                # It ended with an overdue one before it.
+                continue
             if not connection.connected and now >= connection.connect_by:
                 self._fail(connection, _http_calls.CallProblem.UNREACHABLE)
             elif now >= connection.pending.expires:
-                self._fail(connection, _http_calls.CallProblem.TIMEOUT)
+                self._end_overdue(connection)
         self._schedule_check()
 
     @circuits.handler("_write")
@@ -115,6 +121,7 @@
                 self._fail(connection, _classify_connect_error(code))
                 return
             connection.connected = True
+            connection.heard_at = self._clock.now()
         self._send(connection)
 
     @circuits.handler("_read")
@@ -129,6 +136,7 @@
         except OSError as error:
             self._handle_loss(connection, error.errno)
             return
+        connection.heard_at = self._clock.now()
         if not data or connection.pending is None:
             self._handle_loss(connection)
             return
@@ -156,6 +164,7 @@
                 self._start_waiting(call.address)
                 return
         connection.pending = pending
+        connection.started_at = self._clock.now()
         connection.sent = False
         connection.received = 0
         connection.unsent = pending.request
@@ -185,9 +194,9 @@
         if code not in (0, errno.EINPROGRESS):
             sock.close()
             raise OSError(code, os.strerror(code))
-        connect_by = self._clock.now() + CONNECT_TIMEOUT
+        now = self._clock.now()
         connection = _http_pool.Connection(
-            sock, address, connect_by, connected=code == 0
+            sock, address, now + CONNECT_TIMEOUT, now, connected=code == 0
         )
         self._pool.add(connection)
         self._poller.addReader(self, sock)
@@ -251,6 +260,33 @@
             self._close(connection)
         self.fire(http_answered(answer))
 
+    def _end_overdue(self, connection: _http_pool.Connection) -> None:
+        """Fail a call that has timed out, and doubt connections beside it.
+
+        All open connections to a server may have gone silent at once. The
+        idle ones are closed, so that nobody waits for them as well. A call
+        that waits on one that has been silent for as long fails now if it
+        may be repeated.
+        """
+        problem = _http_calls.CallProblem.TIMEOUT
+        address = connection.address
+        if not (connection.connected and connection.sent):
+            self._fail(connection, problem)
+            return
+        # Calls that wait for a connection start as these are closed.
+        for idle in self._pool.take_all_idle(address):
+            self._close(idle)
+        since = connection.started_at
+        self._fail(connection, problem)
+        for other in self._pool.get_active():
+            if (
+                other.address == address
+                and other.connected
+                and other.heard_at <= since
+                and other.pending.call.method in REPEATABLE_METHODS
+            ):
+                self._fail(other, problem)
+
     def _handle_loss(
         self, connection: _http_pool.Connection, code: int | None = None
     ) -> None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_pool.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_pool.py
@@ -41,6 +41,9 @@
     connect_by: datetime.datetime
     """When connecting counts as failed."""
 
+    heard_at: datetime.datetime
+    """When it was opened or bytes last arrived on it."""
+
     connected: bool = False
     """Whether the connection is established."""
 
@@ -50,6 +53,9 @@
     pending: Pending | None = None
     """Call in progress, or None while idle."""
 
+    started_at: datetime.datetime | None = None
+    """When the call in progress was given to it."""
+
     sent: bool = False
     """Whether any byte of the request has been sent."""
 
@@ -131,6 +137,10 @@
         self._remove_idle(address, connection)
         return connection
 
+    def take_all_idle(self, address: _http_calls.Address) -> list[Connection]:
+        """Remove and return the idle connections to a server."""
+        return self._idle.pop(address, [])
+
     def keep_idle(self, connection: Connection) -> bool:
         """Keep a connection for reuse; return False at the idle limit."""
         idle = self._idle.setdefault(connection.address, [])
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -53,9 +53,23 @@
         """Number of calls that were answered or have failed."""
         return len(self.answers) + len(self.failures)
 
-    def call(self, address: transport.Address) -> None:
+    def call(
+        self,
+        address: transport.Address,
+        number: int = 1,
+        method: str = "GET",
+        timeout: datetime.timedelta = TIMEOUT,
+        connection_limit: int = 0,
+    ) -> None:
         """Make a call."""
-        call = transport.Call(1, address, "GET", "/", timeout=TIMEOUT)
+        call = transport.Call(
+            number,
+            address,
+            method,
+            "/",
+            timeout=timeout,
+            connection_limit=connection_limit,
+        )
         self.fire(transport.call_http(call), CHANNEL)
         self.run_round()
 
@@ -67,6 +81,53 @@
         self.tick()
 
 
+class HushedServer:
+    """Answers each request, but not on connections that were silenced."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self._connections: list[socket.socket] = []
+        self._silent: set[socket.socket] = set()
+        self.requests: list[bytes] = []
+        host, port = self._listener.getsockname()
+        self.address = transport.Address(host, port)
+
+    @property
+    def accepted(self) -> int:
+        """Number of connections that were opened."""
+        return len(self._connections)
+
+    def silence(self, *numbers: int) -> None:
+        """Answer no more on the open connections, or on some of them.
+
+        :param numbers: the connections, counted from zero; all if none
+        """
+        chosen = [self._connections[number] for number in numbers]
+        self._silent.update(chosen or self._connections)
+
+    def poll(self) -> None:
+        """Accept connections and answer requests."""
+        with contextlib.suppress(BlockingIOError):
+            connection, _ = self._listener.accept()
+            connection.setblocking(False)
+            self._connections.append(connection)
+        for sock in self._connections:
+            with contextlib.suppress(OSError):
+                request = sock.recv(65_536)
+                if request:
+                    self.requests.append(request)
+                if request and sock not in self._silent:
+                    sock.sendall(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                    )
+
+    def close(self) -> None:
+        """Close the server and its connections."""
+        for sock in [self._listener, *self._connections]:
+            sock.close()
+
+
 class RawServer:
     """Answers each connection with the same bytes."""
 
