--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_attempts.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_attempts.py
@@ -161,6 +161,10 @@
     """Ages of the callers' signs, as in a heartbeat; those of the orders are
     among them."""
 
+    service: str = ""
+    """Service of the target for which the attempts were chosen; empty from
+    entries of earlier versions."""
+
 
 @attrs.frozen
 class Withdraw:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_agent_sender.py
@@ -74,6 +74,7 @@
                 orders,
                 self._acknowledgements.take(action.agent),
                 self._get_link(action.agent),
+                service=action.service,
             )
             self._ledger.counters.dispatches += 1
             dated = self.date(action.agent, message)
