Cancel a caller's job by DELETE and tell its state

Ids in capital digits got 404.

Cause: the platform's interface never looked the job up. Jobs now carry the host and path by which callers name them, and RequestedJobs (new, in the entry) cancels or finds them in the dispatcher. The other entries are asked by HTTP at their front address, as no other way lets an entry say truly that no job exists; if one is silent the answer is 503 and not 410. Ruled out: 410 by what one entry knows (false), and entries found by an id that callers choose (it names none).

Entries send interim responses (100) to whoever waits, so the HTTP client passes over them. The parser of circuits.web also fails on a first line that is cut within its CRLF (a run of the parser alone), so it now gets that line whole.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -157,6 +157,9 @@
     checkpointed: bool = False
     """Whether a task that runs again resumes from its last checkpoint."""
 
+    resource: str = ""
+    """Host and path by which the caller names the job, or empty."""
+
     copies: bool = False
     """Whether a task may have a speculative copy; the first result counts."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -27,6 +27,12 @@
     "Metrics": "observation._metrics",
     "SenderCheck": "agents._sender_check",
     "abandon_job": "_events",
+    "ENTRY_CALLS": "callers._requested_jobs",
+    "Inquiry": "callers._requests",
+    "JobState": "callers._requests",
+    "RequestedJobs": "callers._requested_jobs",
+    "inquire": "_events",
+    "inquiry_answered": "_events",
 }
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -62,6 +62,18 @@
     """
 
 
+class inquire(circuits.Event):
+    """Command to find or to cancel a caller's job; an Inquiry."""
+
+
+class inquiry_answered(circuits.Event):
+    """An inquiry ended.
+
+    The arguments are the Inquiry, the JobState, or None if the job was not
+    found, and whether an entry that may hold it has not answered.
+    """
+
+
 class assign_tasks(circuits.Event):
     """Command to choose targets for waiting tasks."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -65,6 +65,29 @@
         """Jobs, attempts and agents."""
         return self._ledger
 
+    def find_state(
+        self, team: str, resource: str
+    ) -> _requests.JobState | None:
+        """Return the state of a team's jobs that it names so, if any."""
+        jobs = [
+            job
+            for job in (
+                *self._ledger.jobs.values(),
+                *(claim.job for claim in self._claims.values()),
+            )
+            if job.team == team and job.terms.resource == resource
+        ]
+        going_on = [
+            job for job in jobs if job.failure is not core.Failure.CANCELLED
+        ]
+        if not going_on:
+            return _requests.JobState.CANCELLED if jobs else None
+        if any(job.active or job.results for job in going_on):
+            return _requests.JobState.RUNNING
+        if any(job.known_started or job.maybe_started for job in going_on):
+            return _requests.JobState.RUNNING
+        return _requests.JobState.QUEUED
+
     @circuits.handler("configuration_adopted")
     def _on_configuration_adopted(
         self, configuration: core.Configuration
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_pending_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_pending_cancellations.py
@@ -59,6 +59,8 @@
         return False
     if cancellation.job:
         return job.id == cancellation.job
+    if cancellation.resource:
+        return job.terms.resource == cancellation.resource
     return (
         job.service == cancellation.service
         and job.request.label == cancellation.label
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requests.py
@@ -60,6 +60,35 @@
     label: str = ""
     """Label, empty when a job is given."""
 
+    resource: str = ""
+    """Host and path of the jobs' requests, empty when a job or a label is
+    given."""
+
+
+class JobState(enum.StrEnum):
+    """State of a job as its caller sees it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen(eq=False)
+class Inquiry:
+    """A caller's request for the state of its job, or to cancel it."""
+
+    exchange: transport.Exchange
+    """HTTP request to be answered."""
+
+    team: str
+    """Team of the caller."""
+
+    resource: str
+    """Host and path by which the caller names the job."""
+
+    cancels: bool
+    """Whether the job is to be cancelled."""
+
 
 @attrs.frozen(eq=False)
 class Claim:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -15,6 +15,7 @@
 
 import cowslipgate_core as core
 from cowslipgate_transport import _http_calls
+from cowslipgate_transport import _http_heads
 from cowslipgate_transport import _http_pool
 from cowslipgate_transport import _timer
 
@@ -26,6 +27,9 @@
 RESPONSE_PARSER = 1
 """Kind of ``HttpParser`` that parses responses."""
 
+_INTERIM = b"HTTP/1.1 100 "
+"""Start of an interim response, which a waiting call may get any number of."""
+
 TICK_SECONDS = 0.1
 """Interval between checks for calls that have timed out."""
 
@@ -158,6 +162,8 @@
         connection.pending = pending
         connection.sent = False
         connection.received = 0
+        connection.unparsed = b""
+        connection.answer_begun = False
         connection.unsent = pending.request
         connection.parser = parsers.HttpParser(RESPONSE_PARSER)
         self._schedule_check()
@@ -219,6 +225,9 @@
         if connection.received > MAX_ANSWER_BYTES:
             self._fail(connection, _http_calls.CallProblem.TOO_LARGE)
             return
+        data = _drop_interim(connection, data)
+        if not data:
+            return
         try:
             parser.execute(data, len(data))
         except Exception:
@@ -305,6 +314,21 @@
             self._countdown.start(TICK_SECONDS)
 
 
+def _drop_interim(connection: _http_pool.Connection, data: bytes) -> bytes:
+    """Return what an answer begins with, without interim responses (100).
+
+    The parser needs the whole first line at once.
+    """
+    if connection.answer_begun:
+        return data
+    data = connection.unparsed + data
+    while data.startswith(_INTERIM) and _http_heads.HEAD_END in data:
+        _, _, data = data.partition(_http_heads.HEAD_END)
+    connection.answer_begun = b"\r\n" in data and not data.startswith(_INTERIM)
+    connection.unparsed = b"" if connection.answer_begun else data
+    return data if connection.answer_begun else b""
+
+
 def _classify_connect_error(code: int | None) -> _http_calls.CallProblem:
     if code == errno.ECONNREFUSED:
         return _http_calls.CallProblem.REFUSED
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_pool.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_pool.py
@@ -59,6 +59,12 @@
     received: int = 0
     """Number of bytes of the answer received so far."""
 
+    unparsed: bytes = b""
+    """Start of an answer or interim response, whose rest is missing."""
+
+    answer_begun: bool = False
+    """Whether a part of the answer itself was received."""
+
     parser: parsers.HttpParser | None = None
     """Parser of the answer, or None while idle."""
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -15,7 +15,7 @@
 import cowslipgate_transport as transport
 
 CHANNEL = "client"
-ROUNDS = 400
+ROUNDS = 4_000
 ROUND_SECONDS = 0.005
 TIMEOUT = datetime.timedelta(hours=1)
 """Longer than a test; a call that waits for it counts as unanswered."""
@@ -68,10 +68,15 @@
 
 
 class RawServer:
-    """Answers each connection with the same bytes."""
+    """Answers each connection with the same bytes.
 
-    def __init__(self, answer: bytes) -> None:
+    :param piece: number of bytes sent at each poll, or 0 for all at once
+    """
+
+    def __init__(self, answer: bytes, piece: int = 0) -> None:
         self._answer = answer
+        self._piece = piece or len(answer)
+        self._unsent: dict[socket.socket, bytes] = {}
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._listener.setblocking(False)
         self._connections: list[socket.socket] = []
@@ -82,8 +87,11 @@
         """Accept connections and answer on them."""
         with contextlib.suppress(BlockingIOError):
             connection, _ = self._listener.accept()
-            connection.sendall(self._answer)
+            self._unsent[connection] = self._answer
             self._connections.append(connection)
+        for connection, unsent in self._unsent.items():
+            connection.sendall(unsent[: self._piece])
+            self._unsent[connection] = unsent[self._piece :]
 
     def close(self) -> None:
         """Close the server and its connections."""
@@ -92,22 +100,23 @@
 
 
 @contextlib.contextmanager
-def serve(answer: bytes) -> Iterator[RawServer]:
+def serve(answer: bytes, piece: int = 0) -> Iterator[RawServer]:
     """Yield a server, and close it."""
-    server = RawServer(answer)
+    server = RawServer(answer, piece)
     try:
         yield server
     finally:
         server.close()
 
 
-def get(answer: bytes) -> ClientHarness:
+def get(answer: bytes, piece: int = 0) -> ClientHarness:
     """Make a call of a server that answers with some bytes.
 
+    :param piece: number of bytes sent in each round, or 0 for all at once
     :return: the harness, once the call has ended or ROUNDS have passed
     """
     harness = ClientHarness(core.ManualClock())
-    with serve(answer) as server:
+    with serve(answer, piece) as server:
         harness.call(server.address)
         for _ in range(ROUNDS):
             server.poll()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_client.py
@@ -17,6 +17,17 @@
     assert [answer.body for answer in harness.answers] == [b"{}"]
 
 
+# Guards against an interim response that is taken for the answer: an entry
+# sends some to whoever waits, other entries too.
+@pytest.mark.parametrize("piece", [0, 1, 13, 26])
+def test_interim_responses_are_passed_over(piece: int) -> None:
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    answer = HEAD + b"Content-Length: 2\r\n\r\n{}"
+    harness = client_builders.get(interim * 2 + answer, piece)
+    (found,) = harness.answers
+    assert (found.status, found.body) == (200, b"{}")
+
+
 # Guards against a call that ends by its timeout alone after an odd answer.
 @pytest.mark.parametrize(
     "answer",
