Give the targets of a large fault soak processes of their own

With 8 entries and 48 agents the soak was not ready again after KillAll, and most entries logged no StoreReachable for a minute. Cause: one process held all stand-ins and the proxy. After a kill of all (8 and 48, no other fault, load 20 to 24 by others) its two threads took 0.97 of a core together, which is all that one interpreter has, while 28% of the machine was idle; a read of the store took 1.0 to 1.3 s through the proxy, and agents, which wait 30 ms for a target, opened 311 to 407 connections a second, which kept it there. Under a load of 40 five of eight entries saw no store for 90 s and counted no agent, the other three (the seeds) all 48.

Each dozen of targets now has a process with its own proxy; smaller fleets stay as they were.

Ruled out: descriptors (bounded before), a fault of the programs' membership.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -30,6 +30,7 @@
 from cowslipgate_bench import _waits
 from cowslipgate_bench.faultsoak import _entry_main
 from cowslipgate_bench.faultsoak import _nodes
+from cowslipgate_bench.faultsoak import _target_hosts
 
 STOP_SECONDS = 20.0
 """Longest wait for a graceful stop, which takes `grace_s` (6 s) at most."""
@@ -37,10 +38,6 @@
 MAX_CONCURRENT_CALLS = 64
 """Maximum number of concurrent calls."""
 
-MAX_LINK_CONNECTIONS = 32
-"""Maximum number of connections of an agent to its target, or of a process to
-the store. Those that calls gave up during a cut stay open until its end."""
-
 START_BATCH = 8
 """Processes that start at once. With dozens, the calls of those that are ready
 time out, since the stand-ins get no processor time."""
@@ -49,6 +46,9 @@
 """Largest fleet whose links between agents and entries pass the proxy; it
 would delay the messages of a larger one."""
 
+MAX_TARGETS = 12
+"""Maximum number of targets that one process serves."""
+
 MAX_SEEDS = 3
 """Maximum number of entries that the settings of each process name."""
 
@@ -94,7 +94,8 @@
         self._seeds = [f"{ip}:{_nodes.CONTROL_PORT}" for ip in ips[:MAX_SEEDS]]
         self.entries = [self._make_entry(ip) for ip in ips]
         self.targets: list[target_standin.Target] = []
-        self.agents = [self._make_agent() for _ in range(agents)]
+        self._hosts: list[_target_hosts.SeparateHost] = []
+        self.agents = self._make_agents(agents)
         self.version = 0
         self.configure()
         self.failures: list[str] = []
@@ -116,7 +117,7 @@
 
     def start(self) -> None:
         """Start all processes and wait until each entry counts each agent."""
-        self._thread, _ = self._root.start()
+        self.start_standins()
         for first in range(0, len(self.nodes), START_BATCH):
             batch = self.nodes[first : first + START_BATCH]
             for node in batch:
@@ -127,6 +128,12 @@
             )
         self.wait_ready()
 
+    def start_standins(self) -> None:
+        """Let the store and the targets serve."""
+        self._thread, _ = self._root.start()
+        for host in self._hosts:
+            host.start()
+
     def close(self) -> None:
         """Kill the processes, and close the stand-ins and the proxy."""
         for node in self.nodes:
@@ -316,29 +323,34 @@
             )
         return node
 
-    def _make_agent(self) -> _nodes.Node:
+    def _make_agents(self, count: int) -> list[_nodes.Node]:
+        if count <= MAX_TARGETS:
+            host = _target_hosts.TargetHost(
+                self._root, self._poller, self._proxy, self._clock
+            )
+            return [self._make_agent(host) for _ in range(count)]
+        agents = []
+        for first in range(0, count, MAX_TARGETS):
+            host = self._cleanup.enter_context(
+                _target_hosts.open_separate_host()
+            )
+            self._hosts.append(host)
+            for _ in range(first, min(first + MAX_TARGETS, count)):
+                agents.append(self._make_agent(host))
+        return agents
+
+    def _make_agent(self, host: _target_hosts.TargetHost) -> _nodes.Node:
         ip = _allocate_ip()
-        link = self._proxy.open_link(
-            _nodes.TARGET_PORT, ip, MAX_LINK_CONNECTIONS
-        )
-        target = target_standin.Target(
-            f"side-{ip}",
-            transport.Address(_proxy.HOST, link.port),
-            transport.Address(ip, _nodes.CONTROL_PORT),
-            self._clock,
-        ).register(self._root)
-        self._serve(ip, _nodes.TARGET_PORT, target.channel)
-        transport.HttpClient(
-            target.beats_channel, self._poller, self._clock
-        ).register(self._root)
-        self.targets.append(target)
-        return self._make_node(_nodes.Role.AGENT, ip, link)
+        self.targets.append(host.open_target(ip))
+        return self._make_node(_nodes.Role.AGENT, ip, host.get_link(ip))
 
     def _make_node(
         self, role: _nodes.Role, ip: str, work_link: _proxy.Link
     ) -> _nodes.Node:
         store_link = self._proxy.open_link(
-            _nodes.STORE_PORT, self._store_ip, MAX_LINK_CONNECTIONS
+            _nodes.STORE_PORT,
+            self._store_ip,
+            _target_hosts.MAX_LINK_CONNECTIONS,
         )
         return _nodes.make_node(
             self._folder, role, ip, self._seeds, work_link, store_link
