Date a probe of a caller before it is written

Seen by callers: possibly two runs of one task. An entry that stood still between writing a probe and reading its clock took the caller for connected when it went on, though the probe was acknowledged and the caller had gone before.

Cause: the clock was read after the probe had been passed to the kernel.

The clock is read before; a time too early only ends runs sooner.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_caller_probes.py
@@ -115,11 +115,19 @@
             if now - caller.probed_at >= PROBE_INTERVAL - _ALLOWANCE
         ]
 
-    def record_probe(self, exchange: _http_exchanges.Exchange) -> None:
-        """Record that a probe was passed to the kernel."""
+    def record_probe(
+        self,
+        exchange: _http_exchanges.Exchange,
+        sent_at: datetime.datetime,
+    ) -> None:
+        """Record that a probe was passed to the kernel.
+
+        :param sent_at: time read before that; the process may stand still
+            between the two, while the caller acknowledges the probe
+        """
         caller = self._callers[exchange]
-        caller.probed_at = self._clock.now()
-        caller.sent.append(caller.probed_at)
+        caller.probed_at = sent_at
+        caller.sent.append(sent_at)
 
     def _is_acknowledged(
         self, exchange: _http_exchanges.Exchange, caller: _Probed
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -275,8 +275,9 @@
     def _on_check_callers(self) -> None:
         seen = self._probes.check()
         for exchange in self._probes.list_due():
+            sent_at = self._clock.now()
             if self._send_probe(exchange.response.request.sock):
-                self._probes.record_probe(exchange)
+                self._probes.record_probe(exchange, sent_at)
         if seen:
             self.fire(_http_exchanges.callers_seen(seen))
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
@@ -4,6 +4,7 @@
 import contextlib
 import datetime
 import http.client
+import socket
 import threading
 import time
 import types
@@ -53,7 +54,7 @@
         seen = self.probes.check()
         for exchange in self.probes.list_due():
             self.caller.unacknowledged += PROBE_SIZE
-            self.probes.record_probe(exchange)
+            self.probes.record_probe(exchange, self.clock.now())
         return seen
 
 
@@ -197,6 +198,42 @@
     assert statuses == [200]
 
 
+# Guards against a probe that counts as sent when its process goes on again,
+# after its caller has acknowledged it and gone.
+def test_probe_counts_as_sent_before_it_was_written(
+    harness: builders.ServerHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller = harness.connect()
+    harness.send(caller, HOLD)
+    harness.run_until(lambda: bool(harness.echo.held), "requested")
+    (exchange,) = harness.echo.held
+    send = harness.server._send_probe
+
+    def send_and_stand_still(sock: socket.socket) -> bool:
+        sent = send(sock)
+        harness.clock.advance(10 * CHECK)
+        return sent
+
+    monkeypatch.setattr(harness.server, "_send_probe", send_and_stand_still)
+    harness.clock.advance(3 * CHECK)
+    sent_at = harness.clock.now()
+    harness.root.fire(transport.check_callers(), builders.CHANNEL)
+    harness.run_until(
+        lambda: harness.clock.now() - sent_at >= 10 * CHECK, "probed"
+    )
+    harness.run_until(
+        lambda: (
+            not _caller_probes.count_unacknowledged(
+                exchange.response.request.sock
+            )
+        ),
+        "acknowledged",
+    )
+    harness.root.fire(transport.check_callers(), builders.CHANNEL)
+    harness.run_until(lambda: bool(harness.echo.seen), "seen")
+    assert harness.echo.seen[0] == {exchange: sent_at}
+
+
 # Guards against an interim response to a caller of HTTP/1.0, which knows none.
 def test_caller_of_an_older_version_is_not_probed(
     harness: builders.ServerHarness,
