Date a request that waited behind another when it was read

Seen by callers: possibly two runs of one task. The second of two requests sent together on one connection was dated when the first was answered, however long ago the caller had been seen; its run could outlive the caller by the wait and the whole time to resend.

Cause: the date of a request was that of its parsing, and a request waits for the answer to the one before it.

Each connection keeps the date of the latest bytes that were read; those also cover requests whose parts come slowly.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_connections.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_connections.py
@@ -18,6 +18,10 @@
     received: bytearray = attrs.Factory(bytearray)
     """Bytes that are not parsed yet."""
 
+    seen_at: datetime.datetime | None = None
+    """When its caller was connected by the latest bytes that were read, or
+    None if callers are not probed."""
+
     head: _http_heads.Head | None = None
     """Validated head at the start of ``received``; None until complete."""
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -135,6 +135,8 @@
         if not connection.received and not connection.busy:
             connection.last_activity = self._clock.now()
         connection.received += data
+        if self._probes is not None:
+            connection.seen_at = self._probes.request_seen_at
         if not (connection.busy or self._is_sending(sock)):
             self._take_request(sock, connection)
         elif len(connection.received) > self._max_request_bytes:
@@ -257,19 +259,20 @@
             {key.lower(): value for key, value in request.headers.items()},
             request.body.read(),
             response,
-            self._find_seen_at(request),
+            self._find_seen_at(request, connection),
         )
         if self._probes is not None:
             self._probes.add(connection.exchange)
         self.fire(_http_exchanges.http_requested(connection.exchange))
 
     def _find_seen_at(
-        self, request: wrappers.Request
+        self,
+        request: wrappers.Request,
+        connection: _http_connections.Connection,
     ) -> datetime.datetime | None:
-        # Callers of HTTP/1.0 know no interim responses.
-        if self._probes is None or request.protocol < (1, 1):
-            return None
-        return self._probes.request_seen_at
+        # Callers of HTTP/1.0 know no interim responses. A request may have
+        # waited for the answer to the one before it.
+        return None if request.protocol < (1, 1) else connection.seen_at
 
     @circuits.handler("check_callers")
     def _on_check_callers(self) -> None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
@@ -234,6 +234,27 @@
     assert harness.echo.seen[0] == {exchange: sent_at}
 
 
+# Guards against a request that waited behind another one on its connection
+# and counts as new, though its caller has gone since.
+def test_pipelined_request_is_dated_when_it_was_read(
+    harness: builders.ServerHarness,
+) -> None:
+    caller = harness.connect()
+    harness.send(caller, HOLD * 2)
+    harness.run_until(lambda: bool(harness.echo.held), "requested")
+    first = harness.echo.held[0]
+    for _ in range(10):
+        harness.clock.advance(CHECK)
+        harness.root.fire(transport.check_callers(), builders.CHANNEL)
+        harness.run_round()
+    answer = transport.Answer(200, b"{}")
+    harness.root.fire(transport.answer_http(first, answer), builders.CHANNEL)
+    harness.run_until(lambda: not harness.server.waiting, "answered")
+    harness.check()
+    harness.run_until(lambda: len(harness.echo.held) > 1, "requested again")
+    assert harness.echo.held[1].seen_at == first.seen_at
+
+
 # Guards against an interim response to a caller of HTTP/1.0, which knows none.
 def test_caller_of_an_older_version_is_not_probed(
     harness: builders.ServerHarness,
