Let no message that nothing dates confirm its entry

Seen by callers: possibly two runs of one task. On a new link, an order to withdraw that a cut had held up confirmed its entry as of its arrival, though its entry had died; an order behind it, of a caller that is not probed, counted from then.

Cause: until the first message that tells what its entry has received, each message counted as that of an earlier version, also the kinds that never tell.

Evidence: test_message_that_nothing_dates_confirms_nothing failed before and passes now; agent tests pass. Orders of probed callers are dated by their callers' signs and were not concerned.

Entries of earlier versions count by their heartbeats and orders.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -110,7 +110,8 @@
 
     confirms: bool = False
     """Whether the entry tells which messages it has received; those of earlier
-    versions don't, and count as alive whenever a message arrives."""
+    versions don't, and count as alive whenever one of their heartbeats or
+    orders arrives."""
 
     held: list[HeldDispatch] = attrs.Factory(list)
     """Orders that wait for a newer sign."""
@@ -278,7 +279,7 @@
         now = link.received_at
         confirmed_at = link.confirmed_at
         lived_at = None
-        received_ms = getattr(message, "received_ms", 0)
+        received_ms = getattr(message, "received_ms", None)
         if received_ms:
             link.confirms = True
             confirmed_at = self._started_at + received_ms * MILLISECOND
@@ -287,7 +288,7 @@
             late = now - confirmed_at > self._settings.link_expires_after
             if late and isinstance(message, core.Dispatch):
                 self._renew(incarnation, link)
-        elif not link.confirms:
+        elif received_ms is not None and not link.confirms:
             confirmed_at = now
         link.confirmed_at = max(link.confirmed_at, min(confirmed_at, now))
         if now - link.confirmed_at <= self._settings.entry_lost_after:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_confirmations.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_confirmations.py
@@ -145,6 +145,21 @@
     harness.close()
 
 
+# Guards against messages that a cut delayed: those that nothing dates came
+# before the first one that tells what its entry has received.
+def test_message_that_nothing_dates_confirms_nothing() -> None:
+    entry = link_builders.FakeEntry(ENTRY)
+    entry.answering = False
+    harness = link_builders.LinksHarness(entry)
+    harness.send_members(entry.member)
+    harness.run_until(lambda: entry.pop_messages(core.Report), "a report")
+    opened_at = harness.links.get_link(ENTRY).confirmed_at
+    harness.pass_time(1.0)
+    harness.deliver(entry, core.Withdraw(ENTRY, 1, (1,), True))
+    assert harness.links.get_link(ENTRY).confirmed_at == opened_at
+    harness.close()
+
+
 # Guards against a confirmation that is read together with the order to stop
 # before it, and prolongs the lease of the run.
 def test_message_read_with_a_withdrawal_confirms_nothing_for_its_tasks(
