Take a whole lease for granted once a target was reborn

Seen by callers: possibly two runs of one task. A target that was reborn unnoticed reads the ends of leases by another clock and grants a whole lease (1 s). The next order counted with the end that was asked for, and could start up to 0.35 s earlier beside it than its sign allows; with the agent frozen it outlived its caller's return.

Cause: the longest lease at the target was known only as asked for.

Evidence: test_reborn_target_may_have_granted_a_whole_lease failed before and passes now; tests of the core and of leased calls pass.

Not mended: the run whose own start was read by the old clock, and calls that are carried out seconds later in the next life.

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -123,7 +123,8 @@
         self._hidden_runs_end_at: datetime.datetime | None = None
         self.leases_expire_at: datetime.datetime | None = None
         self.leased_until: datetime.datetime | None = None
-        """Latest end that was asked for, or None; leases never shorten."""
+        """Latest end that was asked for or that a reborn target may have
+        granted, or None; leases never shorten."""
 
     @property
     def instance(self) -> str:
@@ -175,12 +176,12 @@
         if self._instance and instance != self._instance:
             # Orders name their target, so a replacement runs none of them.
             actions = self.end_all_runs(_REPLACED, now)
-            self._begin_incarnation(incarnation)
+            self._begin_incarnation(incarnation, now)
             self._fence = 0
             self._fence_set_at = None
             self._fenced = False
         elif self._incarnation and incarnation > self._incarnation:
-            self._begin_incarnation(incarnation)
+            self._begin_incarnation(incarnation, now)
             actions = self._stop_unconfirmed(now)
         self._instance = instance
         self._raise_clock(clock_ms, now)
@@ -327,7 +328,7 @@
         if listing.incarnation < self._incarnation:
             return actions
         if self._incarnation and listing.incarnation > self._incarnation:
-            self._begin_incarnation(listing.incarnation)
+            self._begin_incarnation(listing.incarnation, now)
             actions.extend(self._stop_unconfirmed(now))
         self._incarnation = listing.incarnation
         if listing.clock_ms < self._listed_ms:
@@ -451,7 +452,9 @@
         # Doubling soon exceeds every token of an earlier incarnation.
         self._fence = 2 * self._fence + 1
 
-    def _begin_incarnation(self, incarnation: int) -> None:
+    def _begin_incarnation(
+        self, incarnation: int, now: datetime.datetime
+    ) -> None:
         # An order sent before the restart was known may have reached the new
         # incarnation, so only its listings show which runs have ended. The
         # token stays, as the new incarnation may have seen it.
@@ -461,6 +464,9 @@
         self._clock_at = None
         self._listed_ms = 0
         self._unacknowledged = False
+        if self.leased_until is not None and not self.has_expired(now):
+            # It read the ends that were asked for by another clock.
+            self.leased_until = max(self.leased_until, now + self._lease)
 
     def _stop_unconfirmed(
         self, now: datetime.datetime
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -480,3 +480,17 @@
     tracker.handle_listing(incomplete, NOW, NOW)
     tracker.handle_listing(run_builders.build_listing(), NOW, NOW)
     assert tracker.runs_known
+
+
+# Guards against a run that starts under the whole lease that a reborn target
+# granted, and that ends after the second submission of its caller.
+def test_reborn_target_may_have_granted_a_whole_lease() -> None:
+    tracker = run_builders.build_tracker()
+    limit = NOW + run_builders.LEASE / 2
+    tracker.start(KEY, run_builders.build_order(), NOW, limit)
+    assert tracker.leased_until == limit
+    incarnation = run_builders.INCARNATION + 5
+    tracker.handle_heartbeat("i-1", incarnation, _later(20))
+    assert tracker.leased_until == _later(20) + run_builders.LEASE
+    tracker.handle_heartbeat("i-1", incarnation + 5, _later(9_000))
+    assert tracker.leased_until == _later(20) + run_builders.LEASE
