Answer everybody before an entry stops, and exit with 0

Cause of both: nothing but the process knew when the drain ends, and it looked at whether the dispatcher had noticed that it was empty. Now the order to stop carries the time to the ledger, which shortens the deadline of each job, also of those that come during the drain: what is known to take longer is answered at the next tick, the rest 0.4 s before the end, `stopping` with Retry-After 0 if nothing ran, else 502 with its runs told to stop. The process exits with 0 when no request waits. After a pause it gives its components a tick first; whatever is left is told that nothing is known (502). Inquiries for other entries end, too. Ruled out for what is left: 503 (may be untrue), a shorter limit at the SIGTERM (breaks off what can be done).

The fault soak no longer excuses status 1, and routes of 1.5, 8 and 18 s are among its settings, with callers that name no deadline.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -61,9 +61,6 @@
 
 _address_numbers = itertools.count()
 
-UNFINISHED_JOBS_STATUS = 1
-"""Exit status of an entry with unfinished jobs at the end of its drain."""
-
 Answer = concurrent.futures.Future[calls.Reply]
 
 
@@ -71,12 +68,18 @@
     """Entries, agents, targets and the store.
 
     :param folder: where settings and logs are written
+    :param timeout_ms: timeout of the route in milliseconds
     """
 
     def __init__(
-        self, folder: pathlib.Path, entries: int, agents: int
+        self,
+        folder: pathlib.Path,
+        entries: int,
+        agents: int,
+        timeout_ms: int = wire_builders.ROUTE.timeout_ms,
     ) -> None:
         self._folder = folder
+        self._timeout_ms = timeout_ms
         self._jobs = itertools.count(1)
         self._pool = concurrent.futures.ThreadPoolExecutor(
             MAX_CONCURRENT_CALLS
@@ -148,7 +151,7 @@
         self.version += 1
         value = wire_builders.build_configuration(self.version)
         first = value["routes"][0]
-        first.update(changes)
+        first.update({"timeout_ms": self._timeout_ms} | changes)
         value["routes"] += [
             first | {"name": f"r-more-{number}", "path_prefix": f"/{number}/"}
             for number in range(added_routes)
@@ -198,11 +201,10 @@
         except subprocess.TimeoutExpired:
             status = None
             node.kill()
-        unfinished = (
-            status == UNFINISHED_JOBS_STATUS and node.left_unfinished_jobs()
-        )
-        if status != 0 and not unfinished:
+        if status != 0:
             self.failures.append(f"{node.name} stopped with {status}")
+        if node.left_unfinished_jobs():
+            self.failures.append(f"{node.name} left jobs without an answer")
         node.start()
 
     def heal(self) -> None:
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
@@ -57,6 +57,13 @@
 IMPATIENT_TIMEOUT_SECONDS = (0.05, 0.5)
 """Range of this timeout."""
 
+ROUTE_TIMEOUTS_MS = (1_500, 8_000, 18_000)
+"""Timeouts of the route: that of the sites, and two above the 5.5 s in which
+an entry drains."""
+
+ROUTE_DEADLINE_SHARE = 0.3
+"""Share of the callers that wait as long as the route says."""
+
 OVERSIZED_SHARE = 0.05
 """Share of the jobs whose tasks fit no target."""
 
@@ -133,8 +140,15 @@
 
     :param folder: where settings and logs are written
     """
-    system = _deployment.Deployment(folder, fleet.entries, fleet.agents)
-    soak = _Soak(system, seed, fleet)
+    # Numbers of its own, so that a seed's faults stay the same.
+    settings = random.Random(f"settings {seed}")
+    system = _deployment.Deployment(
+        folder,
+        fleet.entries,
+        fleet.agents,
+        settings.choice(ROUTE_TIMEOUTS_MS),
+    )
+    soak = _Soak(system, seed, fleet, settings)
     try:
         system.start()
         for _ in range(rounds):
@@ -151,8 +165,13 @@
     """A seeded schedule on a deployment."""
 
     def __init__(
-        self, system: _deployment.Deployment, seed: int, fleet: Fleet
+        self,
+        system: _deployment.Deployment,
+        seed: int,
+        fleet: Fleet,
+        settings: random.Random,
     ) -> None:
+        self._settings = settings
         self.result = SoakResult(seed)
         self._system = system
         self._fleet = fleet
@@ -210,6 +229,8 @@
         if rng.random() < IMPATIENT_SHARE:
             timeout_seconds = rng.uniform(*IMPATIENT_TIMEOUT_SECONDS)
             job = attrs.evolve(job, timeout_seconds=timeout_seconds)
+        if self._settings.random() < ROUTE_DEADLINE_SHARE:
+            job = attrs.evolve(job, names_deadline=False)
         if rng.random() < OVERSIZED_SHARE:
             job = attrs.evolve(job, cores_milli=OVERSIZED_MILLICORES)
         entry = rng.randrange(self._fleet.entries)
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -293,6 +293,9 @@
     """When its caller was last known to be connected, or None if callers are
     not probed."""
 
+    ends_early: bool = False
+    """Whether its entry stops before the time that its caller allows."""
+
     suspended: bool = False
     """Whether its tasks are stopped and not sent until its caller is seen."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_late_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_late_jobs.py
@@ -28,10 +28,22 @@
 """Some of its tasks have run or may have run."""
 
 
-def classify_late_job(started: _jobs.Started) -> LateJob:
+UNFINISHED = LateJob(
+    _jobs.Failure.STOPPING, "the entry stops; send it to another one now"
+)
+"""The entry stops before the job can be done."""
+
+
+def classify_late_job(
+    started: _jobs.Started, ends_early: bool = False
+) -> LateJob:
     """Return how a job that was not done in time is answered.
 
     What ran decides, and not whether this was seen just before the deadline
     or after it: jobs are looked at from time to time only.
+
+    :param ends_early: whether its entry stops before its caller's deadline
     """
+    if ends_early:
+        return UNFINISHED
     return UNSERVED if started is _jobs.Started.NONE else OVERDUE
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -57,6 +57,7 @@
         self._jobs: dict[str, _jobs.Job] = {}
         self._attempts: dict[int, _jobs.Attempt] = {}
         self._sequence = 0
+        self._stops_at = _NEVER
         # No job that has not failed is due before this time.
         self._next_deadline = _NEVER
         self._caller_watch = _caller_watch.CallerWatch(
@@ -145,11 +146,33 @@
     def submit(self, job: _jobs.Job) -> None:
         """Add a job to the backlog."""
         job.waiting = set(range(len(job.request.tasks)))
+        self.limit_deadline(job)
         self._jobs[job.id] = job
         self._next_deadline = min(self._next_deadline, job.deadline)
         self._assigner.add_job(job)
         self._caller_watch.add(job)
 
+    def stop_at(self, stops_at: datetime.datetime) -> None:
+        """End every job in time for the entry to stop.
+
+        :param stops_at: when the last jobs are answered
+        """
+        self._stops_at = stops_at
+        for job in self._jobs.values():
+            self.limit_deadline(job)
+            if job.resolve_by is not None:
+                job.resolve_by = min(job.resolve_by, stops_at)
+            self._next_deadline = min(self._next_deadline, job.deadline)
+
+    def limit_deadline(self, job: _jobs.Job) -> None:
+        """Let a job end before its entry stops."""
+        if self._stops_at == _NEVER:
+            return
+        latest = self._stops_at - self._timing.last_resolve_timeout
+        if latest < job.deadline:
+            job.deadline = latest
+            job.ends_early = True
+
     def confirm_callers(
         self,
         seen: Mapping[str, datetime.datetime],
@@ -302,7 +325,9 @@
         job.message = message
         job.waiting.clear()
         self._assigner.drop_job(job)
-        job.resolve_by = now + self._timing.resolve_timeout
+        job.resolve_by = min(
+            now + self._timing.resolve_timeout, self._stops_at
+        )
         actions = self._inquiries.withdraw(
             list(job.active.values()), now, stop=True
         )
@@ -316,11 +341,14 @@
         actions.extend(self._suspend_unseen_jobs(now))
         for job in list(self._jobs.values()):
             if self._is_hopeless(job, now):
+                late = _late_jobs.classify_late_job(
+                    _jobs.Started.NONE, job.ends_early
+                )
                 actions.extend(
                     self.fail(
                         job,
-                        _late_jobs.UNSERVED.failure,
-                        _late_jobs.UNSERVED.message,
+                        late.failure,
+                        late.message,
                         now,
                     )
                 )
@@ -582,7 +610,7 @@
         self.counters.failed += 1
         del self._jobs[job.id]
         if job.failure is _jobs.Failure.DEADLINE:
-            late = _late_jobs.classify_late_job(started)
+            late = _late_jobs.classify_late_job(started, job.ends_early)
             job.failure, job.message = late.failure, late.message
         answer = _jobs.JobAnswer(
             job.id, (), job.failure, started, job.message, job.path
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_timing.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_timing.py
@@ -12,6 +12,12 @@
     resolve_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
     """Longest wait of a failed job for the outcomes of its attempts."""
 
+    last_resolve_timeout: datetime.timedelta = datetime.timedelta(
+        milliseconds=200
+    )
+    """The same wait at the end of an entry: a stop takes 50 ms, and it is
+    seen at a tick of 100 ms."""
+
     stop_interval: datetime.timedelta = datetime.timedelta(milliseconds=300)
     """Time after which an agent that has not answered is told again to stop
     an attempt that is not needed."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -19,6 +19,7 @@
     "ConfigurationRelay": "store._configuration_relay",
     "RENEW_INTERVAL": "peers._stored_members",
     "StoredMembers": "peers._stored_members",
+    "stop_at": "_events",
     "submit_job": "_events",
     "Submission": "callers._requests",
     "tick": "_events",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -188,6 +188,10 @@
     """A planned stop began; callers should use other entries."""
 
 
+class stop_at(circuits.Event):
+    """Command to answer everybody before the entry stops, at this time."""
+
+
 class close_entry(circuits.Event):
     """Command to refuse new jobs and finish those in flight."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_shutdown.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_shutdown.py
@@ -11,10 +11,19 @@
 import cowslipgate_transport as transport
 
 
+ANSWER_TIME = datetime.timedelta(milliseconds=200)
+"""Time for sending the last answers: two ticks."""
+
+EXTRA_TICKS = 3
+"""Ticks after the end of the drain while answers are not sent. After a pause
+of the process, its components see that the drain has ended only at the first.
+At the second, those that still wait are told that nothing is known."""
+
+
 class EntryProcess(transport.Process):
     """Root component that drains the entry on a signal and exits.
 
-    The exit status is 0 if every job was answered in time, else 1.
+    The exit status is 0 if every request was answered in time, else 1.
     """
 
     channel = "process"
@@ -33,6 +42,7 @@
         self._server: transport.HttpServer | None = None
         self._drained = False
         self._closing = False
+        self._extra_ticks = 0
 
     def attach_server(self, server: transport.HttpServer) -> None:
         """Set the server that must finish its answers before the exit."""
@@ -48,6 +58,12 @@
             self.fire(transport.changed(change), "logs")
             self._drain_since = self._clock.now()
             self.fire(_events.drain(), "dispatcher", "peers", "leases")
+            stops_at = (
+                self._drain_since + self._settings.drain_timeout - ANSWER_TIME
+            )
+            self.fire(
+                _events.stop_at(stops_at), "dispatcher", "requested-jobs"
+            )
             self.fire(transport.drain_http(), _events.GATEWAY)
 
     @circuits.handler("entry_drained")
@@ -63,13 +79,19 @@
             self._closing = True
             self.fire(_events.close_entry(), "dispatcher")
             self.fire(transport.close_idle_http(), _events.GATEWAY)
-        complete = self._drained and not self._server.waiting
+        waiting = self._server.waiting
         if elapsed >= self._settings.drain_timeout:
-            self._exit(complete)
-        if not complete or elapsed < self._settings.drain_delay:
+            if not waiting or self._extra_ticks == EXTRA_TICKS:
+                self._exit(not waiting)
+            self._extra_ticks += 1
+            if self._extra_ticks == EXTRA_TICKS - 1:
+                self.fire(transport.answer_rest_http(), _events.GATEWAY)
+        if waiting or not self._drained:
+            return
+        if elapsed < self._settings.drain_delay:
             return
         if self._server.closed:
-            self._exit(complete)
+            self._exit(True)
         self.fire(transport.close_http(), _events.GATEWAY)
 
     def _exit(self, complete: bool) -> None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -217,9 +217,13 @@
         self._perform(self._ledger.tick(now))
         self._fail_infeasible(now)
         expired = [
-            c.job.id for c in self._claims.values() if c.job.deadline <= now
+            c.job for c in self._claims.values() if c.job.deadline <= now
         ]
-        self._abandon_claims(expired, core.Failure.DEADLINE)
+        for job in expired:
+            late = core.Failure.DEADLINE
+            if job.ends_early:
+                late = core.Failure.STOPPING
+            self._abandon_claims([job.id], late)
         self._sender.acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
         if self._machine.state == "closing" and not (
@@ -236,6 +240,12 @@
         if self._machine.allows("drain"):
             self._machine.fire("drain")
 
+    @circuits.handler("stop_at")
+    def _on_stop_at(self, stops_at: datetime.datetime) -> None:
+        self._ledger.stop_at(stops_at)
+        for claim in self._claims.values():
+            self._ledger.limit_deadline(claim.job)
+
     @circuits.handler("close_entry")
     def _on_close_entry(self) -> None:
         if self._machine.allows("close"):
@@ -324,7 +334,7 @@
             )
             milliseconds = service.default_deadline_ms
         deadline = now + datetime.timedelta(milliseconds=milliseconds or 0)
-        return core.Job(
+        job = core.Job(
             f"{self._member.incarnation:x}-{number:x}",
             submission.team,
             submission.service,
@@ -336,6 +346,8 @@
             terms=submission.terms,
             caller_seen_at=submission.caller_seen_at,
         )
+        self._ledger.limit_deadline(job)
+        return job
 
     def _find_refusal(self, job: core.Job) -> core.Refusal | None:
         if self._machine.get_attribute("accepts") != "yes":
@@ -347,7 +359,11 @@
                 f"{option} is not supported; submit the job without it",
             )
         services = self._configuration.document.services
-        return self._admission.find_refusal(job, services)
+        refusal = self._admission.find_refusal(job, services)
+        if refusal is None or refusal.failure is not core.Failure.OVERLOADED:
+            return refusal
+        # Other entries have more time for it.
+        return self._refuse_closed() if job.ends_early else refusal
 
     def _refuse_closed(self) -> core.Refusal:
         if self._configuration is None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_answers.py
@@ -8,6 +8,10 @@
 
 RETRY_AFTER_SECONDS = "1"
 
+HTTP_BAD_GATEWAY = 502
+RETRY_NOW = "0"
+"""Another entry can take it at once."""
+
 STATUSES = {
     core.Failure.MALFORMED: 400,
     core.Failure.UNAUTHORIZED: 401,
@@ -85,12 +89,21 @@
     body = {"job": job, "status": "failed", "error": error}
     body |= further or {}
     status = STATUSES[failure]
+    if failure is core.Failure.STOPPING and started is not core.Started.NONE:
+        status = HTTP_BAD_GATEWAY
     headers = {}
     if status in (429, 503):
-        headers["Retry-After"] = RETRY_AFTER_SECONDS
+        headers["Retry-After"] = choose_retry_seconds(failure)
     return transport.Answer(status, msgspec.json.encode(body), headers)
 
 
+def choose_retry_seconds(failure: core.Failure) -> str:
+    """Return the Retry-After header of a job that was refused."""
+    if failure is core.Failure.STOPPING:
+        return RETRY_NOW
+    return RETRY_AFTER_SECONDS
+
+
 def answer_error(
     status: int, kind: str, message: str, path: str = ""
 ) -> transport.Answer:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
@@ -91,6 +91,7 @@
         ] = collections.OrderedDict()
         self._members: tuple[core.Member, ...] = (member,)
         self._former: dict[str, datetime.datetime] = {}
+        self._stops_at: datetime.datetime | None = None
 
     @property
     def waiting(self) -> int:
@@ -132,6 +133,18 @@
     def _on_inquire(self, inquiry: _requests.Inquiry) -> None:
         self._start(inquiry, self._list_others())
 
+    @circuits.handler("stop_at")
+    def _on_stop_at(self, stops_at: datetime.datetime) -> None:
+        self._stops_at = stops_at
+
+    @circuits.handler("tick")
+    def _on_tick(self) -> None:
+        if self._is_stopping():
+            for asked in list(self._asked):
+                asked.unknown |= bool(asked.pending)
+                asked.pending.clear()
+                self._answer_when_complete(asked)
+
     @circuits.handler("submit_job", channel="dispatcher", priority=20)
     def _on_submit_job(
         self, event: circuits.Event, submission: _requests.Submission
@@ -193,6 +206,9 @@
                 next(self._numbers), inquiry.team, resource=inquiry.resource
             )
         if inquiry.cancels or asked.state is None:
+            if self._is_stopping():
+                asked.unknown = bool(others)
+                others = ()
             for other in others:
                 self._ask(asked, other)
         if asked.local is not None:
@@ -200,6 +216,11 @@
             self.fire(_events.cancel_jobs(asked.local), "dispatcher")
         self._answer_when_complete(asked)
 
+    def _is_stopping(self) -> bool:
+        return (
+            self._stops_at is not None and self._clock.now() >= self._stops_at
+        )
+
     def _ask(self, asked: _Asked, other: str) -> None:
         try:
             address = transport.parse_address(other)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
@@ -86,3 +86,17 @@
     _start_job(harness)
     harness.deliver(core.Goodbye("agent-1", 1, 3, 800))
     assert harness.outbox.take(core.Beat)[-1].received_ms == 800
+
+
+# Guards against a job that waits for its claim when its entry ends.
+def test_job_that_waits_for_its_claim_is_answered_before_the_end() -> None:
+    harness = builders.DispatcherHarness()
+    gateway = control_builders.Recorder("gateway").register(harness.root)
+    submission = control_builders.build_submission("key")
+    harness.fire(_events.submit_job(submission))
+    harness.fire(_events.stop_at(harness.clock.now() + 5 * SECOND))
+    harness.clock.advance(5 * SECOND)
+    harness.fire(_events.tick())
+    ((_, answer),) = gateway.take("job_answered")
+    expected = (core.Failure.STOPPING, core.Started.NONE)
+    assert (answer.failure, answer.started) == expected
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -20,6 +20,7 @@
 Address = _http_calls.Address
 Answer = _http_exchanges.Answer
 answer_http = _http_exchanges.answer_http
+answer_rest_http = _http_exchanges.answer_rest_http
 apply_curve = _curve.apply_curve
 Call = _http_calls.Call
 call_http = _http_client.call_http
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_exchanges.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_exchanges.py
@@ -123,6 +123,10 @@
     """Asks the server to stop listening and to close idle connections."""
 
 
+class answer_rest_http(circuits.Event):
+    """Asks the server to answer all requests whose answer is not known."""
+
+
 class check_callers(circuits.Event):
     """Command to the server to read acknowledgements and probe callers."""
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -346,6 +346,14 @@
         )
         self._on_answer_http(failed.args[0], answer)
 
+    @circuits.handler("answer_rest_http")
+    def _on_answer_rest_http(self) -> None:
+        body = _http_refusals.encode_error("stopping", "unknown", "")
+        answer = _http_exchanges.Answer(502, body)
+        for connection in list(self._connections.values()):
+            if connection.exchange is not None:
+                self._on_answer_http(connection.exchange, answer)
+
     @circuits.handler("drain_http")
     def _on_drain_http(self) -> None:
         if self._drain_since is None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_http_server.py
@@ -385,3 +385,20 @@
     event = transport.answer_http(harness.echo.held[0], answer)
     harness.root.fire(event, builders.CHANNEL)
     assert harness.read_reply(sock).body == "whole"
+
+
+# Guards against connections that are closed without an answer when a process
+# ends.
+def test_rest_of_the_requests_is_answered(
+    harness: builders.ServerHarness,
+) -> None:
+    waiting = harness.connect()
+    harness.send(waiting, b"GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+    idle = harness.connect()
+    harness.run_until(lambda: harness.echo.held, "held")
+    harness.root.fire(transport.answer_rest_http(), builders.CHANNEL)
+    reply = harness.read_reply(waiting)
+    assert reply.status == 502
+    assert reply.body["error"]["started"] == "unknown"
+    harness.send(idle, GOOD)
+    assert harness.read_reply(idle).status == 200
