--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
@@ -132,3 +132,17 @@
         harness.fire(_events.confirm_callers({job: seen_at}))
         beats = harness.outbox.take(core.Beat)
         assert [beat.ages for beat in beats] == [((1, 100),)] * messages
+
+
+# Guards against a job that waits for its claim when its entry ends.
+def test_job_that_waits_for_its_claim_is_answered_before_the_end() -> None:
+    harness = builders.DispatcherHarness()
+    gateway = control_builders.Recorder("gateway").register(harness.root)
+    submission = control_builders.build_submission("key")
+    harness.fire(_events.submit_job(submission))
+    harness.fire(_events.stop_at(harness.clock.now() + 5 * SECOND))
+    harness.clock.advance(5 * SECOND)
+    harness.fire(_events.tick())
+    ((_, answer),) = gateway.take("job_answered")
+    expected = (core.Failure.STOPPING, core.Started.NONE)
+    assert (answer.failure, answer.started) == expected
