--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_file_watch.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_file_watch.py
@@ -1,5 +1,6 @@
 """Detects that a settings file has changed, by SIGHUP or by polling."""
 
+from collections.abc import Callable
 import os
 import pathlib
 import signal
@@ -27,16 +28,23 @@
     """Fires ``file_changed`` on every channel.
 
     :param path: the settings file
+    :param was_signalled: tells whether a SIGHUP came earlier in the process
     """
 
     channel = CHANNEL
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(
+        self,
+        path: pathlib.Path,
+        was_signalled: Callable[[], bool] = lambda: False,
+    ) -> None:
         super().__init__()
         self._path = path
         self._stamp = self._read_stamp()
         self._signalled = False
         signal.signal(signal.SIGHUP, self._record_signal)
+        # No signal is lost between the earlier handler and this one.
+        self._signalled = self._signalled or was_signalled()
         _timer.Timer(
             CHECK_SECONDS, check_file(), CHANNEL, persist=True
         ).register(self)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_file_watch.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_file_watch.py
@@ -16,10 +16,12 @@
 
     channel = "harness"
 
-    def __init__(self, path: pathlib.Path) -> None:
+    def __init__(
+        self, path: pathlib.Path, was_signalled: bool = False
+    ) -> None:
         super().__init__()
         self.noticed: list[str] = []
-        _file_watch.FileWatch(path).register(self)
+        _file_watch.FileWatch(path, lambda: was_signalled).register(self)
 
     @circuits.handler("file_changed", channel="*")
     def _on_file_changed(self, noticed: str) -> None:
@@ -68,3 +70,12 @@
     os.kill(os.getpid(), signal.SIGHUP)
     assert harness.check() == ["signal"]
     assert harness.check() == ["signal"]
+
+
+# Guards against a signal during the start of a program that is forgotten.
+def test_signal_before_the_watch_is_noticed(
+    harness: WatchHarness, tmp_path: pathlib.Path
+) -> None:
+    later = WatchHarness(tmp_path / "settings.toml", was_signalled=True)
+    assert later.check() == ["signal"]
+    assert later.check() == ["signal"]
