--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -45,6 +45,9 @@
     lease_end_ms: int
     """Time on the target's clock at which the order expires."""
 
+    incarnation: int
+    """Incarnation of the target that was known then."""
+
     machine: _charts.StateMachine
     """State in ``charts/run.toml``."""
 
@@ -97,10 +100,16 @@
     """The runs of one agent at the current incarnation of its target.
 
     :param lease: longest time that the target keeps runs without renewal
+    :param renewal: longest lease to ask for; by default ``lease``
     """
 
-    def __init__(self, lease: datetime.timedelta) -> None:
+    def __init__(
+        self,
+        lease: datetime.timedelta,
+        renewal: datetime.timedelta | None = None,
+    ) -> None:
         self._lease = lease
+        self._renewal = renewal or lease
         self._chart = _charts.load_chart("run")
         self._runs: dict[_run_records.RunName, _Run] = {}
         self._instance = ""
@@ -116,6 +125,9 @@
         self._unexpected: set[_run_records.RunName] = set()
         self._hidden_runs_end_at: datetime.datetime | None = None
         self.leases_expire_at: datetime.datetime | None = None
+        self.leased_until: datetime.datetime | None = None
+        """Latest end that was asked for or that a reborn target may have
+        granted, or None; leases never shorten."""
 
     @property
     def instance(self) -> str:
@@ -167,12 +179,12 @@
         if self._instance and instance != self._instance:
             # Orders name their target, so a replacement runs none of them.
             actions = self.end_all_runs(_REPLACED, now)
-            self._begin_incarnation(incarnation)
+            self._begin_incarnation(incarnation, now)
             self._fence = 0
             self._fence_set_at = None
             self._fenced = False
         elif self._incarnation and incarnation > self._incarnation:
-            self._begin_incarnation(incarnation)
+            self._begin_incarnation(incarnation, now)
             actions = self._stop_unconfirmed(now)
         self._instance = instance
         self._raise_clock(clock_ms, now)
@@ -220,7 +232,13 @@
         until = self._extend_lease(now, self._limit_lease(limit))
         machine = _charts.StateMachine(self._chart)
         self._runs[name] = _Run(
-            key, name, now, until, machine, order.checkpoint
+            key,
+            name,
+            now,
+            until,
+            self._incarnation,
+            machine,
+            order.checkpoint,
         )
         return [
             _run_records.CallStart(
@@ -252,10 +270,12 @@
         now: datetime.datetime,
     ) -> list[_run_records.RunAction]:
         """Handle the target's reply to a start order."""
-        self._record_clock(clock_ms, now)
         run = self._runs.get(name)
         if run is None:
             return []
+        if self._clock_at is not None and run.incarnation == self._incarnation:
+            # Only a listing tells whose clock the first reading is.
+            self._record_clock(clock_ms, now)
         if reply is _run_records.StartReply.ACCEPTED:
             run.machine.fire("accept")
             run.started = True
@@ -319,7 +339,7 @@
         if listing.incarnation < self._incarnation:
             return actions
         if self._incarnation and listing.incarnation > self._incarnation:
-            self._begin_incarnation(listing.incarnation)
+            self._begin_incarnation(listing.incarnation, now)
             actions.extend(self._stop_unconfirmed(now))
         self._incarnation = listing.incarnation
         if listing.clock_ms < self._listed_ms:
@@ -406,9 +426,10 @@
     def _extend_lease(
         self, now: datetime.datetime, limit: datetime.datetime | None
     ) -> int:
-        end = now + self._lease
+        end = now + self._renewal
         if limit is not None:
             end = min(end, limit)
+        self.leased_until = max(end, self.leased_until or end)
         # A target that was reborn unnoticed reads the end by another clock and
         # grants a whole lease.
         self.leases_expire_at = now + self._lease + CLOCK_SLACK
@@ -442,7 +463,9 @@
         # Doubling soon exceeds every token of an earlier incarnation.
         self._fence = 2 * self._fence + 1
 
-    def _begin_incarnation(self, incarnation: int) -> None:
+    def _begin_incarnation(
+        self, incarnation: int, now: datetime.datetime
+    ) -> None:
         # An order sent before the restart was known may have reached the new
         # incarnation, so only its listings show which runs have ended. The
         # token stays, as the new incarnation may have seen it.
@@ -452,6 +475,9 @@
         self._clock_at = None
         self._listed_ms = 0
         self._unacknowledged = False
+        if self.leased_until is not None and not self.has_expired(now):
+            # It read the ends that were asked for by another clock.
+            self.leased_until = max(self.leased_until, now + self._lease)
 
     def _stop_unconfirmed(
         self, now: datetime.datetime
