--- a/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_target_hosts.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/tests/test_target_hosts.py
@@ -3,10 +3,9 @@
 from collections.abc import Iterator
 import contextlib
 import http
-import http.client
-import json
 import pathlib
 
+from cowslipgate_platform.tests import calls
 from cowslipgate_platform.tests import target_standin
 import pytest
 
@@ -16,8 +15,6 @@
 from cowslipgate_bench.faultsoak import _deployment
 
 TASK = "0000000000000001.0.0.0"
-UNTIL_MS = 86_400_000
-CALL_SECONDS = 1.0
 
 
 @contextlib.contextmanager
@@ -34,20 +31,7 @@
 
 def _order_run(node: faultsoak.Node, number: int) -> int:
     """Order a run as the agent does and return the status."""
-    order = {
-        "task": TASK,
-        "run": number,
-        "spec": "60000",
-        "until_ms": UNTIL_MS,
-        "fencing_token": 1,
-    }
-    connection = http.client.HTTPConnection(
-        node.address.host, node.address.port, timeout=CALL_SECONDS
-    )
-    with contextlib.closing(connection):
-        path = "/cowslipgate/run-start"
-        connection.request("POST", path, json.dumps(order))
-        return connection.getresponse().status
+    return calls.order_run(node.address, TASK, number)
 
 
 # One process that served 48 targets and the links to them answered so late
