Keep connections that were heard lately when a call times out

Cause: a call that timed out closed all idle connections to its server, and agents' orders that targets leave unanswered are ordinary (150 ms).

Now those stay on which bytes arrived in the last 0.1 s: an answer is due at least that long before its call times out, so the silence that swallowed it began before, and would have swallowed those bytes as well.

Ruled out: a client that closes for the store alone, a special case.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -33,6 +33,11 @@
 _INTERIM = b"HTTP/1.1 100 "
 """Start of an interim response, which a waiting call may get any number of."""
 
+RECENTLY_HEARD = datetime.timedelta(milliseconds=100)
+"""Age of the last bytes on an idle connection up to which a time-out casts no
+doubt on it. An answer is due at least this long before its call times out, so
+the silence that swallowed it began before."""
+
 TICK_SECONDS = 0.1
 """Interval between checks for calls that have timed out."""
 
@@ -273,9 +278,9 @@
         """Fail a call that has timed out, and doubt connections beside it.
 
         All open connections to a server may have gone silent at once. The
-        idle ones are closed, so that nobody waits for them as well. A call
-        that waits on one that has been silent for as long fails now if it
-        may be repeated.
+        idle ones that were not heard lately are closed, so that nobody waits
+        for them as well. A call that waits on one that has been silent for as
+        long fails now if it may be repeated.
         """
         problem = _http_calls.CallProblem.TIMEOUT
         address = connection.address
@@ -283,7 +288,8 @@
             self._fail(connection, problem)
             return
         # Calls that wait for a connection start as these are closed.
-        for idle in self._pool.take_all_idle(address):
+        before = self._clock.now() - RECENTLY_HEARD
+        for idle in self._pool.take_idle_since(address, before):
             self._close(idle)
         since = connection.started_at
         self._fail(connection, problem)
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_pool.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_pool.py
@@ -143,9 +143,18 @@
         self._remove_idle(address, connection)
         return connection
 
-    def take_all_idle(self, address: _http_calls.Address) -> list[Connection]:
-        """Remove and return the idle connections to a server."""
-        return self._idle.pop(address, [])
+    def take_idle_since(
+        self, address: _http_calls.Address, heard_at: datetime.datetime
+    ) -> list[Connection]:
+        """Remove and return the idle connections last heard at a time."""
+        silent = [
+            connection
+            for connection in self._idle.get(address, [])
+            if connection.heard_at <= heard_at
+        ]
+        for connection in silent:
+            self._remove_idle(address, connection)
+        return silent
 
     def keep_idle(self, connection: Connection) -> bool:
         """Keep a connection for reuse; return False at the idle limit."""
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_silent_connections.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_silent_connections.py
@@ -176,3 +176,19 @@
     scene.call("GET")
     assert scene.server.accepted == accepted
     scene.close()
+
+
+# Guards against new connections to a target at each order that it leaves
+# unanswered, while others show that it is there.
+def test_idle_connection_heard_lately_stays(scene: Scene) -> None:
+    # The latest idle connection is used first.
+    scene.server.silence(2)
+    scene.call("POST")
+    scene.pass_time(LIMIT.total_seconds() - 0.05)
+    scene.call("GET")
+    assert len(scene.harness.answers) == 1
+    scene.pass_time(0.06)
+    assert scene.problems == [TIMEOUT]
+    accepted = scene.server.accepted
+    scene.call("GET")
+    assert (scene.server.accepted, scene.problems) == (accepted, [TIMEOUT])
