--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -157,6 +157,9 @@
     checkpointed: bool = False
     """Whether a task that runs again resumes from its last checkpoint."""
 
+    resource: str = ""
+    """Host and path by which the caller names the job, or empty."""
+
     copies: bool = False
     """Whether a task may have a speculative copy; the first result counts."""
 
@@ -290,6 +293,9 @@
     """When its caller was last known to be connected, or None if callers are
     not probed."""
 
+    ends_early: bool = False
+    """Whether its entry stops before the time that its caller allows."""
+
     suspended: bool = False
     """Whether its tasks are stopped and not sent until its caller is seen."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -19,6 +19,9 @@
     orders: tuple[_attempts.Order, ...]
     """The attempts."""
 
+    service: str = ""
+    """Service of the agent's target for which they were chosen."""
+
 
 @attrs.frozen
 class SendWithdraw:
@@ -70,7 +73,17 @@
     """The job."""
 
 
-LedgerAction = SendOrders | SendWithdraw | AnswerJob | SuspendJob | ResumeJob
+@attrs.frozen
+class SendSigns:
+    """Action: tell an agent when callers were last known to be connected."""
+
+    agent: str
+    """Name of the agent."""
+
+
+LedgerAction = (
+    SendOrders | SendWithdraw | AnswerJob | SuspendJob | ResumeJob | SendSigns
+)
 
 
 def merge_withdraws(actions: list[LedgerAction]) -> list[LedgerAction]:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -19,6 +19,7 @@
     "ConfigurationRelay": "store._configuration_relay",
     "RENEW_INTERVAL": "peers._stored_members",
     "StoredMembers": "peers._stored_members",
+    "stop_at": "_events",
     "submit_job": "_events",
     "Submission": "callers._requests",
     "tick": "_events",
@@ -27,6 +28,12 @@
     "Metrics": "observation._metrics",
     "SenderCheck": "agents._sender_check",
     "abandon_job": "_events",
+    "ENTRY_CALLS": "callers._requested_jobs",
+    "Inquiry": "callers._requests",
+    "JobState": "callers._requests",
+    "RequestedJobs": "callers._requested_jobs",
+    "inquire": "_events",
+    "inquiry_answered": "_events",
 }
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -62,6 +62,18 @@
     """
 
 
+class inquire(circuits.Event):
+    """Command to find or to cancel a caller's job; an Inquiry."""
+
+
+class inquiry_answered(circuits.Event):
+    """An inquiry ended.
+
+    The arguments are the Inquiry, the JobState, or None if the job was not
+    found, and whether an entry that may hold it has not answered.
+    """
+
+
 class assign_tasks(circuits.Event):
     """Command to choose targets for waiting tasks."""
 
@@ -176,6 +188,10 @@
     """A planned stop began; callers should use other entries."""
 
 
+class stop_at(circuits.Event):
+    """Command to answer everybody before the entry stops, at this time."""
+
+
 class close_entry(circuits.Event):
     """Command to refuse new jobs and finish those in flight."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -47,6 +47,7 @@
             ledger,
             self._acknowledgements,
             self._send_message,
+            clock,
         )
         self._assignment_scheduled = False
         self._versions = core.VersionWatch()
@@ -65,6 +66,29 @@
         """Jobs, attempts and agents."""
         return self._ledger
 
+    def find_state(
+        self, team: str, resource: str
+    ) -> _requests.JobState | None:
+        """Return the state of a team's jobs that it names so, if any."""
+        jobs = [
+            job
+            for job in (
+                *self._ledger.jobs.values(),
+                *(claim.job for claim in self._claims.values()),
+            )
+            if job.team == team and job.terms.resource == resource
+        ]
+        going_on = [
+            job for job in jobs if job.failure is not core.Failure.CANCELLED
+        ]
+        if not going_on:
+            return _requests.JobState.CANCELLED if jobs else None
+        if any(job.active or job.results for job in going_on):
+            return _requests.JobState.RUNNING
+        if any(job.known_started or job.maybe_started for job in going_on):
+            return _requests.JobState.RUNNING
+        return _requests.JobState.QUEUED
+
     @circuits.handler("configuration_adopted")
     def _on_configuration_adopted(
         self, configuration: core.Configuration
@@ -194,9 +218,13 @@
         self._perform(self._ledger.tick(now))
         self._fail_infeasible(now)
         expired = [
-            c.job.id for c in self._claims.values() if c.job.deadline <= now
+            c.job for c in self._claims.values() if c.job.deadline <= now
         ]
-        self._abandon_claims(expired, core.Failure.DEADLINE)
+        for job in expired:
+            late = core.Failure.DEADLINE
+            if job.ends_early:
+                late = core.Failure.STOPPING
+            self._abandon_claims([job.id], late)
         self._sender.acknowledge(self._acknowledgements.list_overdue(now))
         self._schedule()
         if self._machine.state == "closing" and not (
@@ -213,6 +241,12 @@
         if self._machine.allows("drain"):
             self._machine.fire("drain")
 
+    @circuits.handler("stop_at")
+    def _on_stop_at(self, stops_at: datetime.datetime) -> None:
+        self._ledger.stop_at(stops_at)
+        for claim in self._claims.values():
+            self._ledger.limit_deadline(claim.job)
+
     @circuits.handler("close_entry")
     def _on_close_entry(self) -> None:
         if self._machine.allows("close"):
@@ -257,7 +291,7 @@
 
         An agent is released once every outcome of its attempts is known.
         """
-        message = attrs.evolve(
+        message: core.Beat | core.Release = attrs.evolve(
             self._make_heartbeat(), received_ms=goodbye.sent_ms
         )
         if self._ledger.handle_goodbye(goodbye, now):
@@ -266,6 +300,8 @@
                 goodbye.number,
                 self._acknowledgements.take(goodbye.agent),
             )
+        elif self._ledger.is_present(goodbye.agent, goodbye.incarnation):
+            message = self._sender.date(goodbye.agent, message)
         self._ledger.counters.heartbeats += 2
         self._sender.send_to(goodbye.agent, goodbye.incarnation, message)
 
@@ -301,7 +337,7 @@
             )
             milliseconds = service.default_deadline_ms
         deadline = now + datetime.timedelta(milliseconds=milliseconds or 0)
-        return core.Job(
+        job = core.Job(
             f"{self._member.incarnation:x}-{number:x}",
             submission.team,
             submission.service,
@@ -313,6 +349,8 @@
             terms=submission.terms,
             caller_seen_at=submission.caller_seen_at,
         )
+        self._ledger.limit_deadline(job)
+        return job
 
     def _find_refusal(self, job: core.Job) -> core.Refusal | None:
         if self._machine.get_attribute("accepts") != "yes":
@@ -324,7 +362,11 @@
                 f"{option} is not supported; submit the job without it",
             )
         services = self._configuration.document.services
-        return self._admission.find_refusal(job, services)
+        refusal = self._admission.find_refusal(job, services)
+        if refusal is None or refusal.failure is not core.Failure.OVERLOADED:
+            return refusal
+        # Other entries have more time for it.
+        return self._refuse_closed() if job.ends_early else refusal
 
     def _refuse_closed(self) -> core.Refusal:
         if self._configuration is None:
@@ -381,6 +423,8 @@
                     self._end_job(action.job, action.answer)
                 case core.SuspendJob():
                     self.fire(_events.caller_unseen(action.job), "gateway")
+                case core.SendSigns():
+                    self._send_heartbeat(action.agent)
                 case core.ResumeJob():
                     self.fire(_events.caller_seen(action.job), "gateway")
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_dispatcher.py
@@ -72,6 +72,18 @@
     assert [beat.received_ms for beat in beats] == [400, 700, 700]
 
 
+# Guards against a task at a target that has come to belong to another service
+# since the entry chose it: the agent can tell.
+def test_orders_name_the_service_for_which_their_target_was_chosen() -> None:
+    harness = builders.DispatcherHarness()
+    report = builders.build_report()
+    harness.deliver(report)
+    harness.submit()
+    (dispatch,) = harness.outbox.take(core.Dispatch)
+    assert report.service
+    assert dispatch.service == report.service
+
+
 def test_new_incarnation_of_an_agent_begins_with_its_own_messages() -> None:
     harness = builders.DispatcherHarness()
     report = attrs.evolve(builders.build_report(), sent_ms=9_000)
@@ -86,3 +98,51 @@
     _start_job(harness)
     harness.deliver(core.Goodbye("agent-1", 1, 3, 800))
     assert harness.outbox.take(core.Beat)[-1].received_ms == 800
+
+
+# Guards against ages that an agent counts from too late: what dates a message
+# and the ages in it are read at one time.
+def test_messages_tell_how_old_their_entrys_signs_are() -> None:
+    harness = builders.DispatcherHarness()
+    harness.deliver(attrs.evolve(builders.build_report(), sent_ms=400))
+    harness.clock.advance(SECOND / 2)
+    seen_at = harness.clock.now() - SECOND / 5
+    harness.submit(caller_seen_at=seen_at)
+    (dispatch,) = harness.outbox.take(core.Dispatch)
+    assert (dispatch.received_ms, dispatch.held_ms) == (400, 500)
+    assert dispatch.ages == ((dispatch.orders[0].attempt, 200),)
+    harness.clock.advance(SECOND / 4)
+    harness.deliver(attrs.evolve(builders.build_report(), sent_ms=900))
+    beat = harness.outbox.take(core.Beat)[-1]
+    assert (beat.received_ms, beat.held_ms) == (900, 0)
+    assert beat.ages == ((dispatch.orders[0].attempt, 450),)
+
+
+# Guards against runs of a far caller that are stopped, since agents hear late
+# that it was seen.
+def test_late_sign_of_a_caller_is_told_to_its_agents_at_once() -> None:
+    harness = builders.DispatcherHarness()
+    harness.deliver(builders.build_report())
+    harness.submit(caller_seen_at=harness.clock.now())
+    (job,) = harness.dispatcher.ledger.jobs
+    for age, messages in ((0.4, 0), (0.9, 1)):
+        harness.outbox.messages.clear()
+        harness.clock.advance(age * SECOND)
+        seen_at = harness.clock.now() - SECOND / 10
+        harness.fire(_events.confirm_callers({job: seen_at}))
+        beats = harness.outbox.take(core.Beat)
+        assert [beat.ages for beat in beats] == [((1, 100),)] * messages
+
+
+# Guards against a job that waits for its claim when its entry ends.
+def test_job_that_waits_for_its_claim_is_answered_before_the_end() -> None:
+    harness = builders.DispatcherHarness()
+    gateway = control_builders.Recorder("gateway").register(harness.root)
+    submission = control_builders.build_submission("key")
+    harness.fire(_events.submit_job(submission))
+    harness.fire(_events.stop_at(harness.clock.now() + 5 * SECOND))
+    harness.clock.advance(5 * SECOND)
+    harness.fire(_events.tick())
+    ((_, answer),) = gateway.take("job_answered")
+    expected = (core.Failure.STOPPING, core.Started.NONE)
+    assert (answer.failure, answer.started) == expected
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_server.py
@@ -135,6 +135,8 @@
         if not connection.received and not connection.busy:
             connection.last_activity = self._clock.now()
         connection.received += data
+        if self._probes is not None:
+            connection.seen_at = self._probes.request_seen_at
         if not (connection.busy or self._is_sending(sock)):
             self._take_request(sock, connection)
         elif len(connection.received) > self._max_request_bytes:
@@ -257,26 +259,28 @@
             {key.lower(): value for key, value in request.headers.items()},
             request.body.read(),
             response,
-            self._find_seen_at(request),
+            self._find_seen_at(request, connection),
         )
         if self._probes is not None:
             self._probes.add(connection.exchange)
         self.fire(_http_exchanges.http_requested(connection.exchange))
 
     def _find_seen_at(
-        self, request: wrappers.Request
+        self,
+        request: wrappers.Request,
+        connection: _http_connections.Connection,
     ) -> datetime.datetime | None:
-        # Callers of HTTP/1.0 know no interim responses.
-        if self._probes is None or request.protocol < (1, 1):
-            return None
-        return self._probes.request_seen_at
+        # Callers of HTTP/1.0 know no interim responses. A request may have
+        # waited for the answer to the one before it.
+        return None if request.protocol < (1, 1) else connection.seen_at
 
     @circuits.handler("check_callers")
     def _on_check_callers(self) -> None:
         seen = self._probes.check()
         for exchange in self._probes.list_due():
+            sent_at = self._clock.now()
             if self._send_probe(exchange.response.request.sock):
-                self._probes.record_probe(exchange)
+                self._probes.record_probe(exchange, sent_at)
         if seen:
             self.fire(_http_exchanges.callers_seen(seen))
 
@@ -346,6 +350,14 @@
         )
         self._on_answer_http(failed.args[0], answer)
 
+    @circuits.handler("answer_rest_http")
+    def _on_answer_rest_http(self) -> None:
+        body = _http_refusals.encode_error("stopping", "unknown", "")
+        answer = _http_exchanges.Answer(502, body)
+        for connection in list(self._connections.values()):
+            if connection.exchange is not None:
+                self._on_answer_http(connection.exchange, answer)
+
     @circuits.handler("drain_http")
     def _on_drain_http(self) -> None:
         if self._drain_since is None:
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -15,7 +15,7 @@
 import cowslipgate_transport as transport
 
 CHANNEL = "client"
-ROUNDS = 400
+ROUNDS = 4_000
 ROUND_SECONDS = 0.005
 TIMEOUT = datetime.timedelta(hours=1)
 """Longer than a test; a call that waits for it counts as unanswered."""
@@ -53,9 +53,23 @@
         """Number of calls that were answered or have failed."""
         return len(self.answers) + len(self.failures)
 
-    def call(self, address: transport.Address) -> None:
+    def call(
+        self,
+        address: transport.Address,
+        number: int = 1,
+        method: str = "GET",
+        timeout: datetime.timedelta = TIMEOUT,
+        connection_limit: int = 0,
+    ) -> None:
         """Make a call."""
-        call = transport.Call(1, address, "GET", "/", timeout=TIMEOUT)
+        call = transport.Call(
+            number,
+            address,
+            method,
+            "/",
+            timeout=timeout,
+            connection_limit=connection_limit,
+        )
         self.fire(transport.call_http(call), CHANNEL)
         self.run_round()
 
@@ -67,11 +81,63 @@
         self.tick()
 
 
+class HushedServer:
+    """Answers each request, but not on connections that were silenced."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self._connections: list[socket.socket] = []
+        self._silent: set[socket.socket] = set()
+        self.requests: list[bytes] = []
+        host, port = self._listener.getsockname()
+        self.address = transport.Address(host, port)
+
+    @property
+    def accepted(self) -> int:
+        """Number of connections that were opened."""
+        return len(self._connections)
+
+    def silence(self, *numbers: int) -> None:
+        """Answer no more on the open connections, or on some of them.
+
+        :param numbers: the connections, counted from zero; all if none
+        """
+        chosen = [self._connections[number] for number in numbers]
+        self._silent.update(chosen or self._connections)
+
+    def poll(self) -> None:
+        """Accept connections and answer requests."""
+        with contextlib.suppress(BlockingIOError):
+            connection, _ = self._listener.accept()
+            connection.setblocking(False)
+            self._connections.append(connection)
+        for sock in self._connections:
+            with contextlib.suppress(OSError):
+                request = sock.recv(65_536)
+                if request:
+                    self.requests.append(request)
+                if request and sock not in self._silent:
+                    sock.sendall(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                    )
+
+    def close(self) -> None:
+        """Close the server and its connections."""
+        for sock in [self._listener, *self._connections]:
+            sock.close()
+
+
 class RawServer:
-    """Answers each connection with the same bytes."""
+    """Answers each connection with the same bytes.
+
+    :param piece: number of bytes sent at each poll, or 0 for all at once
+    """
 
-    def __init__(self, answer: bytes) -> None:
+    def __init__(self, answer: bytes, piece: int = 0) -> None:
         self._answer = answer
+        self._piece = piece or len(answer)
+        self._unsent: dict[socket.socket, bytes] = {}
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._listener.setblocking(False)
         self._connections: list[socket.socket] = []
@@ -82,8 +148,11 @@
         """Accept connections and answer on them."""
         with contextlib.suppress(BlockingIOError):
             connection, _ = self._listener.accept()
-            connection.sendall(self._answer)
+            self._unsent[connection] = self._answer
             self._connections.append(connection)
+        for connection, unsent in self._unsent.items():
+            connection.sendall(unsent[: self._piece])
+            self._unsent[connection] = unsent[self._piece :]
 
     def close(self) -> None:
         """Close the server and its connections."""
@@ -92,22 +161,23 @@
 
 
 @contextlib.contextmanager
-def serve(answer: bytes) -> Iterator[RawServer]:
+def serve(answer: bytes, piece: int = 0) -> Iterator[RawServer]:
     """Yield a server, and close it."""
-    server = RawServer(answer)
+    server = RawServer(answer, piece)
     try:
         yield server
     finally:
         server.close()
 
 
-def get(answer: bytes) -> ClientHarness:
+def get(answer: bytes, piece: int = 0) -> ClientHarness:
     """Make a call of a server that answers with some bytes.
 
+    :param piece: number of bytes sent in each round, or 0 for all at once
     :return: the harness, once the call has ended or ROUNDS have passed
     """
     harness = ClientHarness(core.ManualClock())
-    with serve(answer) as server:
+    with serve(answer, piece) as server:
         harness.call(server.address)
         for _ in range(ROUNDS):
             server.poll()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_caller_probes.py
@@ -4,6 +4,7 @@
 import contextlib
 import datetime
 import http.client
+import socket
 import threading
 import time
 import types
@@ -53,7 +54,7 @@
         seen = self.probes.check()
         for exchange in self.probes.list_due():
             self.caller.unacknowledged += PROBE_SIZE
-            self.probes.record_probe(exchange)
+            self.probes.record_probe(exchange, self.clock.now())
         return seen
 
 
@@ -99,7 +100,7 @@
 ) -> None:
     for _ in range(6):
         fixture.check()
-    assert fixture.caller.unacknowledged == 3 * PROBE_SIZE
+    assert fixture.caller.unacknowledged == 5 * PROBE_SIZE
     fixture.caller.unacknowledged -= PROBE_SIZE + 1
     (seen_at,) = fixture.check().values()
     first = fixture.clock.now() - 5 * CHECK
@@ -197,6 +198,63 @@
     assert statuses == [200]
 
 
+# Guards against a probe that counts as sent when its process goes on again,
+# after its caller has acknowledged it and gone.
+def test_probe_counts_as_sent_before_it_was_written(
+    harness: builders.ServerHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caller = harness.connect()
+    harness.send(caller, HOLD)
+    harness.run_until(lambda: bool(harness.echo.held), "requested")
+    (exchange,) = harness.echo.held
+    send = harness.server._send_probe
+
+    def send_and_stand_still(sock: socket.socket) -> bool:
+        sent = send(sock)
+        harness.clock.advance(10 * CHECK)
+        return sent
+
+    monkeypatch.setattr(harness.server, "_send_probe", send_and_stand_still)
+    harness.clock.advance(3 * CHECK)
+    sent_at = harness.clock.now()
+    harness.root.fire(transport.check_callers(), builders.CHANNEL)
+    harness.run_until(
+        lambda: harness.clock.now() - sent_at >= 10 * CHECK, "probed"
+    )
+    harness.run_until(
+        lambda: (
+            not _caller_probes.count_unacknowledged(
+                exchange.response.request.sock
+            )
+        ),
+        "acknowledged",
+    )
+    harness.root.fire(transport.check_callers(), builders.CHANNEL)
+    harness.run_until(lambda: bool(harness.echo.seen), "seen")
+    assert harness.echo.seen[0] == {exchange: sent_at}
+
+
+# Guards against a request that waited behind another one on its connection
+# and counts as new, though its caller has gone since.
+def test_pipelined_request_is_dated_when_it_was_read(
+    harness: builders.ServerHarness,
+) -> None:
+    caller = harness.connect()
+    harness.send(caller, HOLD * 2)
+    harness.run_until(lambda: bool(harness.echo.held), "requested")
+    first = harness.echo.held[0]
+    for _ in range(10):
+        harness.clock.advance(CHECK)
+        harness.root.fire(transport.check_callers(), builders.CHANNEL)
+        harness.run_round()
+    answer = transport.Answer(200, b"{}")
+    harness.root.fire(transport.answer_http(first, answer), builders.CHANNEL)
+    harness.run_until(lambda: not harness.server.waiting, "answered")
+    harness.check()
+    harness.run_until(lambda: len(harness.echo.held) > 1, "requested again")
+    assert harness.echo.held[1].seen_at == first.seen_at
+
+
 # Guards against an interim response to a caller of HTTP/1.0, which knows none.
 def test_caller_of_an_older_version_is_not_probed(
     harness: builders.ServerHarness,
