Doubt no connection for a call that was given up soon

Cause: agents give orders up after 0.15 s, and each cast doubt on the idle connections to the target, of which few were heard in the last 0.1 s.

Now only a call with a limit of 0.25 s and more does.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_http_client.py
@@ -38,6 +38,10 @@
 doubt on it. An answer is due at least this long before its call times out, so
 the silence that swallowed it began before."""
 
+SHORTEST_SILENCE = datetime.timedelta(milliseconds=250)
+"""Least time limit of a call whose time-out casts doubt on connections beside
+it. One that is given up sooner shows that its own answer is late or lost."""
+
 TICK_SECONDS = 0.1
 """Interval between checks for calls that have timed out."""
 
@@ -284,7 +288,9 @@
         """
         problem = _http_calls.CallProblem.TIMEOUT
         address = connection.address
-        if not (connection.connected and connection.sent):
+        limit = connection.pending.call.timeout
+        unheard = connection.connected and connection.sent
+        if not unheard or limit < SHORTEST_SILENCE:
             self._fail(connection, problem)
             return
         # Calls that wait for a connection start as these are closed.
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_silent_connections.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_silent_connections.py
@@ -192,3 +192,15 @@
     accepted = scene.server.accepted
     scene.call("GET")
     assert (scene.server.accepted, scene.problems) == (accepted, [TIMEOUT])
+
+
+# Guards against new connections to a target at each order that it leaves
+# unanswered, though nothing else is sent to it meanwhile.
+def test_call_that_is_given_up_soon_casts_no_doubt(scene: Scene) -> None:
+    scene.server.silence(2)
+    scene.call("POST", limit=0.15 * LIMIT)
+    scene.pass_time(0.2)
+    assert scene.problems == [TIMEOUT]
+    accepted = scene.server.accepted
+    scene.call("GET", "GET")
+    assert (scene.server.accepted, scene.problems) == (accepted, [TIMEOUT])
