--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -389,11 +389,11 @@
             return True
         heartbeat = self._settings.heartbeat
         busy = bool(link.held or self._executor.count_own(incarnation))
-        sign = self._executor.get_needed_sign(incarnation)
-        dated_at = min(link.confirmed_at, sign or link.confirmed_at)
-        unconfirmed = now - dated_at >= heartbeat * UNCONFIRMED_HEARTBEATS
-        if busy and unconfirmed and since >= heartbeat * REPEATED_REPORTS:
-            return True
+        if busy and since >= heartbeat * REPEATED_REPORTS:
+            sign = self._executor.get_needed_sign(incarnation)
+            dated_at = min(link.confirmed_at, sign or link.confirmed_at)
+            if now - dated_at >= heartbeat * UNCONFIRMED_HEARTBEATS:
+                return True
         if since < heartbeat:
             return False
         if link.departure:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -237,7 +237,8 @@
         held = self._slots.running.get(key)
         if held is not None and held.needed_at is not None:
             return held.needed_at
-        return self.get_sign(key.entry, (key.attempt,))
+        session = self._sessions.get(key.entry)
+        return session.signs.get(key.attempt) if session is not None else None
 
     def give_up(
         self, entry: int, attempts: Collection[int] | None = None
