--- a/review/bed-2/bed.py
+++ b/review/bed-2/bed.py
@@ -36,7 +36,9 @@
     "interference_ms": 4000, "resend_ms": 1300,
 }
 HEARTBEAT_S = 1.5
-STOP_S = 0.02
+STOP_S = (0.002, 0.045)
+"""Time that a stop takes; `stop_ms` is 50."""
+
 CAPACITY = {"cpu": 32000, "mem_mb": 131072, "gpu": 0}
 
 
@@ -219,6 +221,7 @@
         self.fence = 0
         self.lease_end = 0
         self.running = {}
+        self.stopping = set()
         self.highest = {}
         self.ended = []
         self.number = 0
@@ -244,6 +247,8 @@
         self.state = "ready"
         self.life = None
         self.server = None
+        self.lists_stopping = True
+        """Whether a run that is being stopped stands in `running`."""
         self.late_job = ""
         """Job whose next order to start arrives late, once."""
         self.late_order = None
@@ -384,8 +389,9 @@
     def _stop(self, life, order):
         name = order["task"], order["run"]
         life.highest[name[0]] = max(life.highest.get(name[0], 0), name[1])
+        life.stopping.add(name)
         asyncio.get_event_loop().call_later(
-            STOP_S, self._finish, life, name, "stopped")
+            random.uniform(*STOP_S), self._finish, life, name, "stopped")
         return self._reply(life, 200)
 
     async def _hold(self, life, order):
@@ -395,7 +401,9 @@
         until = time.monotonic() + order.get("wait_ms", 0) / 1000
         while life.up and not life.ended and time.monotonic() < until:
             await asyncio.sleep(0.003)
-        rows = [[t, r, "", 100, 3100] for t, r in life.running]
+        hidden = set() if self.lists_stopping else life.stopping
+        rows = [[t, r, "", 100, 3100] for t, r in life.running
+                if (t, r) not in hidden]
         return self._reply(life, 200, running=rows, finished=life.ended[:500])
 
 
