Let the runs of a suspended VM go on, and count leases by steady time

What callers saw: nothing; each job was answered once.

Cause: a target ends its runs by its steady clock, which stands still with the VM. The agent judged the same leases by CLOCK_BOOTTIME, took them all as over when it woke, reported the runs as lost and forgot them; no list was due after that. The executor and the links, too, gave up each entry whose last confirmation had grown old in the pause, without having asked since.

Now the clock tells two kinds of time of different types: now() counts suspensions and dates what others may have done, read_steady() leaves them out and measures leases at a target. Entries are asked before runs with old signs are stopped, for 0.2 s; runs that are confirmed go on under their number, and those that may be given elsewhere (3.5 s) are stopped at once. A target that let all leases expire unanswered starts nothing until it has listed its runs. AgentPaused and cowslipgate_agent_pauses_total show a pause and its suspended part.

Ruled out: that the entry gives the task elsewhere too soon. It waits 3.5 s and acted on the agent's report.

Not held: a run whose task was started elsewhere while its VM was suspended goes on until it is stopped after the VM woke (docs/incidents/suspended-machine.md).

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -49,6 +49,9 @@
         self._lost = transport.Counter(
             "cowslipgate_agent_entries_lost_total", "Entries given up."
         )
+        self._pauses = transport.Counter(
+            "cowslipgate_agent_pauses_total", "Pauses of the process."
+        )
         self._run_seconds = transport.Summary(
             "cowslipgate_agent_run_seconds", "Time at the target.", clock
         )
@@ -68,6 +71,7 @@
                 self._ended,
                 self._refused,
                 self._lost,
+                self._pauses,
                 self._run_seconds,
                 self._wait_seconds,
                 self._running,
@@ -95,6 +99,18 @@
         while len(self._task_names) > MAX_TASK_NAMES:
             self._task_names.popitem(last=False)
 
+    @circuits.handler("agent_paused", channel="*")
+    def _on_agent_paused(
+        self, pause: datetime.timedelta, suspended: datetime.timedelta
+    ) -> None:
+        self._pauses.add()
+        change = _changes.AgentPaused(
+            pause // MILLISECOND,
+            suspended // MILLISECOND,
+            len(self._executor.running),
+        )
+        self._log_change(change)
+
     @circuits.handler("target_message_invalid", channel="*")
     def _on_target_message_invalid(self, error: core.WireError) -> None:
         self._target_messages.log(_changes.TargetUnclear(str(error)))
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
@@ -69,6 +69,21 @@
     entry was silent, or heard nothing; less when its connection broke."""
 
 
+@attrs.frozen
+class AgentPaused(transport.Change):
+    """The agent stood still; it asks what became of its runs."""
+
+    paused_ms: int
+    """Time since its last event in milliseconds."""
+
+    suspended_ms: int
+    """Part of it, in milliseconds, for which the VM was suspended: the steady
+    clock did not count it."""
+
+    running: int
+    """Tasks at the target."""
+
+
 @attrs.frozen
 class OrdersHeld(transport.Change):
     """Orders wait for a newer sign that they are wanted."""
@@ -161,6 +176,7 @@
     """Tasks running at the target when the orders were refused."""
 
 
+@transport.get_level.register(AgentPaused)
 @transport.get_level.register(EntryLost)
 @transport.get_level.register(RunUnseen)
 @transport.get_level.register(TargetUnclear)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -31,6 +31,10 @@
     """The agent knows every run at the target."""
 
 
+class agent_paused(circuits.Event):
+    """This process stood still; the time, and the suspended part of it."""
+
+
 class target_message_invalid(circuits.Event):
     """A message from the target was invalid; the argument is a WireError."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -80,8 +80,8 @@
 class _SentWatch:
     """A watch that is not answered yet."""
 
-    at: datetime.datetime
-    """When it was sent."""
+    at: datetime.timedelta
+    """Steady time at which it was sent."""
 
     instance: str
     """Target that it names; empty for any."""
@@ -117,16 +117,19 @@
         self._address = address
         self._clock = clock
         self._tracker = core.RunTracker(lease, renewal)
+        self._pauses = core.Pauses()
+        self._steady_before = steady = clock.read_steady()
         # An earlier process may have asked for a lease just now.
-        executor.required_sign = clock.now() + lease - run_limit
+        self._tracker.leased_until = steady + lease
+        self._record_lease()
         self._numbers = itertools.count(1)
         self._orders: dict[int, core.CallStart | core.CallStop] = {}
         self._watches: dict[int, _SentWatch] = {}
-        self._next_watch = clock.now()
-        self._earlier_runs_end_at = clock.now() + lease + STARTUP_GRACE
+        self._next_watch = steady
+        self._earlier_runs_end_at = steady + lease + STARTUP_GRACE
         self._runs_known = False
         self._refused_stops: set[core.RunName] = set()
-        self._announce_at = clock.now()
+        self._announce_at = steady
         self._broken_calls = 0
         self._beat: TargetHeartbeat | None = None
         self._successor: TargetHeartbeat | None = None
@@ -144,6 +147,7 @@
 
     @circuits.handler("target_heartbeat_received")
     def _on_target_heartbeat_received(self, beat: TargetHeartbeat) -> None:
+        self._begin_turn()
         if self._is_outdated(beat):
             return
         if len(self._tracker) and beat.instance != self._tracker.instance:
@@ -157,7 +161,7 @@
         self._send_due_watch()
 
     def _accept_heartbeat(self, beat: TargetHeartbeat) -> None:
-        now = self._clock.now()
+        now = self._clock.read_steady()
         self._beat = beat
         self._perform(
             self._tracker.handle_heartbeat(
@@ -201,13 +205,13 @@
     def _on_start_task(
         self, start: core.StartTask, announcement: core.Announcement
     ) -> None:
-        now = self._clock.now()
+        now = self._begin_turn()
         beat = self._beat
         if beat is None or beat.draining or announcement != self._announced:
             # Decided before the target was known to have changed.
             self._refuse_start(start)
             return
-        limit = self._find_lease_limit()
+        limit = self._find_lease_limit(now)
         self._perform(self._tracker.start(start.key, start.order, now, limit))
         self._record_lease()
         self._send_due_watch()
@@ -222,21 +226,23 @@
 
     @circuits.handler("stop_task")
     def _on_stop_task(self, stop: core.StopTask) -> None:
-        self._perform(self._tracker.stop(stop.key, self._clock.now()))
+        now = self._begin_turn()
+        self._perform(self._tracker.stop(stop.key, now))
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
-        now = self._clock.now()
+        now = self._begin_turn()
         if not self._runs_known and now >= self._earlier_runs_end_at:
             self._report_runs_known()
         if len(self._tracker) and self._tracker.has_expired(now):
-            reason = core.Reason.LEASE_LAPSED
-            self._perform(self._tracker.end_all_runs(reason, now))
+            self._perform(self._tracker.end_lapsed_runs(now))
+            self._withhold()
         self._repeat_stops(now)
         self._send_due_watch()
 
     @circuits.handler("http_answered")
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
+        self._begin_turn()
         self._broken_calls = 0
         watch = self._watches.pop(answer.call.id, None)
         if watch is not None:
@@ -253,7 +259,7 @@
 
     @circuits.handler("http_failed")
     def _on_http_failed(self, failure: transport.CallFailure) -> None:
-        now = self._clock.now()
+        now = self._begin_turn()
         self._count_broken_call(failure.problem, now)
         watch = self._watches.pop(failure.call.id, None)
         if watch is not None:
@@ -273,12 +279,33 @@
             self._repeat_stop(order.name, failure.problem, now)
         self._send_due_watch()
 
+    def _begin_turn(self) -> datetime.timedelta:
+        """Notice a pause of this process; return the steady time."""
+        steady = self._clock.read_steady()
+        before, self._steady_before = self._steady_before, steady
+        pause = self._pauses.measure(self._clock.now())
+        if pause is not None:
+            suspended = pause - (steady - before)
+            self.fire(_events.agent_paused(pause, suspended))
+            self._handle_pause(steady - before, steady)
+        return steady
+
+    def _handle_pause(
+        self, pause: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        # The steady clock counts a pause in which only processes stood still.
+        # Nothing tells whether the target did as well, until it answers.
+        self._tracker.handle_pause(pause, now)
+        self._earlier_runs_end_at += pause
+        self._record_lease()
+        self._send_watch(now)
+
     def _names_present_target(self, watch: _SentWatch) -> bool:
         # Word of an earlier target shows nothing about runs at the next one.
         return watch.instance in ("", self._tracker.instance)
 
     def _count_broken_call(
-        self, problem: transport.CallProblem, now: datetime.datetime
+        self, problem: transport.CallProblem, now: datetime.timedelta
     ) -> None:
         if problem in _NOT_CONNECTED:
             self._broken_calls = BROKEN_CALLS
@@ -293,7 +320,7 @@
         self,
         name: core.RunName,
         problem: transport.CallProblem,
-        now: datetime.datetime,
+        now: datetime.timedelta,
     ) -> None:
         # A target that closes each connection would be called without pause.
         if problem is transport.CallProblem.TIMEOUT:
@@ -301,15 +328,15 @@
         else:
             self._refused_stops.add(name)
 
-    def _repeat_stops(self, now: datetime.datetime) -> None:
+    def _repeat_stops(self, now: datetime.timedelta) -> None:
         names, self._refused_stops = self._refused_stops, set()
         for name in sorted(names, key=str):
             self._perform(self._tracker.handle_stop_failure(name, now))
 
     def _handle_watch_reply(
-        self, answer: transport.CallAnswer, sent_at: datetime.datetime
+        self, answer: transport.CallAnswer, sent_at: datetime.timedelta
     ) -> None:
-        now = self._clock.now()
+        now = self._clock.read_steady()
         try:
             reply = self._codec.decode_watch(answer)
         except core.WireError as error:
@@ -332,7 +359,7 @@
             self._withhold()
 
     def _handle_watch_failure(
-        self, failure: transport.CallFailure, now: datetime.datetime
+        self, failure: transport.CallFailure, now: datetime.timedelta
     ) -> None:
         # The target is local, so its process is gone if nothing listens.
         if failure.problem is not transport.CallProblem.REFUSED:
@@ -346,14 +373,17 @@
     ) -> None:
         decoded = self._codec.decode_start(answer)
         actions = self._tracker.handle_start_reply(
-            order.name, decoded.reply, decoded.clock_ms, self._clock.now()
+            order.name,
+            decoded.reply,
+            decoded.clock_ms,
+            self._clock.read_steady(),
         )
         self._perform(actions)
 
     def _handle_stop_reply(
         self, order: core.CallStop, answer: transport.CallAnswer
     ) -> None:
-        now = self._clock.now()
+        now = self._clock.read_steady()
         if self._codec.decode_stop(answer):
             self._tracker.handle_stop_reply(order.name, now)
         else:
@@ -370,7 +400,7 @@
             self._withhold()
             return
         if self._tracker.runs_known:
-            self._announce_at = self._clock.now() + ANNOUNCE_INTERVAL
+            self._announce_at = self._clock.read_steady() + ANNOUNCE_INTERVAL
             self._announced = beat.announcement
             self.fire(_events.target_announced(beat.announcement), "runner")
         elif beat.announcement != self._announced:
@@ -394,7 +424,7 @@
 
     def _send_due_watch(self) -> None:
         self._accept_successor()
-        now = self._clock.now()
+        now = self._clock.read_steady()
         if now < self._next_watch or not self._tracker.needs_watch:
             return
         latest = max(
@@ -404,8 +434,11 @@
             return
         if len(self._watches) >= MAX_WATCHES:
             return
+        self._send_watch(now)
+
+    def _send_watch(self, now: datetime.timedelta) -> None:
         # Runs beside the next target end with the lease that they have.
-        limit = now if self._successor else self._find_lease_limit()
+        limit = now if self._successor else self._find_lease_limit(now)
         watch = self._tracker.watch(now, limit)
         self._record_lease()
         wait = datetime.timedelta(milliseconds=watch.wait_ms)
@@ -414,15 +447,22 @@
         )
         self._watches[number] = _SentWatch(now, watch.instance)
 
-    def _find_lease_limit(self) -> datetime.datetime | None:
-        sign = self._executor.get_lease_sign(self._clock.now())
-        return sign + self._run_limit if sign is not None else None
+    def _find_lease_limit(
+        self, steady: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        # The age of a sign counts suspensions; what is left of it is a lease.
+        now = self._clock.now()
+        sign = self._executor.get_lease_sign(now)
+        if sign is None:
+            return None
+        return steady + (sign + self._run_limit - now)
 
     def _record_lease(self) -> None:
         # A lease never shortens, so it covers a run that starts now as well.
         until = self._tracker.leased_until
         if until is not None:
-            required = until - self._run_limit
+            left = until - self._clock.read_steady()
+            required = self._clock.now() + left - self._run_limit
             known = self._executor.required_sign or required
             self._executor.required_sign = max(known, required)
 
@@ -470,8 +510,8 @@
 def _handle_reply(
     reply: core.WatchReply,
     tracker: core.RunTracker,
-    sent_at: datetime.datetime,
-    now: datetime.datetime,
+    sent_at: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> list[core.RunAction]:
     """Apply the answer to a watch to the run tracker."""
     raise NotImplementedError(type(reply).__name__)
@@ -481,8 +521,8 @@
 def _handle_listing(
     reply: core.Listing,
     tracker: core.RunTracker,
-    sent_at: datetime.datetime,
-    now: datetime.datetime,
+    sent_at: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> list[core.RunAction]:
     return tracker.handle_listing(reply, sent_at, now)
 
@@ -491,8 +531,8 @@
 def _handle_stale_token(
     reply: core.StaleToken,
     tracker: core.RunTracker,
-    sent_at: datetime.datetime,
-    now: datetime.datetime,
+    sent_at: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> list[core.RunAction]:
     tracker.handle_stale_token(reply.clock_ms, now)
     return []
@@ -502,7 +542,7 @@
 def _handle_replaced(
     reply: core.Replaced,
     tracker: core.RunTracker,
-    sent_at: datetime.datetime,
-    now: datetime.datetime,
+    sent_at: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> list[core.RunAction]:
     return tracker.end_all_runs(core.Reason.TARGET_REPLACED, now)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -128,6 +128,8 @@
 
     :param runs_known: whether every run at the target is known; until then no
         entry is discovered
+    :param pause_limits: how long entries are asked after a pause of this
+        process before they count as lost; None to ask none
     """
 
     channel = CHANNEL
@@ -140,6 +142,7 @@
         clock: core.Clock,
         poller: pollers.BasePoller,
         runs_known: bool = True,
+        pause_limits: core.PauseLimits | None = None,
     ) -> None:
         super().__init__()
         self._settings = settings
@@ -153,6 +156,8 @@
         self._links: dict[int, Link] = {}
         # When entries have left, by incarnation.
         self._left: dict[int, datetime.datetime] = {}
+        self._pauses = core.Pauses(limits=pause_limits)
+        self._asks_after_pauses = pause_limits is not None
         self._numbers = itertools.count(1)
         self._next_discovery = clock.now()
         # Times of sending count from here, so that they are short numbers.
@@ -170,6 +175,9 @@
     @circuits.handler("tick")
     def _on_tick(self) -> None:
         now = self._clock.now()
+        paused = self._pauses.measure(now) is not None
+        if paused and self._asks_after_pauses:
+            self._ask_busy_entries()
         self._check_lost_entries(now)
         self._leave_unchosen(now)
         self._retry_left(now)
@@ -431,9 +439,12 @@
         self, incarnation: int, link: Link, now: datetime.datetime
     ) -> bool:
         limit = self._settings.entry_lost_after
-        silence = now - max(link.confirmed_at, link.opened_at)
+        heard_at = max(link.confirmed_at, link.opened_at)
+        silence = now - heard_at
         if silence <= limit:
             return False
+        if self._pauses.awaits_confirmation(heard_at, heard_at, limit, now):
+            return False
         if not self._executor.count_own(incarnation):
             limit = core.compute_lost_timeout(limit, link.interval)
         return silence > limit
@@ -577,6 +588,12 @@
         for incarnation, link in self._links.items():
             self._send_report(incarnation, link)
 
+    def _ask_busy_entries(self) -> None:
+        # Their answers show which runs are still wanted.
+        for incarnation, link in self._links.items():
+            if self._executor.count_own(incarnation):
+                self._send_report(incarnation, link)
+
     def _send_report(self, incarnation: int, link: Link) -> None:
         link.reported_at = link.sent_at = self._clock.now()
         message = self._make_report(incarnation)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
@@ -125,6 +125,19 @@
         self.clock.advance(datetime.timedelta(milliseconds=milliseconds))
         self.send(_events.tick())
 
+    def pause(self, milliseconds: int, suspended: bool) -> None:
+        """Let the process stand still, and fire a tick when it goes on.
+
+        :param suspended: whether its VM was suspended; its steady clock
+            counts a pause of the process alone
+        """
+        duration = datetime.timedelta(milliseconds=milliseconds)
+        if suspended:
+            self.clock.suspend(duration)
+        else:
+            self.clock.advance(duration)
+        self.send(_events.tick())
+
 
 def build_beat(
     incarnation: int = run_builders.INCARNATION,
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
@@ -153,3 +153,13 @@
     while len(recorder):
         recorder.flush()
     assert recorder.changes == [transport.MessagePassedOver("B\ufffd", "odd")]
+
+
+def test_pause_is_logged_with_the_part_of_it_that_was_a_suspension(
+    recorder: LogRecorder,
+) -> None:
+    pause = datetime.timedelta(milliseconds=2_100)
+    suspended = datetime.timedelta(milliseconds=2_000)
+    recorder.fire(_events.agent_paused(pause, suspended))
+    recorder.deliver()
+    assert recorder.changes == [_changes.AgentPaused(2_100, 2_000, 0)]
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_loop.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_loop.py
@@ -23,6 +23,10 @@
         """Return the current virtual time."""
         return self._now
 
+    def read_steady(self) -> datetime.timedelta:
+        """Return the virtual time since the start; nothing is suspended."""
+        return self._now - self._start
+
     @property
     def elapsed(self) -> float:
         """Virtual seconds since the start."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -20,6 +20,7 @@
 from cowslipgate_core.execution import _executor_actions
 from cowslipgate_core.execution import _health
 from cowslipgate_core.execution import _outcomes
+from cowslipgate_core.execution import _pauses
 from cowslipgate_core.execution import _run_budgets
 from cowslipgate_core.execution import _run_records
 from cowslipgate_core.execution import _runs
@@ -185,7 +186,10 @@
 parse_name = _settings.parse_name
 parse_positive = _settings.parse_positive
 parse_text = _settings.parse_text
+PAUSE_AFTER = _pauses.PAUSE_AFTER
 PAUSE_FRACTION = _executor.PAUSE_FRACTION
+PauseLimits = _pauses.PauseLimits
+Pauses = _pauses.Pauses
 Pool = _targets.Pool
 QuotaShares = _quotas.QuotaShares
 RANDOM_BITS = _incarnations.RANDOM_BITS
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -12,6 +12,7 @@
 
 from cowslipgate_core.execution import _executor_actions
 from cowslipgate_core.execution import _outcomes
+from cowslipgate_core.execution import _pauses
 from cowslipgate_core.execution import _sessions
 from cowslipgate_core.execution import _slots
 from cowslipgate_core.execution import _target_state
@@ -57,6 +58,8 @@
 
     :param pause_after: pause of the process after which orders that were sent
         before it are refused; by default a share of ``entry_lost_after``
+    :param pause_limits: None to stop all runs after a pause that is longer
+        than ``entry_lost_after``
     """
 
     def __init__(
@@ -65,16 +68,18 @@
         queue_limit: int,
         entry_lost_after: datetime.timedelta = ENTRY_LOST_AFTER,
         pause_after: datetime.timedelta | None = None,
+        pause_limits: _pauses.PauseLimits | None = None,
     ) -> None:
         self._incarnation = incarnation
         self._queue_limit = queue_limit
         self._entry_lost_after = entry_lost_after
-        self._pause_after = pause_after or entry_lost_after * PAUSE_FRACTION
+        self._pauses = _pauses.Pauses(
+            pause_after or entry_lost_after * PAUSE_FRACTION, pause_limits
+        )
         self._sessions = _sessions.Sessions()
         self._slots = _slots.Slots()
         self._outcomes = _outcomes.Outcomes()
         self._target = _target_state.TargetState()
-        self._seen_at: datetime.datetime | None = None
         self._links = 0
         self.required_sign: datetime.datetime | None = None
         """Oldest sign that an attempt which starts now may rest on, or None;
@@ -428,16 +433,17 @@
     ) -> list[_executor_actions.ExecutorAction]:
         # Entries may have counted this agent as lost during the pause, so
         # attempts received before it must not start.
-        previous = self._seen_at
-        self._seen_at = now
-        if previous is None or now - previous <= self._pause_after:
+        pause = self._pauses.measure(now)
+        if pause is None:
             return []
         self.counters.pauses += 1
         self._links += 1
         actions = self._refuse_queued(_attempts.Reason.WITHDRAWN, now)
         for entry, session in self._sessions:
             session.link = self._links
-            if now - previous > self._entry_lost_after:
+            if pause <= self._entry_lost_after:
+                continue
+            if not self._may_be_confirmed(session, now - pause, now):
                 actions.extend(self.drop_entry(entry, now))
         return actions
 
@@ -450,10 +456,25 @@
             sign = self._get_sign(key)
             if sign is None or now - sign <= self._entry_lost_after:
                 continue
+            session = self._sessions.get(key.entry)
+            if self._needs(key) and self._may_be_confirmed(session, sign, now):
+                continue
             held.needed_at = sign
             actions.extend(_request_stop(held, now - sign))
         return actions
 
+    def _may_be_confirmed(
+        self,
+        session: _sessions.Session | None,
+        sign: datetime.datetime,
+        now: datetime.datetime,
+    ) -> bool:
+        if session is None:
+            return False
+        return self._pauses.awaits_confirmation(
+            sign, session.confirmed_at, self._entry_lost_after, now
+        )
+
     def _open_session(self, entry: int) -> _sessions.Session:
         session = self._sessions.open(entry)
         session.dropped_at = None
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -4,6 +4,9 @@
 the agent renews for all runs. The target lists its active and its ended runs;
 ends stay listed until they are acknowledged. Times on the target's clock are
 whole milliseconds.
+
+All other times here are steady ones. A target stands still with the VM that it
+shares with the agent, and so does the clock by which it ends leases.
 """
 
 import datetime
@@ -39,7 +42,7 @@
     name: _run_records.RunName
     """The run."""
 
-    ordered_at: datetime.datetime
+    ordered_at: datetime.timedelta
     """Time at which the order was sent."""
 
     lease_end_ms: int
@@ -54,14 +57,14 @@
     checkpoint: str = ""
     """Latest checkpoint that is known, or empty."""
 
-    conclusive_after: datetime.datetime | None = None
+    conclusive_after: datetime.timedelta | None = None
     """Time of the target's answer to the start or stop, or None. A listing
     requested later shows for certain whether the run is active."""
 
     started: bool = False
     """Whether the target is known to have started it."""
 
-    stopped_at: datetime.datetime | None = None
+    stopped_at: datetime.timedelta | None = None
     """When an order to stop it was first sent, or None."""
 
 
@@ -115,17 +118,19 @@
         self._instance = ""
         self._incarnation = 0
         self._fence = 0
-        self._fence_set_at: datetime.datetime | None = None
+        self._fence_set_at: datetime.timedelta | None = None
         self._fenced = False
         self._cursor = 0
         self._clock_ms = 0
-        self._clock_at: datetime.datetime | None = None
+        self._clock_at: datetime.timedelta | None = None
         self._listed_ms = 0
         self._unacknowledged = False
         self._unexpected: set[_run_records.RunName] = set()
-        self._hidden_runs_end_at: datetime.datetime | None = None
-        self.leases_expire_at: datetime.datetime | None = None
-        self.leased_until: datetime.datetime | None = None
+        self._hidden_runs_end_at: datetime.timedelta | None = None
+        self._list_after: datetime.timedelta | None = None
+        self._ends_unseen = False
+        self.leases_expire_at: datetime.timedelta | None = None
+        self.leased_until: datetime.timedelta | None = None
         """Latest end that was asked for or that a reborn target may have
         granted, or None; leases never shorten."""
 
@@ -146,6 +151,7 @@
             and self._fenced
             and not self._unexpected
             and self._hidden_runs_end_at is None
+            and not self._ends_unseen
         )
 
     @property
@@ -158,6 +164,7 @@
             or self._unexpected
             or self._unacknowledged
             or self._hidden_runs_end_at
+            or self._list_after is not None
         )
 
     def __len__(self) -> int:
@@ -167,7 +174,7 @@
         self,
         instance: str,
         incarnation: int,
-        now: datetime.datetime,
+        now: datetime.timedelta,
         clock_ms: int = 0,
     ) -> list[_run_records.RunAction]:
         """Handle a heartbeat of the target beside the agent.
@@ -196,8 +203,8 @@
 
     def watch(
         self,
-        now: datetime.datetime,
-        limit: datetime.datetime | None = None,
+        now: datetime.timedelta,
+        limit: datetime.timedelta | None = None,
     ) -> _run_records.CallWatch:
         """Return the next watch; it renews the lease if there are runs.
 
@@ -205,7 +212,8 @@
         """
         first_contact = self._clock_at is None
         has_runs = bool(self._runs)
-        wait = self._lease * WATCH_SHARE // MILLISECOND if has_runs else 0
+        may_wait = has_runs and self._list_after is None
+        wait = self._lease * WATCH_SHARE // MILLISECOND if may_wait else 0
         return _run_records.CallWatch(
             self._fence,
             self._cursor,
@@ -220,8 +228,8 @@
         self,
         key: _executor_actions.AttemptKey,
         order: _attempts.Order,
-        now: datetime.datetime,
-        limit: datetime.datetime | None = None,
+        now: datetime.timedelta,
+        limit: datetime.timedelta | None = None,
     ) -> list[_run_records.RunAction]:
         """Order a run; to be called only while ``runs_known``.
 
@@ -253,7 +261,7 @@
         ]
 
     def stop(
-        self, key: _executor_actions.AttemptKey, now: datetime.datetime
+        self, key: _executor_actions.AttemptKey, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
         """Stop the run of an attempt, if there is one."""
         return [
@@ -267,7 +275,7 @@
         name: _run_records.RunName,
         reply: _run_records.StartReply,
         clock_ms: int,
-        now: datetime.datetime,
+        now: datetime.timedelta,
     ) -> list[_run_records.RunAction]:
         """Handle the target's reply to a start order."""
         run = self._runs.get(name)
@@ -293,7 +301,7 @@
         return [self._end(run, outcome, now)]
 
     def handle_start_failure(
-        self, name: _run_records.RunName, sent: bool, now: datetime.datetime
+        self, name: _run_records.RunName, sent: bool, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
         """Handle a start order that got no reply.
 
@@ -311,7 +319,7 @@
         return [self._stop(run, now)]
 
     def handle_stop_reply(
-        self, name: _run_records.RunName, now: datetime.datetime
+        self, name: _run_records.RunName, now: datetime.timedelta
     ) -> None:
         """Record that the target accepted a stop order."""
         run = self._runs.get(name)
@@ -319,7 +327,7 @@
             run.conclusive_after = now
 
     def handle_stop_failure(
-        self, name: _run_records.RunName, now: datetime.datetime
+        self, name: _run_records.RunName, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
         """Repeat a stop order that the target did not accept."""
         run = self._runs.get(name)
@@ -328,8 +336,8 @@
     def handle_listing(
         self,
         listing: _run_records.Listing,
-        asked_at: datetime.datetime,
-        now: datetime.datetime,
+        asked_at: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> list[_run_records.RunAction]:
         """Handle a listing of active and ended runs.
 
@@ -346,6 +354,9 @@
             # Replies to watches may arrive out of order.
             return actions
         self._listed_ms = listing.clock_ms
+        if self._list_after is not None and asked_at >= self._list_after:
+            self._list_after = None
+            self._ends_unseen = False
         self._expect_hidden_runs(listing, now)
         if self._fence_set_at is None:
             self._fence = max(self._fence, listing.clock_ms)
@@ -375,14 +386,47 @@
         return actions
 
     def handle_stale_token(
-        self, clock_ms: int, now: datetime.datetime
+        self, clock_ms: int, now: datetime.timedelta
     ) -> None:
         """Raise the fencing token after the target refused it as stale."""
         self._fence = max(self._fence, clock_ms)
         self._raise_fence()
 
+    def handle_pause(
+        self, pause: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Handle a pause of this process, in which the target may have paused.
+
+        Leases may end later by the pause, and a list that is asked for now
+        shows which runs go on.
+
+        :param pause: steady time between two readings of the clock
+        """
+        if self.leases_expire_at is not None:
+            self.leases_expire_at += pause
+        if self.leased_until is not None:
+            self.leased_until += pause
+        if self._clock_at is not None:
+            self._clock_at += pause
+        if self._hidden_runs_end_at is not None:
+            self._hidden_runs_end_at += pause
+        self._list_after = now
+
+    def end_lapsed_runs(
+        self, now: datetime.timedelta
+    ) -> list[_run_records.RunAction]:
+        """End every run as lost, since the target let each lease expire.
+
+        A target that answers again may have stood still and run them on, so
+        nothing may start until a list that is asked for from now on.
+        """
+        actions = self.end_all_runs(_attempts.Reason.LEASE_LAPSED, now)
+        self._list_after = now
+        self._ends_unseen = True
+        return actions
+
     def end_all_runs(
-        self, reason: _attempts.Reason, now: datetime.datetime
+        self, reason: _attempts.Reason, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
         """End every run as lost, since none is active at the target."""
         actions: list[_run_records.RunAction] = []
@@ -391,13 +435,18 @@
             outcome = (_attempts.Outcome.LOST, reason)
             actions.append(self._end(run, outcome, now))
         self._unexpected.clear()
+        self._list_after = None
+        self._ends_unseen = False
         return actions
 
-    def has_expired(self, now: datetime.datetime) -> bool:
-        """Return whether every lease expired, even if each renewal arrived."""
+    def has_expired(self, now: datetime.timedelta) -> bool:
+        """Return whether every lease expired, even if each renewal arrived.
+
+        That holds for a target that ran while this process did.
+        """
         return self.leases_expire_at is None or now >= self.leases_expire_at
 
-    def read_clock(self, now: datetime.datetime) -> int:
+    def read_clock(self, now: datetime.timedelta) -> int:
         """Return the earliest time that the target's clock can show now."""
         if self._clock_at is None:
             return self._clock_ms
@@ -405,8 +454,8 @@
         return self._clock_ms + elapsed // MILLISECOND
 
     def _limit_lease(
-        self, limit: datetime.datetime | None
-    ) -> datetime.datetime | None:
+        self, limit: datetime.timedelta | None
+    ) -> datetime.timedelta | None:
         # Orders to stop may get lost or be carried out seconds later. Without
         # a renewal the run ends as soon as if the agent had died.
         ends = [
@@ -417,14 +466,14 @@
         return min(ends if limit is None else [*ends, limit], default=None)
 
     def _renew_lease(
-        self, now: datetime.datetime, limit: datetime.datetime | None
+        self, now: datetime.timedelta, limit: datetime.timedelta | None
     ) -> int:
         if limit is not None and limit <= now:
             return 0
         return self._extend_lease(now, limit)
 
     def _extend_lease(
-        self, now: datetime.datetime, limit: datetime.datetime | None
+        self, now: datetime.timedelta, limit: datetime.timedelta | None
     ) -> int:
         end = now + self._renewal
         if limit is not None:
@@ -435,13 +484,13 @@
         self.leases_expire_at = now + self._lease + CLOCK_SLACK
         return max(1, self.read_clock(now) + (end - now) // MILLISECOND)
 
-    def _record_clock(self, clock_ms: int, now: datetime.datetime) -> None:
+    def _record_clock(self, clock_ms: int, now: datetime.timedelta) -> None:
         if clock_ms:
             self._clock_ms = clock_ms
             self._clock_at = now
 
     def _expect_hidden_runs(
-        self, listing: _run_records.Listing, now: datetime.datetime
+        self, listing: _run_records.Listing, now: datetime.timedelta
     ) -> None:
         # A row that cannot be read may be a run of an earlier agent. It ends
         # with its lease, as watches renew nothing while no run is ordered.
@@ -451,7 +500,7 @@
         elif self._clock_at is None:
             self._hidden_runs_end_at = now + self._lease + CLOCK_SLACK
 
-    def _raise_clock(self, clock_ms: int, now: datetime.datetime) -> None:
+    def _raise_clock(self, clock_ms: int, now: datetime.timedelta) -> None:
         if self._clock_at is None:
             return
         # A heartbeat may have been delayed; no target's clock is fast.
@@ -464,7 +513,7 @@
         self._fence = 2 * self._fence + 1
 
     def _begin_incarnation(
-        self, incarnation: int, now: datetime.datetime
+        self, incarnation: int, now: datetime.timedelta
     ) -> None:
         # An order sent before the restart was known may have reached the new
         # incarnation, so only its listings show which runs have ended. The
@@ -480,7 +529,7 @@
             self.leased_until = max(self.leased_until, now + self._lease)
 
     def _stop_unconfirmed(
-        self, now: datetime.datetime
+        self, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
         # A stop that the previous incarnation accepted has no effect now.
         return [
@@ -490,7 +539,7 @@
         ]
 
     def _stop(
-        self, run: _Run, now: datetime.datetime
+        self, run: _Run, now: datetime.timedelta
     ) -> _run_records.CallStop:
         run.machine.fire("stop")
         run.stopped_at = run.stopped_at or now
@@ -498,7 +547,7 @@
         return _run_records.CallStop(run.name, self._fence, self._instance)
 
     def _handle_end(
-        self, ended: _run_records.ListedEnd, now: datetime.datetime
+        self, ended: _run_records.ListedEnd, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
         if ended.number <= self._cursor:
             return []
@@ -514,8 +563,8 @@
         self,
         run: _Run,
         listing: _run_records.Listing,
-        asked_at: datetime.datetime,
-        now: datetime.datetime,
+        asked_at: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> list[_run_records.RunAction]:
         expired = listing.clock_ms > run.lease_end_ms
         certain = (
@@ -539,7 +588,7 @@
         self,
         run: _Run,
         outcome: tuple[_attempts.Outcome, _attempts.Reason],
-        now: datetime.datetime,
+        now: datetime.timedelta,
     ) -> _run_records.EndRun:
         del self._runs[run.name]
         run_ms = (now - run.ordered_at) / MILLISECOND
