Free sockets of earlier tests before a test that counts on their numbers

The test needs the number again, and a socket of an earlier test that was collected in between had freed a lower one.

Evidence: with a socket in a reference cycle before the test and a collection within it, it fails in the same line; with a collection before it, it passes. Nothing else in the test changes.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_hang_ups.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/test_hang_ups.py
@@ -1,6 +1,7 @@
 """Tests of the watch for callers that hang up."""
 
 from collections.abc import Iterator
+import gc
 import socket
 import struct
 
@@ -96,6 +97,8 @@
 def test_closed_connection_is_discarded_after_its_descriptor_is_used_again(
     harness: builders.ServerHarness,
 ) -> None:
+    # Sockets of earlier tests that are collected later free lower ones.
+    gc.collect()
     watch = transport.HangUpWatch()
     caller = harness.connect()
     first = _request(harness, caller)
