Start nothing in a new life of a target by what an earlier one announced

What did fail, and shares the cause:

- An answer to an order whose clock has begun anew was taken for one of the same life, and a late list then ended runs that were active in the next one (a failure of TestRunsMachine that showed once).
Now such a clock, behind what it must have shown when the call was sent, lets nothing start until a list.
- A life with a lower `born`, as after the time of day was set back, counted as earlier: heartbeats and lists were ignored for good.
A list that is asked for after the heartbeat tells; who answers a call that was sent after a life was known is present.
- The token stayed, so the next life carried out late orders of the one before.
It rises with each life, and nothing starts until the target has listed its runs with the new one.
- After a refused connection a late heartbeat of the life before was enough.

Two tests change: after the first list of a new life its runs are not known yet, as it has not seen the token; both now ask for the second list as well.

TaskEnded names the life, the age of its announcement and the token of each order, to tell these causes apart in a record.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -18,6 +18,7 @@
     "RuntimeCodec": "_runtimes",
     "RuntimeRequest": "_runtimes",
     "StartAnswer": "_runtimes",
+    "StopAnswer": "_runtimes",
     "discover_entries": "_events",
     "TableDiscovery": "_table_discovery",
     "TargetHeartbeat": "_leased_calls",
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -13,6 +13,7 @@
 MILLISECONDS_PER_SECOND = 1_000
 MILLISECOND = datetime.timedelta(milliseconds=1)
 UNKNOWN_MS = -1
+UNKNOWN_TOKEN = -1
 MAX_TASK_NAMES = 1_000
 """Orders whose task names are kept for the log. Refusals follow their orders
 within one round of events, which may bring a few hundred."""
@@ -35,6 +36,7 @@
         self._task_names: collections.OrderedDict[core.AttemptKey, str] = (
             collections.OrderedDict()
         )
+        self._sent_orders: dict[core.AttemptKey, tuple[str, int, int]] = {}
         self._ended = transport.Counter(
             "cowslipgate_agent_tasks_total",
             "Tasks that ended, by outcome and reason.",
@@ -164,12 +166,24 @@
         )
         self._log_change(change)
 
+    @circuits.handler("start_ordered")
+    def _on_start_ordered(
+        self,
+        key: core.AttemptKey,
+        life: str,
+        announced_at: datetime.datetime,
+        token: int,
+    ) -> None:
+        age_ms = self._measure_age_ms(announced_at)
+        self._sent_orders[key] = (life, age_ms, token)
+
     @circuits.handler("task_ended", channel="runner", priority=5)
     def _on_task_ended(
         self, key: core.AttemptKey, report: core.AttemptReport
     ) -> None:
         # Runs before the runner, which forgets the order.
         held = self._executor.running.get(key)
+        sent = self._sent_orders.pop(key, ("", UNKNOWN_MS, UNKNOWN_TOKEN))
         if held is None:
             return
         wait = held.started_at - held.queued_at
@@ -184,6 +198,7 @@
             report.reason.value,
             round(wait.total_seconds() * MILLISECONDS_PER_SECOND),
             round(report.run_ms),
+            *sent,
         )
         self._log_change(change)
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
@@ -154,6 +154,16 @@
     run_ms: int
     """Time at the target, in milliseconds."""
 
+    life: str = ""
+    """Id and start time of the target that the order to start was decided
+    for; empty if none was sent."""
+
+    announced_ms: int = -1
+    """Age of its announcement at that time, in milliseconds."""
+
+    token: int = -1
+    """Fencing token of the order."""
+
 
 @attrs.frozen
 class TasksRefused(transport.Change):
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -55,6 +55,14 @@
     """Request to stop a task; the argument is a StopTask."""
 
 
+class start_ordered(circuits.Event):
+    """An order to start was sent.
+
+    The arguments are the AttemptKey, the life of the target, when its
+    announcement arrived, and the fencing token.
+    """
+
+
 class task_ended(circuits.Event):
     """A task ended; the arguments are its AttemptKey and AttemptReport."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -86,6 +86,23 @@
     instance: str
     """Target that it names; empty for any."""
 
+    fence: int
+    """Fencing token that it carries."""
+
+
+@attrs.frozen
+class _SentOrder:
+    """An order that is not answered yet."""
+
+    order: core.CallStart | core.CallStop
+    """The order."""
+
+    incarnation: int
+    """Incarnation of the target that was known when it was sent."""
+
+    clock_ms: int
+    """Earliest time that the target's clock could show then."""
+
 
 class LeasedCalls(circuits.BaseComponent):
     """Client of a target that runs tasks under leases; owns the tracker.
@@ -123,7 +140,7 @@
         self._tracker.leased_until = steady + lease
         self._record_lease()
         self._numbers = itertools.count(1)
-        self._orders: dict[int, core.CallStart | core.CallStop] = {}
+        self._orders: dict[int, _SentOrder] = {}
         self._watches: dict[int, _SentWatch] = {}
         self._next_watch = steady
         self._earlier_runs_end_at = steady + lease + STARTUP_GRACE
@@ -133,8 +150,11 @@
         self._broken_calls = 0
         self._beat: TargetHeartbeat | None = None
         self._successor: TargetHeartbeat | None = None
+        self._doubtful: TargetHeartbeat | None = None
+        self._doubted_at = steady
         # What the runner decides by; None if by nothing.
         self._announced: core.Announcement | None = None
+        self._beat_at = clock.now()
 
     @property
     def tracker(self) -> core.RunTracker:
@@ -149,6 +169,8 @@
     def _on_target_heartbeat_received(self, beat: TargetHeartbeat) -> None:
         self._begin_turn()
         if self._is_outdated(beat):
+            if self._tracker.is_outdated(beat.incarnation):
+                self._doubt(beat)
             return
         if len(self._tracker) and beat.instance != self._tracker.instance:
             # The target before may still run tasks. A refused connection, an
@@ -160,9 +182,32 @@
         self._accept_heartbeat(beat)
         self._send_due_watch()
 
+    def _doubt(self, beat: TargetHeartbeat) -> None:
+        # A late heartbeat, or one of a new life that has begun after the time
+        # of day was set back. The next list tells; until then either may hold.
+        self._doubtful = beat
+        self._doubted_at = now = self._clock.read_steady()
+        self._tracker.ask_for_list(now)
+        self._withhold()
+        self._send_watch(now)
+
+    def _settle_doubt(self, reply: core.WatchReply, watch: _SentWatch) -> None:
+        beat = self._doubtful
+        if beat is None or watch.at < self._doubted_at:
+            return
+        if isinstance(reply, core.StaleToken):
+            return
+        self._doubtful = None
+        present = _find_present_life(reply, self._tracker)
+        if present == (beat.instance, beat.incarnation) or (
+            present is None and beat.instance != self._tracker.instance
+        ):
+            self._accept_heartbeat(beat)
+
     def _accept_heartbeat(self, beat: TargetHeartbeat) -> None:
         now = self._clock.read_steady()
         self._beat = beat
+        self._beat_at = self._clock.now()
         self._perform(
             self._tracker.handle_heartbeat(
                 beat.instance, beat.incarnation, now, beat.clock_ms
@@ -213,6 +258,15 @@
             return
         limit = self._find_lease_limit(now)
         self._perform(self._tracker.start(start.key, start.order, now, limit))
+        self.fire(
+            _events.start_ordered(
+                start.key,
+                announcement.life,
+                self._beat_at,
+                self._tracker.fence,
+            ),
+            "agent-log",
+        )
         self._record_lease()
         self._send_due_watch()
 
@@ -247,14 +301,13 @@
         watch = self._watches.pop(answer.call.id, None)
         if watch is not None:
             if self._names_present_target(watch):
-                self._handle_watch_reply(answer, watch.at)
+                self._handle_watch_reply(answer, watch)
             self._send_due_watch()
             return
-        order = self._orders.pop(answer.call.id, None)
-        if isinstance(order, core.CallStart):
-            self._handle_start_reply(order, answer)
-        elif order is not None:
-            self._handle_stop_reply(order, answer)
+        sent = self._orders.pop(answer.call.id, None)
+        if sent is not None:
+            clock_ms = _handle_order_answer(sent.order, self, answer)
+            self._check_clock(sent, clock_ms)
         self._send_due_watch()
 
     @circuits.handler("http_failed")
@@ -269,14 +322,14 @@
                 self._handle_watch_failure(failure, now)
             self._accept_successor()
             return
-        order = self._orders.pop(failure.call.id, None)
-        if isinstance(order, core.CallStart):
+        sent = self._orders.pop(failure.call.id, None)
+        if sent is not None and isinstance(sent.order, core.CallStart):
             actions = self._tracker.handle_start_failure(
-                order.name, failure.sent, now
+                sent.order.name, failure.sent, now
             )
             self._perform(actions)
-        elif order is not None:
-            self._repeat_stop(order.name, failure.problem, now)
+        elif sent is not None:
+            self._repeat_stop(sent.order.name, failure.problem, now)
         self._send_due_watch()
 
     def _begin_turn(self) -> datetime.timedelta:
@@ -334,7 +387,7 @@
             self._perform(self._tracker.handle_stop_failure(name, now))
 
     def _handle_watch_reply(
-        self, answer: transport.CallAnswer, sent_at: datetime.timedelta
+        self, answer: transport.CallAnswer, watch: _SentWatch
     ) -> None:
         now = self._clock.read_steady()
         try:
@@ -344,13 +397,14 @@
             self.fire(_events.target_message_invalid(error))
             return
         were_known = self._tracker.runs_known
-        actions = _handle_reply(reply, self._tracker, sent_at, now)
+        actions = _handle_reply(reply, self._tracker, watch, now)
         if not isinstance(reply, core.Listing) or not reply.complete:
             self._next_watch = now + RETRY_INTERVAL
         if isinstance(reply, core.Listing) and reply.problem:
             error = core.WireError(b"listing", reply.problem)
             self.fire(_events.target_message_invalid(error))
         self._perform(actions)
+        self._settle_doubt(reply, watch)
         if self._tracker.runs_known:
             self._report_runs_known()
         if now >= self._announce_at or not were_known:
@@ -364,13 +418,20 @@
         # The target is local, so its process is gone if nothing listens.
         if failure.problem is not transport.CallProblem.REFUSED:
             return
-        reason = core.Reason.TARGET_UNREACHABLE
-        self._perform(self._tracker.end_all_runs(reason, now))
+        self._perform(self._tracker.handle_refusal(now))
+        self._withhold()
         self._report_runs_known()
 
-    def _handle_start_reply(
+    def _check_clock(self, sent: _SentOrder, clock_ms: int) -> None:
+        tracker = self._tracker
+        if tracker.is_clock_reset(sent.incarnation, sent.clock_ms, clock_ms):
+            tracker.handle_clock_reset(self._clock.read_steady())
+            self._withhold()
+
+    def handle_start_answer(
         self, order: core.CallStart, answer: transport.CallAnswer
-    ) -> None:
+    ) -> int:
+        """Handle the answer to an order to start; return its clock."""
         decoded = self._codec.decode_start(answer)
         actions = self._tracker.handle_start_reply(
             order.name,
@@ -379,15 +440,19 @@
             self._clock.read_steady(),
         )
         self._perform(actions)
+        return decoded.clock_ms
 
-    def _handle_stop_reply(
+    def handle_stop_answer(
         self, order: core.CallStop, answer: transport.CallAnswer
-    ) -> None:
+    ) -> int:
+        """Handle the answer to an order to stop; return its clock."""
         now = self._clock.read_steady()
-        if self._codec.decode_stop(answer):
+        decoded = self._codec.decode_stop(answer)
+        if decoded.accepted:
             self._tracker.handle_stop_reply(order.name, now)
         else:
             self._refused_stops.add(order.name)
+        return decoded.clock_ms
 
     def _report_runs_known(self) -> None:
         if not self._runs_known:
@@ -410,11 +475,9 @@
 
     def _is_of_present_life(self, beat: TargetHeartbeat | None) -> bool:
         # A list may show the next life before its first heartbeat arrives.
-        return (
-            beat is not None
-            and self._successor is None
-            and not self._tracker.is_outdated(beat.incarnation)
-        )
+        if beat is None or self._successor is not None:
+            return False
+        return beat.incarnation in (0, self._tracker.incarnation)
 
     def _withhold(self) -> None:
         """Let the runner start nothing by an outdated announcement."""
@@ -445,7 +508,7 @@
         number = self._send_request(
             self._codec.encode_watch(watch), wait + WATCH_REPLY_TIMEOUT
         )
-        self._watches[number] = _SentWatch(now, watch.instance)
+        self._watches[number] = _SentWatch(now, watch.instance, watch.fence)
 
     def _find_lease_limit(
         self, steady: datetime.timedelta
@@ -487,14 +550,22 @@
         for action in actions:
             match action:
                 case core.CallStart():
-                    request = self._codec.encode_start(action)
-                    self._orders[self._send_request(request)] = action
+                    self._send_order(action, self._codec.encode_start(action))
                 case core.CallStop():
-                    request = self._codec.encode_stop(action)
-                    self._orders[self._send_request(request)] = action
+                    self._send_order(action, self._codec.encode_stop(action))
                 case core.EndRun():
                     self._report_end(action)
 
+    def _send_order(
+        self,
+        order: core.CallStart | core.CallStop,
+        request: _runtimes.RuntimeRequest,
+    ) -> None:
+        now = self._clock.read_steady()
+        self._orders[self._send_request(request)] = _SentOrder(
+            order, self._tracker.incarnation, self._tracker.read_clock(now)
+        )
+
     def _report_end(self, end: core.EndRun) -> None:
         report = core.AttemptReport(
             end.key.attempt,
@@ -506,11 +577,20 @@
         self.fire(_events.task_ended(end.key, report), "runner")
 
 
+def _find_present_life(
+    reply: core.WatchReply, tracker: core.RunTracker
+) -> tuple[str, int] | None:
+    """Return the id and the start of who answered; None if it has another."""
+    if isinstance(reply, core.Replaced):
+        return None
+    return tracker.instance, tracker.incarnation
+
+
 @functools.singledispatch
 def _handle_reply(
     reply: core.WatchReply,
     tracker: core.RunTracker,
-    sent_at: datetime.timedelta,
+    watch: _SentWatch,
     now: datetime.timedelta,
 ) -> list[core.RunAction]:
     """Apply the answer to a watch to the run tracker."""
@@ -521,20 +601,21 @@
 def _handle_listing(
     reply: core.Listing,
     tracker: core.RunTracker,
-    sent_at: datetime.timedelta,
+    watch: _SentWatch,
     now: datetime.timedelta,
 ) -> list[core.RunAction]:
-    return tracker.handle_listing(reply, sent_at, now)
+    return tracker.handle_listing(reply, watch.at, now)
 
 
 @_handle_reply.register
 def _handle_stale_token(
     reply: core.StaleToken,
     tracker: core.RunTracker,
-    sent_at: datetime.timedelta,
+    watch: _SentWatch,
     now: datetime.timedelta,
 ) -> list[core.RunAction]:
-    tracker.handle_stale_token(reply.clock_ms, now)
+    if watch.fence == tracker.fence:
+        tracker.handle_stale_token(reply.clock_ms, now)
     return []
 
 
@@ -542,7 +623,31 @@
 def _handle_replaced(
     reply: core.Replaced,
     tracker: core.RunTracker,
-    sent_at: datetime.timedelta,
+    watch: _SentWatch,
     now: datetime.timedelta,
 ) -> list[core.RunAction]:
     return tracker.end_all_runs(core.Reason.TARGET_REPLACED, now)
+
+
+@functools.singledispatch
+def _handle_order_answer(
+    order: core.CallStart | core.CallStop,
+    calls: LeasedCalls,
+    answer: transport.CallAnswer,
+) -> int:
+    """Handle the answer to an order; return the clock that it shows."""
+    raise NotImplementedError(type(order).__name__)
+
+
+@_handle_order_answer.register
+def _handle_start_answer(
+    order: core.CallStart, calls: LeasedCalls, answer: transport.CallAnswer
+) -> int:
+    return calls.handle_start_answer(order, answer)
+
+
+@_handle_order_answer.register
+def _handle_stop_answer(
+    order: core.CallStop, calls: LeasedCalls, answer: transport.CallAnswer
+) -> int:
+    return calls.handle_stop_answer(order, answer)
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runtimes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runtimes.py
@@ -40,6 +40,17 @@
     """The target's clock in milliseconds, or zero if the answer lacks it."""
 
 
+@attrs.frozen
+class StopAnswer:
+    """A target's answer to an order to stop a run."""
+
+    accepted: bool
+    """Whether the target stops the run."""
+
+    clock_ms: int
+    """The target's clock in milliseconds, or zero if the answer lacks it."""
+
+
 class RuntimeCodec(abc.ABC):
     """Encoder of requests to a target and decoder of its answers."""
 
@@ -67,5 +78,5 @@
         """Return the target's answer to an order to start."""
 
     @abc.abstractmethod
-    def decode_stop(self, answer: transport.CallAnswer) -> bool:
-        """Return whether the target accepted the order to stop."""
+    def decode_stop(self, answer: transport.CallAnswer) -> StopAnswer:
+        """Return the target's answer to an order to stop."""
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/leased_builders.py
@@ -43,9 +43,14 @@
         """Return the reply that a test has prepared."""
         return self.replies[answer.body]
 
-    def decode_stop(self, answer: transport.CallAnswer) -> bool:
-        """Return whether the status is 200."""
-        return answer.status == 200
+    def decode_stop(
+        self, answer: transport.CallAnswer
+    ) -> _runtimes.StopAnswer:
+        """Return the reply that a test has prepared, or acceptance."""
+        reply = self.replies.get(answer.body)
+        if isinstance(reply, _runtimes.StopAnswer):
+            return reply
+        return _runtimes.StopAnswer(answer.status == 200, 0)
 
 
 class LeasedCallsHarness(circuits.BaseComponent):
@@ -189,6 +194,15 @@
     ]
 
 
+def find_start(harness: LeasedCallsHarness) -> transport.Call:
+    """Return the latest order to start a run."""
+    return [
+        call
+        for call, sent in zip(harness.calls, harness.codec.sent, strict=True)
+        if isinstance(sent, core.CallStart)
+    ][-1]
+
+
 def find_watch(harness: LeasedCallsHarness) -> transport.Call:
     """Return the latest watch."""
     return [
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_target_lives.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_target_lives.py
@@ -21,6 +21,9 @@
 
 TARGET_LAPSE = datetime.timedelta(seconds=6)
 NEXT_LIFE = run_builders.INCARNATION + 500
+EARLIER = run_builders.INCARNATION - 2_000
+"""Start of the next life after the time of day was set back."""
+
 OLD_KIND = ("b",)
 NEW_KIND = ("a",)
 UNKNOWN_RUN = core.RunName("z.0.0.0", 4)
@@ -157,10 +160,115 @@
     assert len(agent.starts) == 1
     assert agent.outbox.refused[-1] is core.Reason.NOT_SERVING
     agent.beat(NEXT_LIFE, labels=NEW_KIND)
+    agent.list_runs(NEXT_LIFE, clock_ms=20)
     agent.order(NEW_KIND)
     assert len(agent.starts) == 2
 
 
+# Guards against a start by the labels of the life before, as the next one
+# seems to have begun before it: the time of day was set back.
+def test_nothing_starts_by_an_older_life_though_the_time_of_day_was_set_back(
+    agent: Agent,
+) -> None:
+    agent.beat(EARLIER, labels=NEW_KIND)
+    agent.order()
+    assert agent.starts == []
+    for clock_ms in (10, 20):
+        agent.harness.pass_time(40)
+        agent.list_runs(EARLIER, clock_ms=clock_ms)
+    agent.order()
+    assert agent.starts == []
+    agent.order(NEW_KIND)
+    assert len(agent.starts) == 1
+    # A late heartbeat of the life before makes it the present one no more.
+    agent.beat(number=9, labels=OLD_KIND)
+    agent.order()
+    agent.list_runs(EARLIER, clock_ms=60)
+    agent.harness.pass_time(40)
+    agent.list_runs(EARLIER, clock_ms=100)
+    agent.order()
+    assert len(agent.starts) == 1
+    agent.order(NEW_KIND)
+    assert len(agent.starts) == 2
+
+
+def test_late_heartbeat_of_an_earlier_life_holds_starts_up_until_a_list(
+    agent: Agent,
+) -> None:
+    agent.beat(EARLIER, labels=NEW_KIND)
+    agent.order()
+    assert agent.starts == []
+    agent.list_runs(clock_ms=6_100)
+    agent.order()
+    assert len(agent.starts) == 1
+
+
+# Guards against a target that serves nothing, since the next one seems to have
+# begun before it.
+def test_next_target_is_taken_though_the_time_of_day_was_set_back(
+    agent: Agent,
+) -> None:
+    agent.beat(EARLIER, labels=NEW_KIND, instance="i-2")
+    agent.harness.answer(
+        leased_builders.find_watch(agent.harness), core.Replaced()
+    )
+    for clock_ms in (10, 20):
+        agent.harness.pass_time(100)
+        agent.list_runs(EARLIER, clock_ms=clock_ms)
+    agent.order()
+    assert agent.starts == []
+    agent.order(NEW_KIND)
+    assert len(agent.starts) == 1
+
+
+# Guards against a start by the labels of the life before, as the first word of
+# the new one is its answer to an order, whose clock has begun anew.
+@pytest.mark.parametrize("clock_ms", [1, 5_999])
+@pytest.mark.parametrize("accepted", [True, False])
+def test_nothing_starts_after_an_answer_with_a_clock_that_went_back(
+    agent: Agent, accepted: bool, clock_ms: int
+) -> None:
+    agent.order()
+    reply = core.StartReply.ACCEPTED if accepted else core.StartReply.REFUSED
+    call = leased_builders.find_start(agent.harness)
+    agent.harness.answer(call, _runtimes.StartAnswer(reply, clock_ms))
+    agent.order()
+    assert len(agent.starts) == 1
+    assert agent.outbox.refused[-1] is core.Reason.NOT_SERVING
+    # The same holds if the answer to a list and its repetition are lost.
+    for _ in range(2):
+        watch = leased_builders.find_watch(agent.harness)
+        agent.harness.fail(watch, transport.CallProblem.TIMEOUT)
+        agent.harness.pass_time(100)
+        agent.order()
+    assert len(agent.starts) == 1
+
+
+def test_nothing_starts_after_a_stop_is_answered_with_a_clock_that_went_back(
+    agent: Agent,
+) -> None:
+    agent.order()
+    stop = core.StopTask(core.AttemptKey(7, 1), "job-1.0.1")
+    agent.harness.send(_events.stop_task(stop))
+    call = agent.harness.calls[-1]
+    agent.harness.answer(call, _runtimes.StopAnswer(True, 10))
+    agent.order()
+    assert len(agent.starts) == 1
+
+
+# Guards against a target that serves nothing any more, since a slow clock or
+# an answer that was overtaken counts as one that went back.
+def test_target_serves_on_after_an_answer_with_a_slow_clock(
+    agent: Agent,
+) -> None:
+    agent.order()
+    call = leased_builders.find_start(agent.harness)
+    accepted = _runtimes.StartAnswer(core.StartReply.ACCEPTED, 6_000)
+    agent.harness.answer(call, accepted)
+    agent.order()
+    assert len(agent.starts) == 2
+
+
 # Guards against a start at the next target by the labels of the one before.
 def test_nothing_starts_at_the_next_target_until_it_is_dated(
     agent: Agent,
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -51,6 +51,12 @@
     incarnation: int
     """Incarnation of the target that was known then."""
 
+    fence: int
+    """Fencing token of the order."""
+
+    clock_ms: int
+    """Earliest time that the target's clock could show then."""
+
     machine: _charts.StateMachine
     """State in ``charts/run.toml``."""
 
@@ -117,6 +123,8 @@
         self._runs: dict[_run_records.RunName, _Run] = {}
         self._instance = ""
         self._incarnation = 0
+        self._incarnation_at: datetime.timedelta | None = None
+        self._ended_incarnation = 0
         self._fence = 0
         self._fence_set_at: datetime.timedelta | None = None
         self._fenced = False
@@ -128,6 +136,7 @@
         self._unexpected: set[_run_records.RunName] = set()
         self._hidden_runs_end_at: datetime.timedelta | None = None
         self._list_after: datetime.timedelta | None = None
+        self._reset_at: datetime.timedelta | None = None
         self._ends_unseen = False
         self.leases_expire_at: datetime.timedelta | None = None
         self.leased_until: datetime.timedelta | None = None
@@ -139,6 +148,16 @@
         """Id of the target, empty before its first heartbeat."""
         return self._instance
 
+    @property
+    def incarnation(self) -> int:
+        """Start of the target's newest known incarnation; zero if unknown."""
+        return self._incarnation
+
+    @property
+    def fence(self) -> int:
+        """Present fencing token; zero before the first contact."""
+        return self._fence
+
     @property
     def runs_known(self) -> bool:
         """Whether all runs at the target were ordered by this process.
@@ -194,13 +213,26 @@
             self._begin_incarnation(incarnation, now)
             actions = self._stop_unconfirmed(now)
         self._instance = instance
+        if self._ends_unseen and self._list_after is None:
+            self._list_after = now
         self._raise_clock(clock_ms, now)
         return actions
 
     def is_outdated(self, incarnation: int) -> bool:
-        """Return whether a newer incarnation of the target is known."""
+        """Return whether another incarnation of the target is present.
+
+        A lower one may be present all the same if the time of day was set
+        back; a list that is asked for after its heartbeat tells.
+        """
+        if incarnation and incarnation == self._ended_incarnation:
+            return True
         return 0 < incarnation < self._incarnation
 
+    def ask_for_list(self, now: datetime.timedelta) -> None:
+        """Let nothing start until a list that is asked for from now on."""
+        self._list_after = now
+        self._ends_unseen = True
+
     def watch(
         self,
         now: datetime.timedelta,
@@ -245,6 +277,8 @@
             now,
             until,
             self._incarnation,
+            self._fence,
+            self.read_clock(now),
             machine,
             order.checkpoint,
         )
@@ -281,7 +315,11 @@
         run = self._runs.get(name)
         if run is None:
             return []
-        if self._clock_at is not None and run.incarnation == self._incarnation:
+        if self.is_clock_reset(run.incarnation, run.clock_ms, clock_ms):
+            self.handle_clock_reset(now)
+        elif (
+            self._clock_at is not None and run.incarnation == self._incarnation
+        ):
             # Only a listing tells whose clock the first reading is.
             self._record_clock(clock_ms, now)
         if reply is _run_records.StartReply.ACCEPTED:
@@ -289,7 +327,10 @@
             run.started = True
             run.conclusive_after = run.conclusive_after or now
             return []
-        if reply is _run_records.StartReply.STALE_TOKEN:
+        if (
+            reply is _run_records.StartReply.STALE_TOKEN
+            and run.fence == self._fence
+        ):
             self._raise_fence()
         if reply is _run_records.StartReply.INVALID:
             run.machine.fire("end")
@@ -345,11 +386,21 @@
         """
         actions: list[_run_records.RunAction] = []
         if listing.incarnation < self._incarnation:
+            if asked_at <= self._incarnation_at:
+                return actions
+            # Whoever answers now is present: the time of day was set back.
+            self._ended_incarnation = self._incarnation
+        elif listing.incarnation == self._ended_incarnation:
             return actions
-        if self._incarnation and listing.incarnation > self._incarnation:
+        if not self._incarnation:
+            self._set_incarnation(listing.incarnation, now)
+        elif listing.incarnation != self._incarnation:
             self._begin_incarnation(listing.incarnation, now)
             actions.extend(self._stop_unconfirmed(now))
-        self._incarnation = listing.incarnation
+        if self._reset_at is not None and asked_at < self._reset_at:
+            # It is of the life before the clock began anew.
+            return actions
+        self._reset_at = None
         if listing.clock_ms < self._listed_ms:
             # Replies to watches may arrive out of order.
             return actions
@@ -412,6 +463,29 @@
             self._hidden_runs_end_at += pause
         self._list_after = now
 
+    def is_clock_reset(
+        self, incarnation: int, earliest_ms: int, clock_ms: int
+    ) -> bool:
+        """Return whether an answer shows that the target's clock began anew.
+
+        :param incarnation: the one that was known when the call was sent
+        :param earliest_ms: earliest time that its clock could show then
+        :param clock_ms: its clock in the answer, or zero if there is none
+        """
+        present = incarnation == self._incarnation
+        return present and 0 < clock_ms < earliest_ms
+
+    def handle_clock_reset(self, now: datetime.timedelta) -> None:
+        """Handle an answer after which the target's clock has begun anew.
+
+        The target is in a new life, of which nothing else is known. Nothing
+        may start until a list that is asked for from now on.
+        """
+        self._clock_ms = 0
+        self._clock_at = None
+        self._reset_at = now
+        self.ask_for_list(now)
+
     def end_lapsed_runs(
         self, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
@@ -421,10 +495,21 @@
         nothing may start until a list that is asked for from now on.
         """
         actions = self.end_all_runs(_attempts.Reason.LEASE_LAPSED, now)
-        self._list_after = now
-        self._ends_unseen = True
+        self.ask_for_list(now)
         return actions
 
+    def handle_refusal(
+        self, now: datetime.timedelta
+    ) -> list[_run_records.RunAction]:
+        """End every run, since the target's address refuses connections.
+
+        Whoever opens it again is in a new life, or has not ended. Nothing may
+        start until a list that is asked for after its next heartbeat.
+        """
+        self._list_after = None
+        self._ends_unseen = True
+        return self.end_all_runs(_attempts.Reason.TARGET_UNREACHABLE, now)
+
     def end_all_runs(
         self, reason: _attempts.Reason, now: datetime.timedelta
     ) -> list[_run_records.RunAction]:
@@ -435,8 +520,6 @@
             outcome = (_attempts.Outcome.LOST, reason)
             actions.append(self._end(run, outcome, now))
         self._unexpected.clear()
-        self._list_after = None
-        self._ends_unseen = False
         return actions
 
     def has_expired(self, now: datetime.timedelta) -> bool:
@@ -512,16 +595,27 @@
         # Doubling soon exceeds every token of an earlier incarnation.
         self._fence = 2 * self._fence + 1
 
+    def _set_incarnation(
+        self, incarnation: int, now: datetime.timedelta
+    ) -> None:
+        self._incarnation = incarnation
+        self._incarnation_at = now
+
     def _begin_incarnation(
         self, incarnation: int, now: datetime.timedelta
     ) -> None:
         # An order sent before the restart was known may have reached the new
-        # incarnation, so only its listings show which runs have ended. The
-        # token stays, as the new incarnation may have seen it.
-        self._incarnation = incarnation
+        # incarnation, so only its listings show which runs have ended. Once
+        # it has seen a higher token, it refuses those that arrive late.
+        if self._fence_set_at is not None:
+            self._fence += 1
+            self._fence_set_at = now
+            self._fenced = False
+        self._set_incarnation(incarnation, now)
         self._cursor = 0
         self._clock_ms = 0
         self._clock_at = None
+        self._reset_at = None
         self._listed_ms = 0
         self._unacknowledged = False
         if self.leased_until is not None and not self.has_expired(now):
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs.py
@@ -339,6 +339,55 @@
     ]
 
 
+# Guards against an order that the target carries out seconds late, in its next
+# incarnation, beside the next run of the task or without the labels for it.
+def test_next_incarnation_is_told_a_token_above_those_of_late_orders() -> None:
+    tracker = run_builders.build_tracker()
+    order = _start(tracker)
+    _list_next_incarnation(tracker, 30)
+    assert tracker.needs_watch
+    assert tracker.watch(_later(31)).fence > order.fence
+    # It may have carried out a late one before it saw the token.
+    assert not tracker.runs_known
+    late = core.RunName("b.0.0.0", 4)
+    (stop,) = _list_next_incarnation(tracker, 40, (late,))
+    assert stop.name == late
+    assert not tracker.runs_known
+    _list_next_incarnation(tracker, 50)
+    assert tracker.runs_known
+
+
+# Guards against a run that is reported as lost while it is active in the next
+# incarnation, as a list of the one before arrives late.
+def test_late_list_ends_no_run_after_the_clock_began_anew() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    tracker.handle_start_reply(
+        NAME, core.StartReply.ACCEPTED, 1_010, _later(10)
+    )
+    assert not tracker.runs_known
+    late = run_builders.build_listing(9_000)
+    assert tracker.handle_listing(late, _later(5), _later(20)) == []
+    assert not tracker.runs_known
+    assert len(tracker) == 1
+    assert _list_next_incarnation(tracker, 30, (NAME,)) == []
+    assert _list_next_incarnation(tracker, 40, (NAME,)) == []
+    assert tracker.runs_known
+
+
+# Guards against tokens that grow without need, after which orders that are on
+# their way are refused.
+def test_refusal_of_an_earlier_token_raises_no_token() -> None:
+    tracker = run_builders.build_tracker()
+    _start(tracker)
+    _list_next_incarnation(tracker, 30, (NAME,))
+    token = tracker.fence
+    tracker.handle_start_reply(
+        NAME, core.StartReply.STALE_TOKEN, 1_020, _later(32)
+    )
+    assert tracker.fence == token
+
+
 def test_order_that_the_next_incarnation_accepted_is_not_lost() -> None:
     tracker = run_builders.build_tracker()
     name = _start(tracker).name
@@ -346,6 +395,8 @@
         name, core.StartReply.ACCEPTED, 1_010, _later(10)
     )
     assert _list_next_incarnation(tracker, 5, (name,)) == []
+    assert not tracker.runs_known
+    assert _list_next_incarnation(tracker, 15, (name,)) == []
     assert tracker.runs_known
     ended = core.ListedEnd(1, name, core.RunEnd.DONE)
     listing = run_builders.build_listing(
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs_model.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_runs_model.py
@@ -97,14 +97,19 @@
             how = data.draw(strategies.sampled_from(ends))
             self.target.end(name, how)
 
-    @stateful.rule()
-    def restart(self) -> None:
+    @stateful.rule(reached=strategies.booleans())
+    def restart(self, reached: bool) -> None:
         """Restart the target without a heartbeat to the tracker.
 
-        Orders in transit to the old incarnation end with its connections.
+        Orders in transit to the old incarnation end with its connections, or
+        arrive after the agent has reached the next one.
         """
         self.target.restart()
-        self.late.clear()
+        if reached:
+            for _ in range(2):
+                self._watch("answered")
+        else:
+            self.late.clear()
 
     @stateful.rule()
     def deliver_heartbeat(self) -> None:
