--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_runs.py
@@ -124,6 +124,7 @@
         self._instance = ""
         self._incarnation = 0
         self._incarnation_at: datetime.timedelta | None = None
+        # One that is known to have ended, though it is higher.
         self._ended_incarnation = 0
         self._fence = 0
         self._fence_set_at: datetime.timedelta | None = None
@@ -135,9 +136,12 @@
         self._unacknowledged = False
         self._unexpected: set[_run_records.RunName] = set()
         self._hidden_runs_end_at: datetime.timedelta | None = None
+        # When a list became due, or None.
         self._list_after: datetime.timedelta | None = None
+        # Whether nothing may start until a list.
+        self._unlisted = False
+        # When the target's clock was seen to begin anew, until its next list.
         self._reset_at: datetime.timedelta | None = None
-        self._ends_unseen = False
         self.leases_expire_at: datetime.timedelta | None = None
         self.leased_until: datetime.timedelta | None = None
         """Latest end that was asked for or that a reborn target may have
@@ -170,7 +174,7 @@
             and self._fenced
             and not self._unexpected
             and self._hidden_runs_end_at is None
-            and not self._ends_unseen
+            and not self._unlisted
         )
 
     @property
@@ -213,7 +217,7 @@
             self._begin_incarnation(incarnation, now)
             actions = self._stop_unconfirmed(now)
         self._instance = instance
-        if self._ends_unseen and self._list_after is None:
+        if self._unlisted and self._list_after is None:
             self._list_after = now
         self._raise_clock(clock_ms, now)
         return actions
@@ -231,7 +235,7 @@
     def ask_for_list(self, now: datetime.timedelta) -> None:
         """Let nothing start until a list that is asked for from now on."""
         self._list_after = now
-        self._ends_unseen = True
+        self._unlisted = True
 
     def watch(
         self,
@@ -407,7 +411,7 @@
         self._listed_ms = listing.clock_ms
         if self._list_after is not None and asked_at >= self._list_after:
             self._list_after = None
-            self._ends_unseen = False
+            self._unlisted = False
         self._expect_hidden_runs(listing, now)
         if self._fence_set_at is None:
             self._fence = max(self._fence, listing.clock_ms)
@@ -507,7 +511,7 @@
         start until a list that is asked for after its next heartbeat.
         """
         self._list_after = None
-        self._ends_unseen = True
+        self._unlisted = True
         return self.end_all_runs(_attempts.Reason.TARGET_UNREACHABLE, now)
 
     def end_all_runs(
