Learn the speeds of targets by their model

Cause: after a start an entry learns the speed of each of some 44 targets by itself, and sends tasks to slow targets that miss the objective meanwhile.

Change: labels that targets of several failure domains share name a model. Its speed, from the runs of all its targets, replaces zero as the prior of a target's own log speed. Without such labels the results stay the same to the last bit.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -235,14 +235,17 @@
     ) -> list[_ledger_actions.LedgerAction]:
         """Handle a heartbeat, which may be the first of an incarnation."""
         record = self._agents.get(report.agent)
+        if record and report.incarnation < record.report.incarnation:
+            return []
+        self.estimates.record_labels(
+            report.agent, report.domain, report.resources.labels, now
+        )
         if record is None:
             record = _roster.AgentRecord(report, now, report.load)
             record.record_sent_ms(report.sent_ms, now)
             self._roster.add(record)
             return []
         known = record.report
-        if report.incarnation < known.incarnation:
-            return []
         actions: list[_ledger_actions.LedgerAction] = []
         if report.incarnation > known.incarnation:
             actions = self._lose_attempts(record, now)
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
@@ -8,12 +8,14 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import datetime
 import math
 
 import attrs
 
 from cowslipgate_core.jobs import _jobs
+from cowslipgate_core.placement import _model_speeds
 from cowslipgate_core.placement import _overdue
 from cowslipgate_core.placement import _sizes
 
@@ -53,7 +55,7 @@
     """The speed of one target, learned from residuals."""
 
     log_speed: float = 0.0
-    """Natural logarithm of the speed."""
+    """Natural logarithm of the speed, without the share of the model."""
 
     runs: float = 0.0
     """Number of runs that it was learned from."""
@@ -61,21 +63,38 @@
     trend: float = 0.0
     """Moving average of residuals, near zero while the speed is constant."""
 
-    def learn(self, residual: float) -> None:
+    model: _model_speeds.ModelSpeed | None = None
+    """Speed of the target's model, or None if it shares none."""
+
+    @property
+    def weight(self) -> float:
+        """Weight of its own runs against the prior, from 0 to 1."""
+        return self.runs / (self.runs + PRIOR_RUNS)
+
+    @property
+    def model_share(self) -> float:
+        """Part of the log speed that comes from the target's model."""
+        if self.model is None:
+            return 0.0
+        return self.model.log_speed * PRIOR_RUNS / (self.runs + PRIOR_RUNS)
+
+    def learn(self, residual: float, model_share: float = 0.0) -> None:
         """Update the speed from a run.
 
         :param residual: log of expected run time over actual run time
+        :param model_share: ``model_share`` before the run
         """
         self.runs += 1
         self.trend += TREND_RUN_WEIGHT * (residual - self.trend)
         if abs(self.trend) > TREND_LIMIT and self.runs > PRIOR_RUNS:
             # The target's speed has changed: older runs no longer count.
-            self.log_speed += self.trend
-            self.trend = 0.0
             self.runs = PRIOR_RUNS
+            self.log_speed += self.trend + (model_share - self.model_share)
+            self.trend = 0.0
             return
         step = max(MIN_RUN_WEIGHT, 1 / (self.runs + PRIOR_RUNS))
-        self.log_speed += step * residual
+        # The share of the model shrinks as that of the own runs grows.
+        self.log_speed += step * (residual + model_share)
 
 
 @attrs.define
@@ -107,6 +126,8 @@
         self._kind_speeds: dict[tuple[str, str], _KindSpeed] = {}
         self._sizes = _sizes.SizeTable()
         self._log_sum = 0.0
+        self._labelled = _model_speeds.LabelledTargets()
+        self._models: dict[str, _model_speeds.ModelSpeed] = {}
         self.overdue = _overdue.OverdueTasks()
 
     @property
@@ -119,11 +140,31 @@
         """Number of pairs of target and kind whose speed is kept."""
         return len(self._kind_speeds)
 
+    @property
+    def models(self) -> tuple[_model_speeds.ModelSpeed, ...]:
+        """Models whose targets share what is learned, for reading only."""
+        return tuple(self._models.values())
+
     @property
     def histories(self) -> int:
         """Number of histories of run times that are kept."""
         return len(self._sizes)
 
+    def record_labels(
+        self,
+        agent: str,
+        domain: str,
+        labels: tuple[str, ...],
+        now: datetime.datetime,
+    ) -> None:
+        """Record the labels of an agent's target, by which models are found.
+
+        :param domain: failure domain of the agent
+        """
+        target = _model_speeds.LabelledTarget(agent, domain, labels)
+        if self._labelled.record(target, now):
+            self._set_models(self._labelled.find_models(now))
+
     def get_speed(self, agent: str, kind: str | None = None) -> float:
         """Return a target's learned speed; only ratios are meaningful.
 
@@ -179,6 +220,8 @@
         if target_speed is None:
             return 0.0
         log_speed = target_speed.log_speed - self._log_sum / len(self._speeds)
+        if target_speed.model is not None:
+            log_speed += target_speed.model_share
         if kind is None:
             return log_speed
         deviation = self._kind_speeds.get((agent, kind))
@@ -192,12 +235,69 @@
             if len(self._speeds) >= MAX_SPEEDS:
                 return
             target_speed = self._speeds[agent] = _TargetSpeed()
-        before = target_speed.log_speed
-        target_speed.learn(residual)
-        self._log_sum += target_speed.log_speed - before
+        if target_speed.model is None:
+            before = target_speed.log_speed
+            target_speed.learn(residual)
+            change = target_speed.log_speed - before
+            self._log_sum += change
+        else:
+            change = self._learn_model_speed(
+                target_speed, target_speed.model, residual
+            )
         deviation = self._kind_speeds.get((agent, kind))
         if deviation is None:
             if len(self._kind_speeds) >= MAX_KIND_SPEEDS:
                 return
             deviation = self._kind_speeds[agent, kind] = _KindSpeed()
-        deviation.learn(residual - (target_speed.log_speed - before))
+        deviation.learn(residual - change)
+
+    def _learn_model_speed(
+        self,
+        target_speed: _TargetSpeed,
+        model: _model_speeds.ModelSpeed,
+        residual: float,
+    ) -> float:
+        """Learn the speeds of a target and its model from a run.
+
+        Return the change of the target's log speed by its own runs.
+        """
+        log_speed, weight = target_speed.log_speed, target_speed.weight
+        model_share = target_speed.model_share
+        total = model.total
+        target_speed.learn(residual, model_share)
+        change = target_speed.log_speed + target_speed.model_share
+        change -= log_speed + model_share
+        model.update(
+            target_speed.log_speed - log_speed, target_speed.weight - weight
+        )
+        self._log_sum += model.total - total
+        return change
+
+    def _set_models(self, names: Mapping[str, str]) -> None:
+        """Group the targets anew.
+
+        :param names: name of the model of each target that has one, by agent
+        """
+        if not names and not self._models:
+            return
+        self._models = {
+            name: _model_speeds.ModelSpeed(name)
+            for name in sorted(set(names.values()))
+        }
+        for agent in names:
+            if len(self._speeds) < MAX_SPEEDS:
+                self._speeds.setdefault(agent, _TargetSpeed())
+        alone = 0.0
+        for agent, target_speed in tuple(self._speeds.items()):
+            name = names.get(agent)
+            if name is None:
+                target_speed.model = None
+                alone += target_speed.log_speed
+                if not target_speed.runs:
+                    del self._speeds[agent]
+                continue
+            target_speed.model = self._models[name]
+            target_speed.model.add(target_speed.log_speed, target_speed.weight)
+        self._log_sum = alone + sum(
+            model.total for model in self._models.values()
+        )
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -8,6 +8,28 @@
 Change = transport.Change
 
 
+@attrs.frozen
+class FeatureEnabled(Change):
+    """A feature that depends on settings, labels or times is in use."""
+
+    feature: str
+    """Name of the feature."""
+
+    reason: str
+    """What enabled it."""
+
+
+@attrs.frozen
+class ModelsChanged(Change):
+    """Other labels than before name models whose targets share a speed."""
+
+    models: tuple[str, ...]
+    """Labels of each model, separated by commas."""
+
+    targets: int
+    """Number of targets that have one of these models."""
+
+
 @attrs.frozen
 class EntryStateChanged(Change):
     """The entry's state changed."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -56,6 +56,12 @@
     version: transport.Gauge
     """Configuration version in force."""
 
+    models: transport.Gauge
+    """Models whose targets share what is learned about their speed."""
+
+    model_targets: transport.Gauge
+    """Targets that have one of these models."""
+
     connections: transport.Gauge
     """Open caller connections."""
 
@@ -161,6 +167,16 @@
             "Configuration version in force at this entry.",
             readings.get_version,
         ),
+        models=gauge(
+            "cowslipgate_models",
+            "Models whose targets share what is learned about their speed.",
+            readings.count_models,
+        ),
+        model_targets=gauge(
+            "cowslipgate_model_targets",
+            "Targets that have a model with a shared speed.",
+            readings.count_model_targets,
+        ),
         connections=gauge(
             "cowslipgate_connections",
             "Open caller connections.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
@@ -50,6 +50,15 @@
         """Return the configuration version in force."""
         return {(): self.version}
 
+    def count_models(self) -> Values:
+        """Return the number of models whose targets share a speed."""
+        return {(): len(self._dispatcher.ledger.estimates.models)}
+
+    def count_model_targets(self) -> Values:
+        """Return the number of targets that have one of these models."""
+        models = self._dispatcher.ledger.estimates.models
+        return {(): sum(model.targets for model in models)}
+
     def count_connections(self) -> Values:
         """Return the number of open caller connections."""
         return {(): self._server.connections}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -41,6 +41,8 @@
         self._members: dict[int, core.Member] = {member.incarnation: member}
         self._agents: dict[str, core.Report] = {}
         self._departing: set[str] = set()
+        self._models: tuple[str, ...] = ()
+        self._models_enabled = False
         self._store_reachable = True
         self._logged_failures: set[tuple[str, str]] = set()
         self._passed_over = transport.MessagesPassedOver(self)
@@ -170,6 +172,20 @@
             self._state = state
         if next(self._ticks) % AGENT_CHECK_TICKS == 0:
             self._log_missing_agents()
+            self._log_models()
+
+    def _log_models(self) -> None:
+        models = self._dispatcher.ledger.estimates.models
+        names = tuple(model.name for model in models)
+        if names == self._models:
+            return
+        if not self._models_enabled:
+            self._models_enabled = True
+            reason = "targets of several failure domains share labels"
+            self._log_change(_changes.FeatureEnabled("model-speeds", reason))
+        self._models = names
+        targets = sum(model.targets for model in models)
+        self._log_change(_changes.ModelsChanged(names, targets))
 
     def _log_missing_agents(self) -> None:
         for name in self._agents.keys() - self._dispatcher.ledger.agents:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -95,6 +95,33 @@
     return {name: float(value) for name, value in pairs}
 
 
+def test_models_of_targets_are_logged_and_counted() -> None:
+    harness = observer_builders.build_harness()
+    root = circuits.BaseComponent()
+    recorder = _Recorder().register(root)
+    dispatcher = harness.dispatcher
+    _state_change_log.StateChangeLog(
+        dispatcher, observer_builders.MEMBER
+    ).register(root)
+    metrics = _metrics.Metrics(dispatcher, _Server(), harness.clock)
+    for number in range(3):
+        report = attrs.evolve(
+            observer_builders.build_report(),
+            agent=f"agent-{number + 2}",
+            domain=f"domain-{number}",
+            resources=core.Resources(labels=("a",)),
+        )
+        harness.ledger.handle_report(report, harness.clock.now())
+    for _ in range(2 * _state_change_log.AGENT_CHECK_TICKS):
+        _fire(root, _events.tick(), "state-change-log")
+    enabled, models = recorder.changes
+    assert enabled.feature == "model-speeds"
+    assert models == _changes.ModelsChanged(("a",), 3)
+    page = metrics.render().decode()
+    assert "cowslipgate_models 1" in page
+    assert "cowslipgate_model_targets 3" in page
+
+
 def test_a_complete_job_is_counted_in_the_metrics() -> None:
     harness = observer_builders.build_harness()
     root = circuits.BaseComponent()
