Hold evacuated domains and cold targets in the core

Cause: an operator needs to stop the starts in a failure domain, and targets that announce that they are cold were planned for at their usual speed.

Change: Evacuations with its version, StoredEvacuations which derives it from rows, the messages EvacuationNotice and EvacuationHeld, a flag at the executor that refuses orders, evacuated domains and cold targets in the roster. Runs at a cold target change sizes and no speeds. A run counts as cold by the time at which it was sent.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -14,6 +14,7 @@
 from cowslipgate_core import _settings
 from cowslipgate_core.configuration import _compression
 from cowslipgate_core.configuration import _configuration
+from cowslipgate_core.configuration import _evacuations
 from cowslipgate_core.configuration import _routes
 from cowslipgate_core.configuration import _versions
 from cowslipgate_core.execution import _executor
@@ -39,6 +40,7 @@
 from cowslipgate_core.messages import _cancels
 from cowslipgate_core.messages import _decoding
 from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _evacuation_notices
 from cowslipgate_core.messages import _fields
 from cowslipgate_core.messages import _reports
 from cowslipgate_core.messages import _resources
@@ -102,6 +104,9 @@
 ENTRIES_TABLE = _lease_rows.ENTRIES_TABLE
 ENTRY_LOST_AFTER = _executor.ENTRY_LOST_AFTER
 ENVIRONMENT_PREFIX = _settings.ENVIRONMENT_PREFIX
+EvacuationHeld = _evacuation_notices.EvacuationHeld
+EvacuationNotice = _evacuation_notices.EvacuationNotice
+Evacuations = _evacuations.Evacuations
 EVERY_ATTEMPT = _sessions.EVERY_ATTEMPT
 Executor = _executor.Executor
 ExecutorAction = _executor_actions.ExecutorAction
@@ -114,6 +119,7 @@
 find_message_fault = _sender_checks.find_message_fault
 find_quotas = _quotas.find_quotas
 FIRST_QUARANTINE = _health.FIRST_QUARANTINE
+FindDomain = _evacuations.FindDomain
 Count = _fields.Count
 covers_needs = _room.covers_needs
 FLOOR_DIVISOR = _quotas.FLOOR_DIVISOR
@@ -149,7 +155,10 @@
 ManualClock = _clock.ManualClock
 MAX_BATCH_BYTES = _batches.MAX_BATCH_BYTES
 MAX_CANDIDATES = _membership.MAX_CANDIDATES
+MAX_COLD_MS = _executor.MAX_COLD_MS
 MAX_DOCUMENT_BYTES = _compression.MAX_DOCUMENT_BYTES
+MAX_DOMAIN_BYTES = _evacuations.MAX_DOMAIN_BYTES
+MAX_EVACUATED = _evacuations.MAX_EVACUATED
 MAX_EVICTED = _sessions.MAX_EVICTED
 MAX_KEPT_BYTES = _outcomes.MAX_KEPT_BYTES
 MAX_PORT = _settings.MAX_PORT
@@ -231,6 +240,7 @@
 StartTask = _executor_actions.StartTask
 State = _charts.State
 StopTask = _executor_actions.StopTask
+StoredEvacuations = _evacuations.StoredEvacuations
 compute_member_expiry = _gossip.compute_member_expiry
 compute_lost_timeout = _heartbeats.compute_lost_timeout
 compute_suspect_timeout = _heartbeats.compute_suspect_timeout
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -30,6 +30,10 @@
 """Share of ``entry_lost_after``; a longer pause refuses the whole queue if the
 executor is given no other limit."""
 
+MAX_COLD_MS = 86_400_000
+"""Longest time for which a target may be cold, in milliseconds: the longest
+interval that a report may name."""
+
 _NO_USE = _resources.Resources()
 
 
@@ -85,6 +89,8 @@
         """Oldest sign that an attempt which starts now may rest on, or None;
         the lease of the target ends too late for older ones."""
         self.configuration_version = 0
+        self.cold_until: datetime.datetime | None = None
+        """Time until which the target runs tasks slower, or None."""
         self.counters = ExecutorCounters()
 
     @property
@@ -284,6 +290,28 @@
             actions.extend(self._refuse_unfit(known, announcement, now))
         return actions + self._advance(now)
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether orders are refused because of an evacuation."""
+        return self._target.evacuated
+
+    def evacuate(
+        self, evacuated: bool, now: datetime.datetime
+    ) -> list[_executor_actions.ExecutorAction]:
+        """Refuse queued and new orders, or take orders again.
+
+        Runs in progress are not affected.
+        """
+        self._target.evacuated = evacuated
+        return self._advance(now)
+
+    def measure_cold_ms(self, now: datetime.datetime) -> int:
+        """Return the milliseconds for which the target is cold, or zero."""
+        if self.cold_until is None:
+            return 0
+        left = (self.cold_until - now) // datetime.timedelta(milliseconds=1)
+        return min(max(0, left), MAX_COLD_MS)
+
     def supersede(
         self, now: datetime.datetime
     ) -> list[_executor_actions.ExecutorAction]:
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_target_state.py
@@ -33,6 +33,8 @@
         self._health = _health.FailureWindow()
         self._announced_at: datetime.datetime | None = None
         self.announcement: _executor_actions.Announcement | None = None
+        self.evacuated = False
+        """Whether its failure domain is evacuated, or not known not to be."""
 
     @property
     def state(self) -> str:
@@ -61,7 +63,7 @@
     def slots(self) -> int:
         """Tasks that may run at once in the present state."""
         announcement = self.announcement
-        if announcement is None:
+        if announcement is None or self.evacuated:
             return 0
         announced = min(announcement.slots, announcement.connections)
         match self._machine.get_attribute("slots"):
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -46,6 +46,8 @@
     :param timing: timeouts and inquiry intervals
     :param estimates: speeds of targets; new ones by default
     :param domain: failure domain of the entry; empty to prefer no targets
+    :param cold_excess: factor by which cold targets are slower; 1 to ignore
+        that they are cold
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         timing: _timing.Timing = _timing.Timing(),
         estimates: _estimates.Estimates | None = None,
         domain: str = "",
+        cold_excess: float = 1.0,
     ) -> None:
         self._incarnation = incarnation
         self._timing = timing
@@ -75,6 +78,7 @@
             policy.queue_allowance,
             timing.agent_suspect_after,
             domain,
+            cold_excess,
         )
         self._agents = self._roster.agents
         self._assigner = _assignment.Assigner(
@@ -202,6 +206,10 @@
             job.deadline = latest
             job.ends_early = True
 
+    def evacuate(self, domains: frozenset[str]) -> None:
+        """Set the failure domains to whose targets nothing is sent."""
+        self._roster.evacuate(domains)
+
     def confirm_callers(
         self,
         seen: Mapping[str, datetime.datetime],
@@ -615,6 +623,7 @@
                 request.kind,
                 request.size_ms,
                 report.run_ms,
+                self._get_excess(attempt),
             )
         if attempt.unneeded:
             return []
@@ -624,6 +633,12 @@
         actions = self._inquiries.withdraw(others, now, stop=True)
         return actions + self._complete(job)
 
+    def _get_excess(self, attempt: _jobs.Attempt) -> float:
+        record = self._agents.get(attempt.agent)
+        if record is None:
+            return 1.0
+        return self._roster.get_excess(record, attempt.sent_at)
+
     def _complete(self, job: _jobs.Job) -> list[_ledger_actions.LedgerAction]:
         if len(job.results) < len(job.request.tasks):
             return []
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_reports.py
@@ -48,6 +48,9 @@
     """Time of sending in milliseconds since the agent's start, at least 1;
     zero from agents of earlier versions."""
 
+    cold_left_ms: _fields.Interval = 0
+    """Time in milliseconds for which the target still runs tasks slower."""
+
 
 @attrs.frozen
 class Member:
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_sender_checks.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_sender_checks.py
@@ -6,6 +6,7 @@
 from cowslipgate_core.messages import _attempts
 from cowslipgate_core.messages import _cancels
 from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _evacuation_notices
 from cowslipgate_core.messages import _reports
 from cowslipgate_core.messages import _wire
 
@@ -26,12 +27,14 @@
 @find_message_fault.register(_reports.Goodbye)
 @find_message_fault.register(_documents.RelayRequest)
 @find_message_fault.register(_documents.RelayedConfiguration)
+@find_message_fault.register(_evacuation_notices.EvacuationHeld)
 def _(
     message: _reports.Report
     | _attempts.Results
     | _reports.Goodbye
     | _documents.RelayRequest
-    | _documents.RelayedConfiguration,
+    | _documents.RelayedConfiguration
+    | _evacuation_notices.EvacuationHeld,
     identity: bytes,
 ) -> str:
     if not _AGENT.fullmatch(message.agent):
--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_wire.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_wire.py
@@ -13,6 +13,7 @@
 from cowslipgate_core.messages import _cancels
 from cowslipgate_core.messages import _decoding
 from cowslipgate_core.messages import _documents
+from cowslipgate_core.messages import _evacuation_notices
 from cowslipgate_core.messages import _reports
 
 MESSAGE_TYPES = (
@@ -33,6 +34,8 @@
     _documents.RelayedConfiguration,
     _cancels.CancelRequest,
     _cancels.CancelReply,
+    _evacuation_notices.EvacuationNotice,
+    _evacuation_notices.EvacuationHeld,
 )
 """Types of the messages; the kind of a message is the name of its type."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
@@ -157,19 +157,27 @@
         return estimates
 
     def observe(
-        self, agent: str, team: str, kind: str, size_ms: float, run_ms: float
+        self,
+        agent: str,
+        team: str,
+        kind: str,
+        size_ms: float,
+        run_ms: float,
+        excess: float = 1.0,
     ) -> None:
         """Learn from a finished task.
 
         :param size_ms: declared size in milliseconds
         :param run_ms: run time at the target in milliseconds
+        :param excess: factor by which the target was slower than usual; if
+            above one, the run does not change its speed
         """
-        run_log = math.log(max(run_ms, 0.1) / 1000)
+        run_log = math.log(max(run_ms, 0.1) / 1000 / excess)
         size = self._sizes.estimate(team, kind, size_ms)
         speed_log = self._get_log_speed(agent, kind)
         residual = size.log_mean - run_log - speed_log
         residual = max(-MAX_RESIDUAL, min(MAX_RESIDUAL, residual))
-        if size.confidence >= MIN_CONFIDENCE:
+        if size.confidence >= MIN_CONFIDENCE and excess <= 1.0:
             self._learn_speed(agent, kind, residual)
         speed_log = self._get_log_speed(agent, kind)
         self._sizes.observe(team, kind, size_ms, run_log + speed_log)
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_roster.py
@@ -51,6 +51,9 @@
     received_ms: int = 0
     """Highest ``sent_ms`` received from this incarnation of it."""
 
+    cold_until: datetime.datetime | None = None
+    """Time until which its target runs tasks slower, or None."""
+
     confirmable_at: datetime.datetime | None = None
     """When the message with that time of sending was received."""
 
@@ -60,6 +63,10 @@
             self.received_ms = sent_ms
             self.confirmable_at = now
 
+    def is_cold(self, now: datetime.datetime) -> bool:
+        """Return whether its target runs tasks slower at a time."""
+        return self.cold_until is not None and now < self.cold_until
+
 
 class Roster:
     """Agents by name, and a pool of their targets for each service.
@@ -69,6 +76,8 @@
     :param suspect_after: time without a message after which an agent is
         suspect and gets no new work
     :param domain: failure domain of the entry; empty if all count as near
+    :param cold_excess: factor by which targets that announce that they are
+        cold are slower; 1 to ignore what they announce
     """
 
     def __init__(
@@ -77,11 +86,14 @@
         queue_allowance: int,
         suspect_after: datetime.timedelta,
         domain: str = "",
+        cold_excess: float = 1.0,
     ) -> None:
         self._get_speed = get_speed
         self._queue_allowance = queue_allowance
         self._suspect_after = suspect_after
         self._domain = domain
+        self._cold_excess = cold_excess
+        self._evacuated: frozenset[str] = frozenset()
         self._pools: dict[str, _targets.Pool] = {}
         self._ranked_at: dict[str, datetime.datetime] = {}
         self._loads_updated_at: dict[str, datetime.datetime] = {}
@@ -125,8 +137,27 @@
         limit = _heartbeats.compute_lost_timeout(limit, self.heartbeat)
         return now - record.last_received_at > limit
 
+    def evacuate(self, domains: frozenset[str]) -> None:
+        """Set the failure domains whose targets are not usable."""
+        changed = self._evacuated ^ domains
+        self._evacuated = domains
+        for record in self.agents.values():
+            if record.report.domain in changed:
+                self.update(record)
+
+    def get_excess(self, record: AgentRecord, now: datetime.datetime) -> float:
+        """Return the factor by which a target is slower as it is cold."""
+        return self._cold_excess if record.is_cold(now) else 1.0
+
+    def _get_view_speed(
+        self, record: AgentRecord, now: datetime.datetime
+    ) -> float:
+        speed = self._get_speed(record.report.agent, now)
+        return speed / self.get_excess(record, now)
+
     def add(self, record: AgentRecord) -> None:
         """Add a new agent."""
+        _record_cold(record)
         self.agents[record.report.agent] = record
         self.update(record)
 
@@ -142,6 +173,7 @@
         if record.report.service != report.service:
             self._remove_target(report.agent, record.report.service)
         record.report = report
+        _record_cold(record)
         record.load = report.load
         record.awaits_load = False
         record.departing = False
@@ -173,7 +205,8 @@
             pool = _targets.Pool(queue_allowance=self._queue_allowance)
             self._pools[report.service] = pool
         view = pool.get(report.agent)
-        slots = 0 if record.departing else record.load.slots
+        closed = record.departing or report.domain in self._evacuated
+        slots = 0 if closed else record.load.slots
         occupied = record.load.others + len(record.outstanding)
         used = _room.add_resources(record.load.others_use, record.own_use)
         if view is None:
@@ -182,7 +215,7 @@
                 report.resources,
                 slots,
                 occupied,
-                self._get_speed(report.agent, record.last_received_at),
+                self._get_view_speed(record, record.last_received_at),
                 self._compute_usable_until(record),
                 on_probation=report.state == _targets.PROBATION,
                 room=report.room,
@@ -231,7 +264,8 @@
                 service, pool.typical_needs
             )
             for view in pool.ranked:
-                view.speed = self._get_speed(view.agent, now)
+                record = self.agents[view.agent]
+                view.speed = self._get_view_speed(record, now)
             pool.rank_targets()
         updated_at = self._loads_updated_at.setdefault(service, now)
         if now - updated_at >= _staleness.choose_update_interval(len(pool)):
@@ -257,3 +291,12 @@
                 record.own_use,
             )
             pool.update(view)
+
+
+def _record_cold(record: AgentRecord) -> None:
+    left = datetime.timedelta(milliseconds=record.report.cold_left_ms)
+    if left:
+        record.cold_until = record.last_received_at + left
+    elif record.is_cold(record.last_received_at):
+        # Runs that were sent before are still recognized as slower.
+        record.cold_until = record.last_received_at
