Tell agents the evacuated domains and confirm them to entries

Cause: entries and agents have to hold the same set whatever fails.

Change: the configuration's follower passes the rows on before it adopts a configuration from them. The entry's Evacuations sends notices and adopts newer sets from agents. The agent's Evacuation refuses orders, and tells each entry the set before its first report on a link. An agent also follows the table itself, since it is bound if it reaches the store while its entries do not.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/__init__.py
@@ -12,6 +12,8 @@
     "AgentSettings": "_settings",
     "build_agent": "_process",
     "LeasedCalls": "_leased_calls",
+    "Evacuation": "_evacuation",
+    "EvacuationFollower": "_evacuation_follower",
     "Links": "_links",
     "Relay": "_relay",
     "Runner": "_runner",
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
@@ -165,6 +165,23 @@
     """Fencing token of the order."""
 
 
+@attrs.frozen
+class EvacuationChanged(transport.Change):
+    """Other failure domains than before are evacuated."""
+
+    domains: tuple[str, ...]
+    """Domains that are evacuated now."""
+
+    version: int
+    """Version of the set."""
+
+    source: str
+    """``entry`` or ``store``."""
+
+    refuses: bool
+    """Whether this agent refuses orders because of it."""
+
+
 @attrs.frozen
 class TasksRefused(transport.Change):
     """The agent refused orders; none of their tasks ran."""
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -87,6 +87,14 @@
     """An entry was lost or left; the argument is its incarnation."""
 
 
+class perform_actions(circuits.Event):
+    """Request to the runner to perform a list of ExecutorActions."""
+
+
+class evacuations_read(circuits.Event):
+    """The store answered a read; Evacuations, or None if the call failed."""
+
+
 class orders_held(circuits.Event):
     """Orders wait until their entry is known to be alive; the Dispatch."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_leased_calls.py
@@ -75,6 +75,9 @@
     clock_ms: int = 0
     """Its clock when it sent the heartbeat, in milliseconds; zero unknown."""
 
+    cold_left: datetime.timedelta = datetime.timedelta(0)
+    """Time for which it still runs tasks slower than usual."""
+
 
 @attrs.frozen
 class _SentWatch:
@@ -208,6 +211,7 @@
         now = self._clock.read_steady()
         self._beat = beat
         self._beat_at = self._clock.now()
+        self._executor.cold_until = self._beat_at + beat.cold_left
         self._perform(
             self._tracker.handle_heartbeat(
                 beat.instance, beat.incarnation, now, beat.clock_ms
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -9,6 +9,7 @@
 import msgspec
 import zmq
 
+from cowslipgate_agent import _evacuation
 from cowslipgate_agent import _events
 from cowslipgate_agent import _settings
 import cowslipgate_core as core
@@ -130,6 +131,8 @@
         entry is discovered
     :param pause_limits: how long entries are asked after a pause of this
         process before they count as lost; None to ask none
+    :param evacuation: tells entries the evacuated domains before reports;
+        None if evacuations are not enabled
     """
 
     channel = CHANNEL
@@ -143,10 +146,12 @@
         poller: pollers.BasePoller,
         runs_known: bool = True,
         pause_limits: core.PauseLimits | None = None,
+        evacuation: _evacuation.Evacuation | None = None,
     ) -> None:
         super().__init__()
         self._settings = settings
         self._runs_known = runs_known
+        self._evacuation = evacuation
         self._executor = executor
         self._incarnation = incarnation
         self._clock = clock
@@ -596,6 +601,8 @@
 
     def _send_report(self, incarnation: int, link: Link) -> None:
         link.reported_at = link.sent_at = self._clock.now()
+        if self._evacuation is not None:
+            self._evacuation.tell(incarnation, link.socket.channel)
         message = self._make_report(incarnation)
         if link.departure:
             message = core.Goodbye(
@@ -622,6 +629,7 @@
             executor.get_link(incarnation),
             announcement.room if announcement else msgspec.UNSET,
             self._measure_sent_ms(),
+            executor.measure_cold_ms(self._clock.now()),
         )
 
     def _measure_sent_ms(self) -> int:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_runner.py
@@ -87,6 +87,10 @@
         if self._draining and self._executor.idle:
             self.fire(_events.agent_drained(), "process")
 
+    @circuits.handler("perform_actions")
+    def _on_perform_actions(self, actions: list[core.ExecutorAction]) -> None:
+        self._perform(actions)
+
     @circuits.handler("drain")
     def _on_drain(self) -> None:
         self._draining = True
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -12,6 +12,8 @@
     "Dispatcher": "agents._dispatcher",
     "HeldRequests": "callers._held_requests",
     "EntryProcess": "_shutdown",
+    "Evacuations": "agents._evacuations",
+    "IgnoredEvacuations": "agents._evacuations",
     "EntrySettings": "_settings",
     "ConfigurationFollower": "store._configuration_follower",
     "GATEWAY": "_events",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -133,6 +133,13 @@
     """A stored configuration is not valid; a ConfigurationError."""
 
 
+class operator_rows_read(circuits.Event):
+    """Rows of the operators' table were read; the TableAnswer.
+
+    It precedes the adoption of a configuration in the same answer.
+    """
+
+
 class newer_configuration_reported(circuits.Event):
     """An agent or entry reported a newer configuration version.
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -209,6 +209,59 @@
     """Every fault of the configuration."""
 
 
+@attrs.frozen
+class EvacuationChanged(Change):
+    """Other failure domains than before are evacuated."""
+
+    domains: tuple[str, ...]
+    """Domains that are evacuated now."""
+
+    version: int
+    """Version of the set."""
+
+    source: str
+    """``store``, or ``agent`` if an agent told this entry."""
+
+
+@attrs.frozen
+class EvacuationConfirmed(Change):
+    """Each known agent has confirmed the evacuated domains."""
+
+    domains: tuple[str, ...]
+    """Domains that are evacuated."""
+
+    version: int
+    """Version of the set."""
+
+    agents: int
+    """Agents known to this entry."""
+
+    took_ms: int
+    """Time since this entry learned the set, in milliseconds."""
+
+
+@attrs.frozen
+class EvacuationIgnored(Change):
+    """A row that requests an evacuation has no effect."""
+
+    key: str
+    """Key of the row."""
+
+    version: int
+    """Version of the row."""
+
+    problem: str
+    """Why it has none."""
+
+
+@attrs.frozen
+class EvacuationOfUnknownDomain(Change):
+    """No known entry or agent is in an evacuated domain."""
+
+    domain: str
+    """The domain."""
+
+
 @attrs.frozen
 class JobRefused(Change):
     """A job was refused; none of its tasks ran."""
@@ -339,6 +392,8 @@
 @transport.get_level.register(AgentLost)
 @transport.get_level.register(StoreUnreachable)
 @transport.get_level.register(ConfigurationRejected)
+@transport.get_level.register(EvacuationIgnored)
+@transport.get_level.register(EvacuationOfUnknownDomain)
 @transport.get_level.register(AddressUnprotected)
 def _get_warning_level(change: Change) -> int:
     return logbook.WARNING
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_purposes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_purposes.py
@@ -43,6 +43,11 @@
     return "configuration"
 
 
+@get_purpose.register
+def _(message: core.EvacuationNotice) -> str:
+    return "evacuation"
+
+
 @get_purpose.register(core.CancelRequest)
 @get_purpose.register(core.CancelReply)
 def _(message: object) -> str:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_configuration_follower.py
@@ -14,6 +14,8 @@
 import cowslipgate_transport as transport
 
 CHANNEL = "configuration-manager"
+ROWS_CHANNEL = "evacuations"
+"""Where the rows of the table are passed on, before they are handled."""
 
 FOLLOW_WAIT = datetime.timedelta(milliseconds=900)
 """Longest time that the store holds a call open for a change. A dead
@@ -75,6 +77,7 @@
         else:
             # A lower position would request the same changes again for ever.
             self._position = max(self._position or 0, answer.version)
+            self.fire(_events.operator_rows_read(answer), ROWS_CHANNEL)
             for row in answer.rows:
                 self._handle_row(row)
         self._send_call()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/__init__.py
@@ -44,6 +44,7 @@
 drain_http = _http_exchanges.drain_http
 Exchange = _http_exchanges.Exchange
 Family = _exposition.Family
+FeatureEnabled = _changes.FeatureEnabled
 file_changed = _file_watch.file_changed
 FileWatch = _file_watch.FileWatch
 Gauge = _exposition.Gauge
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/_changes.py
@@ -37,6 +37,17 @@
     """Addresses that it listens on, each as ``host:port``."""
 
 
+@attrs.frozen
+class FeatureEnabled(Change):
+    """An optional feature is enabled in this process."""
+
+    feature: str
+    """Name of the feature."""
+
+    reason: str
+    """Setting that enables it."""
+
+
 @attrs.frozen
 class ProcessStopping(Change):
     """The process received a signal to stop."""
