--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/link_builders.py
@@ -16,6 +16,7 @@
 import zmq
 
 from cowslipgate_agent import _discovery
+from cowslipgate_agent import _evacuation
 from cowslipgate_agent import _events
 from cowslipgate_agent import _links
 from cowslipgate_agent import _runner
@@ -128,9 +129,12 @@
 
 
 class LinksHarness:
-    """Links and runner of an agent, with a manual clock and no target."""
+    """Links and runner of an agent, with a manual clock and no target.
 
-    def __init__(self, *entries: FakeEntry) -> None:
+    :param evacuates: whether evacuations are enabled
+    """
+
+    def __init__(self, *entries: FakeEntry, evacuates: bool = False) -> None:
         self.entries = entries
         self.clock = core.ManualClock()
         self.root = circuits.BaseComponent(channel="root")
@@ -138,8 +142,18 @@
         poller = pollers.EPoll().register(self.root)
         settings = core.load_settings(_settings.AgentSettings, FLAGS, {})
         self.executor = core.Executor(1, 2, settings.entry_lost_after)
+        evacuation = None
+        if evacuates:
+            evacuation = _evacuation.Evacuation(
+                AGENT, 1, settings.domain, self.executor, self.clock
+            ).register(self.root)
         self.links = _links.Links(
-            settings, self.executor, 1, self.clock, poller
+            settings,
+            self.executor,
+            1,
+            self.clock,
+            poller,
+            evacuation=evacuation,
         ).register(self.root)
         balancer = transport.Address("127.0.0.1", 1)
         _discovery.BalancerDiscovery(balancer).register(self.root)
