Evacuate domains in the soak, and describe evacuations

Change: a quarter of the soak's rounds request an evacuation before the faults and check after they are healed that each agent confirms it and that no run starts in the domain; processes are spread over three domains.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_deployment.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Sequence
 import concurrent.futures
 import contextlib
 import http.client
@@ -69,6 +70,8 @@
 
     :param folder: where settings and logs are written
     :param timeout_ms: timeout of the route in milliseconds
+    :param domains: failure domains that processes of a role take in turn
+    :param evacuate_ms: bound that enables evacuations; zero for none
     """
 
     def __init__(
@@ -77,9 +80,18 @@
         entries: int,
         agents: int,
         timeout_ms: int = wire_builders.ROUTE.timeout_ms,
+        domains: Sequence[str] = (_nodes.DOMAIN,),
+        evacuate_ms: int = 0,
     ) -> None:
         self._folder = folder
         self._timeout_ms = timeout_ms
+        self._domains = {
+            role: itertools.cycle(domains) for role in _nodes.Role
+        }
+        self._evacuate_ms = evacuate_ms
+        self.evacuated = ""
+        """Domain whose evacuation is requested, or empty."""
+
         self._jobs = itertools.count(1)
         self._pool = concurrent.futures.ThreadPoolExecutor(
             MAX_CONCURRENT_CALLS
@@ -166,6 +178,39 @@
         encoded = base64.b64encode(wire_builders.encode(value)).decode()
         self.store.put("op", "config", encoded)
 
+    def evacuate(self, domain: str) -> None:
+        """Request the evacuation of a domain."""
+        self.evacuated = domain
+        self.store.put("op", f"evacuate/{domain}", "")
+
+    def revoke(self) -> None:
+        """Revoke the evacuation that was requested."""
+        self.store.remove("op", f"evacuate/{self.evacuated}")
+        self.evacuated = ""
+
+    def wait_evacuated(self) -> None:
+        """Wait until every agent has confirmed the evacuation.
+
+        :raises WaitTimeout: if that takes too long
+        """
+        _waits.wait_until(
+            lambda: all(
+                calls.count_evacuated(node.ip) == 1
+                and calls.count_unconfirmed(node.ip) == 0
+                for node in self.entries
+            ),
+            f"the evacuation of {self.evacuated}",
+        )
+
+    def list_evacuated_runs(self) -> list[target_standin.Run]:
+        """Return the runs at targets of the domain that is evacuated."""
+        return [
+            run
+            for node, target in zip(self.agents, self.targets, strict=True)
+            if node.domain == self.evacuated
+            for run in target.journal
+        ]
+
     def pause(self, node: _nodes.Node) -> None:
         """Suspend a process until the deployment is healed."""
         node.send_signal(signal.SIGSTOP)
@@ -355,7 +400,14 @@
             _target_hosts.MAX_LINK_CONNECTIONS,
         )
         return _nodes.make_node(
-            self._folder, role, ip, self._seeds, work_link, store_link
+            self._folder,
+            role,
+            ip,
+            self._seeds,
+            work_link,
+            store_link,
+            next(self._domains[role]),
+            self._evacuate_ms,
         )
 
 
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_faults.py
@@ -199,6 +199,14 @@
     """Index of the entry."""
 
 
+@attrs.frozen
+class EvacuateDomain:
+    """Request the evacuation of a domain until the round ends."""
+
+    domain: str
+    """Failure domain."""
+
+
 Fault = (
     KillNode
     | LoseNode
@@ -214,6 +222,7 @@
     | Configure
     | CutAgents
     | IsolateEntry
+    | EvacuateDomain
 )
 
 # Repeated kinds are drawn more often: those after which a task may run at two
@@ -408,3 +417,10 @@
     fault: IsolateEntry, system: _deployment.Deployment
 ) -> None:
     system.isolate_entry(fault.number)
+
+
+@inject.register
+def _evacuate_domain(
+    fault: EvacuateDomain, system: _deployment.Deployment
+) -> None:
+    system.evacuate(fault.domain)
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_nodes.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_nodes.py
@@ -31,7 +31,7 @@
 node_name = "{name}"
 machine_class = "{machine_class}"
 ip = "{ip}"
-zone = "ruwi"
+zone = "{domain}"
 region = "muscat"
 internal_ports = [{agents_port}, 7735]
 seeds = {seeds}
@@ -42,11 +42,16 @@
 hold_max_ms = 1000
 resend_ms = 1300
 grace_s = 6
+{bounds}
 [platform]
 address = "{store}"
 """
 
 
+DOMAIN = "ruwi"
+"""Failure domain of processes for which no other one is chosen."""
+
+
 class Role(enum.StrEnum):
     """Program that a process runs."""
 
@@ -79,6 +84,9 @@
     agents_link: _proxy.Link | None = None
     """Link from agents to an entry, or None where it is direct."""
 
+    domain: str = DOMAIN
+    """Failure domain of the process."""
+
     process: "subprocess.Popen[bytes] | None" = None
     """Current process, or None before the first start."""
 
@@ -146,10 +154,13 @@
     seeds: Sequence[str],
     work_link: _proxy.Link,
     store_link: _proxy.Link,
+    domain: str = DOMAIN,
+    evacuate_ms: int = 0,
 ) -> Node:
     """Write the settings of a process and return it without starting it.
 
     :param seeds: control addresses of entries
+    :param evacuate_ms: bound that enables evacuations; zero for none
     """
     machine_class, ports, target = _ROLE_SETTINGS[role]
     name = f"{machine_class}-{ip}"
@@ -165,9 +176,19 @@
             target=target.format(address=f"{_proxy.HOST}:{work_link.port}"),
             listen="\n".join(listen),
             store=f"{_proxy.HOST}:{store_link.port}",
+            domain=domain,
+            bounds=f"evacuate_ms = {evacuate_ms}" if evacuate_ms else "",
         )
     )
-    return Node(role, ip, path, folder / f"{name}.log", work_link, store_link)
+    return Node(
+        role,
+        ip,
+        path,
+        folder / f"{name}.log",
+        work_link,
+        store_link,
+        domain=domain,
+    )
 
 
 _ROLE_SETTINGS = {
--- a/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/faultsoak/_soak.py
@@ -64,6 +64,21 @@
 ROUTE_DEADLINE_SHARE = 0.3
 """Share of the callers that wait as long as the route says."""
 
+DOMAINS = ("ruwi", "seeb", "qurum")
+"""Failure domains, one for each agent of the smallest fleet."""
+
+EVACUATE_MS = 5_000
+
+EVACUATED_SHARE = 0.25
+"""Share of the rounds in which a domain is evacuated. It is requested before
+the faults and revoked after they are healed."""
+
+EVACUATED_SECONDS = 0.5
+"""Time for which no run may start in the domain once all have confirmed."""
+
+EVACUATED_JOBS = 6
+"""Jobs that are submitted in that time."""
+
 OVERSIZED_SHARE = 0.05
 """Share of the jobs whose tasks fit no target."""
 
@@ -142,13 +157,16 @@
     """
     # Numbers of its own, so that a seed's faults stay the same.
     settings = random.Random(f"settings {seed}")
+    evacuations = random.Random(f"evacuations {seed}")
     system = _deployment.Deployment(
         folder,
         fleet.entries,
         fleet.agents,
         settings.choice(ROUTE_TIMEOUTS_MS),
+        DOMAINS,
+        EVACUATE_MS,
     )
-    soak = _Soak(system, seed, fleet, settings)
+    soak = _Soak(system, seed, fleet, settings, evacuations)
     try:
         system.start()
         for _ in range(rounds):
@@ -170,8 +188,10 @@
         seed: int,
         fleet: Fleet,
         settings: random.Random,
+        evacuations: random.Random,
     ) -> None:
         self._settings = settings
+        self._evacuations = evacuations
         self.result = SoakResult(seed)
         self._system = system
         self._fleet = fleet
@@ -183,6 +203,7 @@
         """Inject faults while jobs come, heal them, and await the replies."""
         scale = self._fleet.scale
         half = JOBS_PER_ROUND * scale // 2
+        self._evacuate_sometimes()
         submitted = [self._submit() for _ in range(half)]
         for _ in range(self._rng.randint(1, MAX_FAULTS * scale)):
             time.sleep(self._rng.uniform(*FAULT_GAP_SECONDS) / scale)
@@ -197,12 +218,39 @@
         self._system.heal()
         self._system.wait_ready()
         self._system.wait_configured()
+        if self._system.evacuated:
+            submitted += self._check_evacuation()
         self._versions.record_versions(self._system.read_versions())
         for pending in submitted:
             self._sent.append(
                 _violations.SentJob(pending.job, pending.answer.result())
             )
 
+    def _evacuate_sometimes(self) -> None:
+        if self._evacuations.random() >= EVACUATED_SHARE:
+            return
+        domain = self._evacuations.choice(DOMAINS)
+        self.result.faults.append(_faults.EvacuateDomain(domain))
+        _faults.inject(self.result.faults[-1], self._system)
+
+    def _check_evacuation(self) -> list[_PendingJob]:
+        """Check that no run starts in the domain, and revoke the request."""
+        system = self._system
+        system.wait_evacuated()
+        # A target may carry out an order until its lease ends.
+        time.sleep(_violations.MAX_START_DELAY_SECONDS)
+        before = {run.number for run in system.list_evacuated_runs()}
+        jobs = [self._submit() for _ in range(EVACUATED_JOBS)]
+        time.sleep(EVACUATED_SECONDS)
+        self.result.violations += [
+            f"run {run.number} of {run.task} began in evacuated"
+            f" {system.evacuated}"
+            for run in system.list_evacuated_runs()
+            if run.number not in before
+        ]
+        system.revoke()
+        return jobs
+
     def check(self) -> None:
         """Wait until all runs have ended and check the guarantees."""
         self._system.wait_ended()
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
@@ -37,6 +37,7 @@
         self.clock = core.ManualClock()
         self.calls: list[core.TableCall] = []
         self.versions: list[int] = []
+        self.order: list[str] = []
         self.rejected: list[core.ConfigurationError] = []
         self.members: list[set[core.Member]] = []
         _configuration_follower.ConfigurationFollower(
@@ -52,6 +53,11 @@
     @circuits.handler("configuration_adopted", channel="dispatcher")
     def _on_adopted(self, configuration: core.Configuration) -> None:
         self.versions.append(configuration.version)
+        self.order.append("adopted")
+
+    @circuits.handler("operator_rows_read", channel="evacuations")
+    def _on_rows_read(self, answer: core.TableAnswer) -> None:
+        self.order.append("rows")
 
     @circuits.handler("configuration_rejected", channel="state-change-log")
     def _on_rejected(self, error: core.ConfigurationError) -> None:
@@ -113,6 +119,18 @@
     assert harness.last("configuration-manager").after == 44
 
 
+# Guards against a new entry that sends an order to an evacuated domain: with
+# a configuration it may send orders at once.
+def test_rows_are_passed_on_before_a_configuration_is_adopted(
+    harness: StoreHarness,
+) -> None:
+    rows = (_row(b"5"), _row(b"", "evacuate/ruwi"))
+    harness.answer("configuration-manager", rows=rows, version=40)
+    assert harness.order == ["rows", "adopted"]
+    harness.answer("configuration-manager", core.TableResult.UNREACHABLE)
+    assert harness.order == ["rows", "adopted"]
+
+
 def test_older_version_is_never_adopted(harness: StoreHarness) -> None:
     harness.answer("configuration-manager", rows=(_row(b"6"),), version=44)
     harness.answer(
