--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -182,7 +182,7 @@
         if not self._models_enabled:
             self._models_enabled = True
             reason = "targets of several failure domains share labels"
-            self._log_change(_changes.FeatureEnabled("model-speeds", reason))
+            self._log_change(transport.FeatureEnabled("model-speeds", reason))
         self._models = names
         targets = sum(model.targets for model in models)
         self._log_change(_changes.ModelsChanged(names, targets))
