Order late jobs by age where a service allows preemption

Under a steady stream of urgent jobs that are late themselves, a less urgent late job waited until it was 10 s old. Jobs that have waited longer than their objective now go before the other late ones, the oldest first, if the policy says so; the order moves into a module of its own. The service field that turns it on is added and not used yet.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -259,7 +259,7 @@
 _ENTRY_NAMES = {
     "ACKNOWLEDGE_WITHIN": "jobs._acknowledgements",
     "Acknowledgements": "jobs._acknowledgements",
-    "AGEING": "placement._late_binding",
+    "AGEING": "placement._job_order",
     "AgentRecord": "placement._roster",
     "AnswerJob": "jobs._ledger_actions",
     "Assigner": "placement._assignment",
@@ -286,6 +286,7 @@
     "estimate_completion_seconds": "placement._least_completion",
     "Failure": "jobs._jobs",
     "UncheckedJobs": "placement._admission",
+    "sort_jobs": "placement._job_order",
     "TaskFinder": "placement._late_binding",
     "MAX_HISTORY_RUNS": "placement._sizes",
     "REFRESH_GROWTH_FACTOR": "placement._sizes",
--- a/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
@@ -41,6 +41,9 @@
     default_deadline_ms: _Milliseconds = 30_000
     """Deadline in milliseconds of jobs that declare none."""
 
+    preemption: bool = False
+    """Whether runs are stopped for jobs of a more urgent priority."""
+
     @property
     def default_deadline(self) -> datetime.timedelta:
         """Deadline of jobs that declare none."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -9,14 +9,12 @@
 
 from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _job_order
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _ready_jobs
 from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _targets
 
-AGEING = datetime.timedelta(seconds=10)
-"""Default age at which a job goes before all younger ones."""
-
 TaskFinder = Callable[[_backlog.WaitingJob, _targets.TargetView], int | None]
 """Returns the position of the job's task for a target, or None."""
 
@@ -28,9 +26,13 @@
     queue_allowance: int = 0
     """Number of tasks that may queue at an agent beyond its slots."""
 
-    ageing: datetime.timedelta = AGEING
+    ageing: datetime.timedelta = _job_order.AGEING
     """Age after which a job goes before all younger ones."""
 
+    late_by_age: bool = False
+    """Whether jobs that have waited longer than their objective go before the
+    other late ones."""
+
     max_backlog_time: datetime.timedelta = datetime.timedelta()
     """A target stays unused if faster ones clear the backlog in this time;
     zero uses every target."""
@@ -51,40 +53,6 @@
     )
 
 
-def sort_jobs(
-    policy: LateBinding,
-    jobs: list[_backlog.WaitingJob],
-    pool: _targets.Pool,
-    now: datetime.datetime,
-) -> None:
-    """Sort jobs in place by the order in which they get slots.
-
-    Aged jobs go first, the oldest before the others. Then come jobs that can
-    meet their objective and last those that cannot, each by priority and
-    remaining run time.
-    """
-    aged_before = now - policy.ageing
-
-    def rank(job: _backlog.WaitingJob) -> tuple[int, bool, int, float]:
-        if job.submitted_at < aged_before:
-            return (0, False, 0, (job.submitted_at - now).total_seconds())
-        late = is_late(job, pool, now)
-        return (1, late, job.terms.priority, job.remaining_seconds)
-
-    jobs.sort(key=rank)
-
-
-def is_late(
-    job: _backlog.WaitingJob, pool: _targets.Pool, now: datetime.datetime
-) -> bool:
-    """Return whether even the fastest target is too slow for the objective."""
-    if job.due_at is None:
-        return False
-    fastest = max(pool.get_fastest(needs) for needs in job.needs)
-    left = (job.due_at - now).total_seconds()
-    return left * fastest < job.longest_seconds
-
-
 def fill_slots(
     policy: LateBinding,
     jobs: list[_backlog.WaitingJob],
@@ -101,7 +69,7 @@
     if not pool.has_open(now):
         return []
     ordered = _ready_jobs.list_ready(jobs, allowances)
-    sort_jobs(policy, ordered, pool, now)
+    _job_order.sort_jobs(ordered, pool, now, policy.ageing, policy.late_by_age)
     fitting = _ready_jobs.find_fitting(ordered, pool, now)
     trials = pool.list_trials(now)
     assignments = _assign_trials(trials, fitting, pool, allowances)
@@ -140,7 +108,7 @@
     jobs = [
         job
         for job in fitting
-        if job.due_at is not None and not is_late(job, pool, now)
+        if job.due_at is not None and not _job_order.is_late(job, pool, now)
     ]
     return _fill_targets(
         policy, jobs, jobs, pool, allowances, now, entries, find, True
