Stop runs for more urgent jobs where a service allows it

A short and wide urgent job that arrives behind a burst of long tasks misses its objective although stopping a few young runs would let it meet it. After each assignment the ledger asks a decision without a network which runs to stop, and withdraws them; the stop is repeated and the task run again as for any attempt that must stop. Off unless the service sets preemption.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -206,6 +206,9 @@
     stop_sent_at: datetime.datetime | None = None
     """When a stop was last sent because the run had stalled, or None."""
 
+    preempted: bool = False
+    """Whether it was told to stop so that a more urgent job gets its room."""
+
     @property
     def task_id(self) -> str:
         """Id that the target echoes."""
@@ -218,8 +221,8 @@
 
     @property
     def must_stop(self) -> bool:
-        """Whether it is unneeded or its job is suspended."""
-        return self.unneeded or self.job.suspended
+        """Whether it is unneeded or preempted, or its job is suspended."""
+        return self.preempted or self.unneeded or self.job.suspended
 
     @property
     def run(self) -> int:
@@ -302,6 +305,9 @@
     failed_runs: collections.Counter[int] = attrs.Factory(collections.Counter)
     """Number of failed runs by index."""
 
+    preemptions: int = 0
+    """Runs stopped for more urgent jobs since one of its tasks finished."""
+
     checkpoints: dict[int, str] = attrs.Factory(dict)
     """Last checkpoints by index, where the terms allow them."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -18,6 +18,7 @@
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
 from cowslipgate_core.jobs import _own_pauses
+from cowslipgate_core.jobs import _preempted_runs
 from cowslipgate_core.jobs import _stalled_runs
 from cowslipgate_core.jobs import _timing
 from cowslipgate_core.jobs import _traceparents
@@ -88,6 +89,9 @@
         self._stalled_runs = _stalled_runs.StalledRuns(
             self._assigner, self._inquiries, self.counters
         )
+        self._preempted_runs = _preempted_runs.PreemptedRuns(
+            self._attempts, self._assigner, self._inquiries, self.counters
+        )
 
     @property
     def jobs(self) -> dict[str, _jobs.Job]:
@@ -403,6 +407,8 @@
     ) -> list[_ledger_actions.LedgerAction]:
         """Choose targets for waiting tasks and return the dispatches.
 
+        Withdrawals of runs that make room for more urgent jobs are added.
+
         Jobs whose deadline has passed are failed first, and those whose
         caller was not seen lately are suspended.
 
@@ -413,8 +419,12 @@
         # After a pause of the process, targets may be free before a tick.
         actions = self._fail_late_jobs(now)
         actions.extend(self._suspend_unseen_jobs(now))
-        chosen = self._assigner.choose(now, quotas, entries, services or {})
+        services = services or {}
+        chosen = self._assigner.choose(now, quotas, entries, services)
         actions.extend(self._send(chosen, now))
+        actions.extend(
+            self._preempted_runs.withdraw_preempted(now, quotas, services)
+        )
         return _ledger_actions.merge_withdraws(actions)
 
     def _fail_late_jobs(
@@ -544,6 +554,7 @@
         del self._attempts[attempt.sequence]
         job.active.pop(attempt.sequence, None)
         self._assigner.close_attempt(attempt)
+        self._preempted_runs.record_end(attempt)
         record = self._agents.get(attempt.agent)
         if record is not None:
             record.outstanding.discard(attempt.sequence)
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_actions.py
@@ -4,6 +4,7 @@
 
 from cowslipgate_core.jobs import _jobs
 from cowslipgate_core.messages import _attempts
+from cowslipgate_core.placement import _preemption
 
 
 @attrs.frozen
@@ -81,8 +82,28 @@
     """Name of the agent."""
 
 
+@attrs.frozen
+class ReportPreemption:
+    """Action: report that a run is stopped for a more urgent job."""
+
+    attempt: _jobs.Attempt
+    """Attempt that is withdrawn."""
+
+    preemption: _preemption.Preemption
+    """Why it is stopped."""
+
+    for_request: str
+    """Caller's id of the request that it makes room for, or empty."""
+
+
 LedgerAction = (
-    SendOrders | SendWithdraw | AnswerJob | SuspendJob | ResumeJob | SendSigns
+    SendOrders
+    | SendWithdraw
+    | AnswerJob
+    | SuspendJob
+    | ResumeJob
+    | SendSigns
+    | ReportPreemption
 )
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger_counters.py
@@ -24,6 +24,15 @@
     stalled: int = 0
     """Stalled runs stopped so that their tasks run on another target."""
 
+    preempted: int = 0
+    """Runs told to stop so that more urgent jobs get their room."""
+
+    preempted_finished: int = 0
+    """Those of them that finished before they were stopped."""
+
+    preempted_core_seconds: float = 0.0
+    """Work of those that were stopped, in core-seconds."""
+
     suspended: int = 0
     """Jobs suspended as their callers had not been seen for too long."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -12,6 +12,7 @@
 from cowslipgate_core.placement import _copies
 from cowslipgate_core.placement import _estimates
 from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _preemption
 from cowslipgate_core.placement import _prospects
 from cowslipgate_core.placement import _roster
 from cowslipgate_core.placement import _stalls
@@ -53,6 +54,7 @@
         self._waiting_tasks: collections.Counter[str] = collections.Counter()
         self._suspended: set[str] = set()
         self._active_by_team: collections.Counter[str] = collections.Counter()
+        self._active_by_priority: dict[str, collections.Counter[int]] = {}
 
     @property
     def has_assignable_tasks(self) -> bool:
@@ -103,6 +105,9 @@
     def start_attempt(self, attempt: _jobs.Attempt) -> None:
         """Record that an attempt was sent."""
         self._active_by_team[attempt.job.team] += 1
+        self._active_by_priority.setdefault(
+            attempt.job.service, collections.Counter()
+        )[attempt.job.terms.priority] += 1
         state = self._states[attempt.job.id]
         task = state.tasks[attempt.index]
         if state.waiting_job.terms.copies:
@@ -125,6 +130,11 @@
         self._active_by_team[team] -= 1
         if not self._active_by_team[team]:
             del self._active_by_team[team]
+        priority = attempt.job.terms.priority
+        active = self._active_by_priority[attempt.job.service]
+        active[priority] -= 1
+        if not active[priority]:
+            del active[priority]
 
     def requeue(self, attempt: _jobs.Attempt) -> None:
         """Queue the task of an ended attempt again."""
@@ -179,6 +189,71 @@
             task, attempt.agent, pool, now
         )
 
+    def find_claimants(
+        self, service: str, now: datetime.datetime, quotas: Mapping[str, int]
+    ) -> list[_backlog.WaitingJob]:
+        """Return the waiting jobs that may take freed room, in their order.
+
+        Empty unless a run may be stopped for one of them.
+
+        :param quotas: slots that each team may use at this entry, by team
+        """
+        active = self._active_by_priority.get(service)
+        pool = self._roster.find_pool(service)
+        if not active or pool is None:
+            return []
+        ready = (
+            job
+            for job in self._waiting.get(service, {}).values()
+            if job.job not in self._suspended
+            and self._active_by_team[job.team] < quotas.get(job.team, 0)
+        )
+        return _preemption.find_claimants(ready, pool, now, max(active))
+
+    def describe_run(
+        self, attempt: _jobs.Attempt, stopping: bool
+    ) -> _preemption.RunningTask:
+        """Return what the choice of preempted runs needs to know of a run.
+
+        :param stopping: whether its agent was told to stop it
+        """
+        job = attempt.job
+        state = self._states.get(job.id)
+        # A job that has failed is no longer known here; its runs are stopped.
+        task = state.tasks[attempt.index] if state is not None else None
+        return _preemption.RunningTask(
+            attempt.sequence,
+            job.id,
+            attempt.agent,
+            job.terms.priority,
+            job.request.tasks[attempt.index].needs,
+            attempt.sent_at,
+            task.seconds if task is not None else 0.0,
+            job.submitted_at,
+            state.waiting_job.due_at if state is not None else None,
+            job.terms.checkpointed,
+            job.preemptions,
+            job.terms.rerun_lost and not job.terms.copies,
+            stopping or state is None,
+        )
+
+    def choose_preemptions(
+        self,
+        service: str,
+        claimants: list[_backlog.WaitingJob],
+        runs: list[_preemption.RunningTask],
+        now: datetime.datetime,
+    ) -> list[_preemption.Preemption]:
+        """Return the runs of a service to stop for waiting jobs.
+
+        :param claimants: waiting jobs that may take freed room, in their order
+        :param runs: runs of the service at this entry
+        """
+        pool = self._roster.find_pool(service)
+        if pool is None:
+            return []
+        return _preemption.choose_preemptions(claimants, runs, pool, now)
+
     def choose(
         self,
         now: datetime.datetime,
@@ -242,8 +317,11 @@
     ) -> _placement.Policy:
         if service is None:
             return self._policy
+        policy = self._policy
+        if service.preemption:
+            policy = _weights.order_late_by_age(policy)
         return _weights.tune_policy(
-            self._policy, service.response_weight, service.waste_weight
+            policy, service.response_weight, service.waste_weight
         )
 
     def _drop_empty(self, chosen: list[_placement.Assignment]) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_weights.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_weights.py
@@ -12,6 +12,19 @@
 """Backlog time of a service to which only waste matters."""
 
 
+@functools.singledispatch
+def order_late_by_age(policy: _placement.Policy) -> _placement.Policy:
+    """Return the policy with late jobs ordered by age, if it orders jobs."""
+    return policy
+
+
+@order_late_by_age.register
+def _order_late_binding(
+    policy: _late_binding.LateBinding,
+) -> _placement.Policy:
+    return attrs.evolve(policy, late_by_age=True)
+
+
 @functools.singledispatch
 def tune_policy(
     policy: _placement.Policy, response_weight: float, waste_weight: float
