--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -38,6 +38,10 @@
     """A suspended job goes on, as its caller was seen; the job."""
 
 
+class run_preempted(circuits.Event):
+    """A run is stopped for a more urgent job; a ReportPreemption."""
+
+
 class broadcast_cancellation(circuits.Event):
     """Command to cancel jobs at every entry; a Cancellation."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -427,6 +427,8 @@
                     self._send_heartbeat(action.agent)
                 case core.ResumeJob():
                     self.fire(_events.caller_seen(action.job), "gateway")
+                case core.ReportPreemption():
+                    self.fire(_events.run_preempted(action), "gateway")
 
     def _abandon_claims(
         self, job_ids: list[str], failure: core.Failure
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -258,6 +258,46 @@
     """Time since it was sent, in milliseconds."""
 
 
+@attrs.frozen
+class RunPreempted(Change):
+    """A run was asked to stop so that a more urgent job gets its room."""
+
+    request: str
+    """Caller's id of the request, or empty."""
+
+    job: str
+    """Id of the job."""
+
+    task: int
+    """Index of the task in the job."""
+
+    agent: str
+    """Agent that the run is at."""
+
+    for_request: str
+    """Caller's id of the more urgent request, or empty."""
+
+    for_job: str
+    """Id of the more urgent job."""
+
+    lost_core_seconds: float
+    """Work that is done again, in core-seconds."""
+
+    reason: str
+    """What was weighed."""
+
+
+@attrs.frozen
+class FeatureEnabled(Change):
+    """A feature that is off by default is in force from now on."""
+
+    feature: str
+    """Name of the feature."""
+
+    reason: str
+    """Where it was enabled."""
+
+
 @attrs.frozen
 class CallerUnseen(Change):
     """A job is suspended, as its caller was not known to be connected."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -35,6 +35,15 @@
     starts: transport.Counter
     """Tasks known to have been started."""
 
+    preemptions: transport.Counter
+    """Runs asked to stop for more urgent jobs."""
+
+    preempted_finished: transport.Counter
+    """Those of them that finished first."""
+
+    preempted_work: transport.Counter
+    """Core-seconds of the runs that were stopped."""
+
     slot_seconds: transport.Counter
     """Slot-seconds, used and needed."""
 
@@ -122,6 +131,18 @@
         starts=counter(
             "cowslipgate_starts_total", "Tasks known to have been started."
         ),
+        preemptions=counter(
+            "cowslipgate_preemptions_total",
+            "Runs asked to stop so that a more urgent job gets their room.",
+        ),
+        preempted_finished=counter(
+            "cowslipgate_preemptions_finished_total",
+            "Those of them that finished before they were stopped.",
+        ),
+        preempted_work=counter(
+            "cowslipgate_preempted_core_seconds_total",
+            "Work of the runs that were stopped, which is done again.",
+        ),
         slot_seconds=counter(
             "cowslipgate_slot_seconds_total",
             "Slot time used by tasks that ended, and needed by complete jobs.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
@@ -1,4 +1,4 @@
-"""Component that logs stalled runs, unseen callers and the end of jobs."""
+"""Component that logs stopped runs, unseen callers and the end of jobs."""
 
 import datetime
 
@@ -45,7 +45,7 @@
 class JobLog(circuits.BaseComponent):
     """Logs a line for each job refused, suspended, resumed or answered.
 
-    Each stalled run gets a line, too.
+    Each stalled run and each preempted run gets a line, too.
     """
 
     channel = CHANNEL
@@ -64,6 +64,21 @@
     ) -> None:
         self._progress_by_job[job.id] = _JobProgress()
 
+    @circuits.handler("run_preempted", channel=_events.GATEWAY)
+    def _on_run_preempted(self, report: core.ReportPreemption) -> None:
+        attempt = report.attempt
+        change = _changes.RunPreempted(
+            attempt.job.terms.request,
+            attempt.job.id,
+            attempt.index,
+            attempt.agent,
+            report.for_request,
+            report.preemption.for_job,
+            round(report.preemption.lost_core_seconds, 3),
+            report.preemption.reason,
+        )
+        self._log_change(change)
+
     @circuits.handler("caller_unseen", channel=_events.GATEWAY)
     def _on_caller_unseen(self, job: core.Job) -> None:
         unseen = self._clock.now() - job.caller_seen_at
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -64,6 +64,7 @@
 
     def render(self) -> bytes:
         """Return the text exposition of all metrics."""
+        self._copy_counters()
         self._minutes.advance(self._clock.now())
         values = attrs.astuple(self._families, recurse=False)
         return transport.render_families(values)
@@ -80,6 +81,10 @@
     ) -> None:
         self._uses[job.id] = _JobUse()
 
+    @circuits.handler("run_preempted", channel=_events.GATEWAY)
+    def _on_run_preempted(self, report: core.ReportPreemption) -> None:
+        self._families.preemptions.add()
+
     @circuits.handler("job_refused", channel=_events.GATEWAY)
     def _on_job_refused(
         self, submission: _requests.Submission, answer: core.JobAnswer
@@ -151,6 +156,15 @@
     ) -> None:
         self._families.errors.add(kind.__name__)
 
+    def _copy_counters(self) -> None:
+        # The ledger alone knows how a preempted run ended.
+        counters = self._dispatcher.ledger.counters
+        for family, total in (
+            (self._families.preempted_finished, counters.preempted_finished),
+            (self._families.preempted_work, counters.preempted_core_seconds),
+        ):
+            family.add(amount=total - family.get())
+
     def _record_orders(self, message: core.Dispatch) -> None:
         now = self._clock.now()
         attempts = self._dispatcher.ledger.attempts
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -42,6 +42,7 @@
         self._agents: dict[str, core.Report] = {}
         self._departing: set[str] = set()
         self._store_reachable = True
+        self._preempting: set[str] = set()
         self._logged_failures: set[tuple[str, str]] = set()
         self._passed_over = transport.MessagesPassedOver(self)
         self._ticks = itertools.count(1)
@@ -52,6 +53,7 @@
     ) -> None:
         change = _changes.ConfigurationAdopted(configuration.version)
         self._log_change(change)
+        self._log_preemption(configuration.document)
 
     @circuits.handler("members_changed", channel=_events.GATEWAY)
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
@@ -119,6 +121,19 @@
         agent = identity.decode().rpartition("/")[0]
         self._log_change(_changes.ConfigurationAsked(version, agent))
 
+    def _log_preemption(self, document: core.Document) -> None:
+        services = {
+            name
+            for name, service in document.services.items()
+            if service.preemption
+        }
+        added = ", ".join(sorted(services - self._preempting))
+        self._preempting = services
+        if added:
+            reason = f"configured for the services {added}"
+            change = _changes.FeatureEnabled("preemption", reason)
+            self._log_change(change)
+
     def _record_store_state(self, problem: str) -> None:
         reachable = not problem
         if reachable == self._store_reachable:
