Write several rows of the store in one transaction

Cause: a call of the store writes one row, though its transactions take 100. Run: test_store, test_odd_rows with the tests of stored cancellations: passed.

--- a/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/messages/_tables.py
@@ -13,6 +13,9 @@
 ANY_VERSION = -1
 """Version in a write that replaces the row whatever its version is."""
 
+MAX_TRANSACTION_ROWS = 100
+"""Most rows that the store accepts in one transaction."""
+
 
 @attrs.frozen
 class TableRow:
@@ -93,7 +96,35 @@
     """Version that the row must have for the write to take effect."""
 
 
-TableCall = TableRead | TableFollow | TableWrite
+@attrs.frozen
+class TableRowWrite:
+    """A row that a transaction writes."""
+
+    key: str
+    """Key of the row."""
+
+    value: bytes
+    """New value, or empty to remove the row."""
+
+    expected: int = ANY_VERSION
+    """Version that the row must have for the transaction to take effect."""
+
+
+@attrs.frozen(eq=False)
+class TableTransaction:
+    """A call that writes several rows of a table, all of them or none."""
+
+    channel: str
+    """Channel of the component that receives the answer."""
+
+    table: str
+    """Name of the table."""
+
+    rows: tuple[TableRowWrite, ...]
+    """Rows to write, at most MAX_TRANSACTION_ROWS."""
+
+
+TableCall = TableRead | TableFollow | TableWrite | TableTransaction
 
 
 class TableResult(enum.StrEnum):
