Store cancellations, and ask all entries before the answer

Cause: a cancellation was kept in the memory of the entries that this one knew.

Change: an entry writes a row into the table `cancelled`, then reads the list of entries again and asks the processes that it has not asked yet, and only then answers; after 1 s without the store it answers from what the entries say. A starting entry writes its row in the list, reads the table, and holds requests until then, for 300 ms at most.

Changes to existing tests: the harness of test_held_requests reads the cancellations first, since requests now wait for them too; two new tests cover that wait.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -32,6 +32,7 @@
     "Inquiry": "callers._requests",
     "JobState": "callers._requests",
     "RequestedJobs": "callers._requested_jobs",
+    "StoredCancellations": "store._stored_cancellations",
     "inquire": "_events",
     "inquiry_answered": "_events",
 }
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_events.py
@@ -74,6 +74,32 @@
     """
 
 
+class store_cancellation(circuits.Event):
+    """Command to store that a job was cancelled; its team and resource."""
+
+
+class cancellation_stored(circuits.Event):
+    """A cancellation was stored, and the list of entries read after that.
+
+    The arguments are the team and the resource of the job and the members.
+    """
+
+
+class cancellation_relayed(circuits.Event):
+    """Another entry asked this one to cancel a job."""
+
+
+class cancellations_read(circuits.Event):
+    """A starting entry read the stored cancellations.
+
+    The argument holds the team and the resource of each, oldest first.
+    """
+
+
+class cancellations_counted(circuits.Event):
+    """Cancellations were acted on; a CancellationAction and their number."""
+
+
 class assign_tasks(circuits.Event):
     """Command to choose targets for waiting tasks."""
 
@@ -164,6 +190,21 @@
     """The set of live entries changed; the argument is their members."""
 
 
+class member_stored(circuits.Event):
+    """This entry's row was written for the first time since its start."""
+
+
+class refresh_members(circuits.Event):
+    """Command to read the list of entries now."""
+
+
+class members_refreshed(circuits.Event):
+    """The list of entries was read on command.
+
+    The argument is the members, or None if the read failed.
+    """
+
+
 class members_found(circuits.Event):
     """Leases name entries that may be live; the argument is their members."""
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_held_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_held_requests.py
@@ -1,7 +1,8 @@
-"""Requests that arrive before a starting entry has its configuration.
+"""Requests that arrive before a starting entry has read the store.
 
-Most callers do not retry a refused request, and the store answers within
-about 10 ms, so these requests are held for a short time.
+It needs the configuration and the cancellations that were stored before its
+start. Most callers do not retry a refused request, and the store answers
+within about 10 ms, so these requests are held for a short time.
 """
 
 import datetime
@@ -20,7 +21,7 @@
 
 
 class HeldRequests(circuits.BaseComponent):
-    """Component that holds requests until the first configuration or timeout.
+    """Component that holds requests until both are read, or the timeout.
 
     It then forwards them in order of arrival and unregisters itself.
     """
@@ -33,6 +34,8 @@
         self._hold_deadline = clock.now() + HOLD_TIMEOUT
         self._held: list[transport.Exchange] = []
         self._released = False
+        self._configured = False
+        self._knows_cancelled = False
 
     @circuits.handler("http_requested", channel=_events.GATEWAY, priority=10)
     def _on_http_requested(
@@ -52,13 +55,27 @@
     def _on_configuration_adopted(
         self, configuration: core.Configuration
     ) -> None:
-        self._release()
+        self._configured = True
+        self._release_when_ready()
+
+    @circuits.handler(
+        "cancellations_read", channel=_events.GATEWAY, priority=-1
+    )
+    def _on_cancellations_read(
+        self, cancelled: tuple[tuple[str, str], ...]
+    ) -> None:
+        self._knows_cancelled = True
+        self._release_when_ready()
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
         if self._clock.now() >= self._hold_deadline:
             self._release()
 
+    def _release_when_ready(self) -> None:
+        if self._configured and self._knows_cancelled:
+            self._release()
+
     def _release(self) -> None:
         if self._released:
             return
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
@@ -3,7 +3,6 @@
 The entry that a caller reaches may not hold its job, so it asks the others.
 """
 
-import collections
 import datetime
 import itertools
 import urllib.parse
@@ -15,7 +14,9 @@
 import cowslipgate_core as core
 from cowslipgate_entry import _events
 from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _cancelled_jobs
 from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _changes
 import cowslipgate_transport as transport
 
 CHANNEL = "requested-jobs"
@@ -32,12 +33,9 @@
 """Time for another entry's reply: it answers a cancellation when the runs
 have ended, after 1 s at the latest (``Timing.resolve_timeout``), at a tick."""
 
-KEPT_CANCELLED = datetime.timedelta(minutes=2)
-"""Time for which a cancelled job is remembered and not run: submissions that
-were sent before, or again, come seconds later."""
-
-MAX_CANCELLED = 10_000
-"""Cancelled jobs that are remembered, about 3 MB; the oldest goes first."""
+STORE_TIMEOUT = datetime.timedelta(seconds=1)
+"""Time for which a cancellation waits until it is stored and the list of
+entries is read: the time allowed for one answer of the store."""
 
 KEPT_FORMER = datetime.timedelta(seconds=15)
 """Time for which entries that have left the list of members are asked; they
@@ -46,6 +44,9 @@
 HTTP_OK = 200
 HTTP_GONE = 410
 
+Process = tuple[str, int]
+"""Address for callers and incarnation of an entry; zero if it is unknown."""
+
 
 @attrs.define(eq=False)
 class _Asked:
@@ -54,8 +55,20 @@
     inquiry: _requests.Inquiry
     """The request."""
 
-    pending: set[int] = attrs.Factory(set)
-    """Numbers of the calls to other entries without a reply."""
+    asked: set[Process] = attrs.Factory(set)
+    """Entries that were asked."""
+
+    pending: dict[int, str] = attrs.Factory(dict)
+    """Addresses of the entries that have not replied, by number of call."""
+
+    replies: dict[str, str] = attrs.Factory(dict)
+    """What each entry replied, by address, for the log."""
+
+    stored_by: datetime.datetime | None = None
+    """Until when the answer waits for the store, or None if it does not."""
+
+    stored: bool = False
+    """Whether the cancellation is stored and all entries since are asked."""
 
     local: _requests.Cancellation | None = None
     """Cancellation at this entry that has not ended, or None."""
@@ -84,11 +97,10 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._asked: list[_Asked] = []
-        # When a job was cancelled and whether it was in flight here, oldest
-        # first.
-        self._cancelled: collections.OrderedDict[
-            tuple[str, str], tuple[datetime.datetime, bool]
-        ] = collections.OrderedDict()
+        self._cancelled = _cancelled_jobs.CancelledJobs()
+        # Entries that were asked about jobs whose callers were answered before
+        # the cancellation was stored.
+        self._late: dict[_cancelled_jobs.Key, set[Process]] = {}
         self._members: tuple[core.Member, ...] = (member,)
         self._former: dict[str, datetime.datetime] = {}
         self._stops_at: datetime.datetime | None = None
@@ -133,16 +145,71 @@
     def _on_inquire(self, inquiry: _requests.Inquiry) -> None:
         self._start(inquiry, self._list_others())
 
+    @circuits.handler("cancellation_stored")
+    def _on_cancellation_stored(
+        self, team: str, resource: str, members: tuple[core.Member, ...]
+    ) -> None:
+        others = [
+            (member.http, member.incarnation)
+            for member in members
+            if member.http != self._member.http
+        ]
+        waiting = [
+            asked
+            for asked in self._asked
+            if asked.stored_by is not None
+            and (asked.inquiry.team, asked.inquiry.resource)
+            == (team, resource)
+        ]
+        for asked in waiting:
+            asked.stored_by = None
+            asked.stored = True
+            for other in others:
+                self._ask(asked, other)
+            self._answer_when_complete(asked)
+        # The caller may have been answered while the store was unavailable.
+        asked_before = self._late.pop((team, resource), None)
+        if asked_before is not None and not waiting:
+            for other in others:
+                if other not in asked_before:
+                    self._call(other[0], team, resource, True)
+
+    @circuits.handler("cancellations_read", channel=_events.GATEWAY)
+    def _on_cancellations_read(
+        self, cancelled: tuple[_cancelled_jobs.Key, ...]
+    ) -> None:
+        now = self._clock.now()
+        in_flight = {
+            (job.team, job.terms.resource)
+            for job in self._dispatcher.ledger.jobs.values()
+        }
+        for key in cancelled:
+            self._cancelled.add(key, key in in_flight, now)
+            if key in in_flight:
+                team, resource = key
+                cancellation = _requests.Cancellation(
+                    next(self._numbers), team, resource=resource
+                )
+                self.fire(_events.cancel_jobs(cancellation), "dispatcher")
+
     @circuits.handler("stop_at")
     def _on_stop_at(self, stops_at: datetime.datetime) -> None:
         self._stops_at = stops_at
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
-        if self._is_stopping():
-            for asked in list(self._asked):
-                asked.unknown |= bool(asked.pending)
+        stopping = self._is_stopping()
+        now = self._clock.now()
+        for asked in list(self._asked):
+            if stopping:
+                unasked = asked.stored_by is not None
+                asked.unknown |= bool(asked.pending) or unasked
                 asked.pending.clear()
+                asked.stored_by = None
+                self._answer_when_complete(asked)
+            elif asked.stored_by is not None and now >= asked.stored_by:
+                asked.stored_by = None
+                self._record_late(asked)
                 self._answer_when_complete(asked)
 
     @circuits.handler("submit_job", channel="dispatcher", priority=20)
@@ -150,7 +217,7 @@
         self, event: circuits.Event, submission: _requests.Submission
     ) -> None:
         key = submission.team, submission.terms.resource
-        if self._find_cancelled(key) is None:
+        if self._cancelled.find(key, self._clock.now()) is None:
             return
         event.stop()
         answer = core.JobAnswer(
@@ -160,6 +227,9 @@
         )
         refused = _events.job_refused(submission, answer)
         self.fire(refused, _events.GATEWAY)
+        action = _cancelled_jobs.CancellationAction.REFUSED
+        counted = _events.cancellations_counted(action, 1)
+        self.fire(counted, _events.GATEWAY)
 
     @circuits.handler("jobs_cancelled", channel="cancellations")
     def _on_jobs_cancelled(
@@ -178,30 +248,35 @@
     def _on_http_answered(self, answer: transport.CallAnswer) -> None:
         state = None
         unknown = False
+        reply = f"status {answer.status}"
         if answer.status == HTTP_OK:
             try:
                 state = msgspec.json.decode(
                     answer.body, type=_requests.JobState
                 )
+                reply = state.value
             except msgspec.DecodeError:
                 unknown = True
         else:
             unknown = answer.status != HTTP_GONE
-        self._record_reply(answer.call.id, state, unknown)
+            reply = reply if unknown else "no such job"
+        self._record_reply(answer.call.id, reply, state, unknown)
 
     @circuits.handler("http_failed", channel=ENTRY_CALLS)
     def _on_http_failed(self, failure: transport.CallFailure) -> None:
         # Where nothing listens no process holds a job.
         refused = failure.problem is transport.CallProblem.REFUSED
-        self._record_reply(failure.call.id, None, not refused)
+        reply = failure.problem.value
+        self._record_reply(failure.call.id, reply, None, not refused)
 
     def _start(
-        self, inquiry: _requests.Inquiry, others: tuple[str, ...]
+        self, inquiry: _requests.Inquiry, others: tuple[Process, ...]
     ) -> None:
         asked = _Asked(inquiry, state=self._find_state(inquiry))
         self._asked.append(asked)
         if inquiry.cancels:
             self._remember(inquiry, False)
+            self._store(asked)
             asked.local = _requests.Cancellation(
                 next(self._numbers), inquiry.team, resource=inquiry.resource
             )
@@ -216,40 +291,78 @@
             self.fire(_events.cancel_jobs(asked.local), "dispatcher")
         self._answer_when_complete(asked)
 
+    def _store(self, asked: _Asked) -> None:
+        if _is_relayed(asked.inquiry):
+            event = _events.cancellation_relayed()
+            self.fire(event, "stored-cancellations")
+            return
+        if not self._is_stopping():
+            asked.stored_by = self._clock.now() + STORE_TIMEOUT
+        event = _events.store_cancellation(
+            asked.inquiry.team, asked.inquiry.resource
+        )
+        self.fire(event, "stored-cancellations")
+
+    def _record_late(self, asked: _Asked) -> None:
+        """Remember who was asked until the cancellation is stored."""
+        key = asked.inquiry.team, asked.inquiry.resource
+        self._late[key] = asked.asked
+        if len(self._late) > _cancelled_jobs.MAX_CANCELLED:
+            del self._late[next(iter(self._late))]
+
     def _is_stopping(self) -> bool:
         return (
             self._stops_at is not None and self._clock.now() >= self._stops_at
         )
 
-    def _ask(self, asked: _Asked, other: str) -> None:
+    def _ask(self, asked: _Asked, other: Process) -> None:
+        """Ask an entry, unless this process of it was asked before."""
+        if other in asked.asked:
+            return
+        asked.asked.add(other)
+        address, _ = other
+        inquiry = asked.inquiry
+        number = self._call(
+            address, inquiry.team, inquiry.resource, inquiry.cancels
+        )
+        if number is not None:
+            asked.pending[number] = address
+
+    def _call(
+        self, other: str, team: str, resource: str, cancels: bool
+    ) -> int | None:
+        """Send an inquiry; return the number of the call, or None."""
         try:
             address = transport.parse_address(other)
         except ValueError:
             # No entry has written this row.
-            return
+            return None
         number = next(self._numbers)
-        inquiry = asked.inquiry
-        _, _, path = inquiry.resource.partition("/")
+        _, _, path = resource.partition("/")
         call = transport.Call(
             number,
             address,
-            "DELETE" if inquiry.cancels else "GET",
+            "DELETE" if cancels else "GET",
             "/" + urllib.parse.quote(path),
             {
-                RESOURCE_HEADER: urllib.parse.quote(inquiry.resource),
-                TEAM_HEADER: urllib.parse.quote(inquiry.team),
+                RESOURCE_HEADER: urllib.parse.quote(resource),
+                TEAM_HEADER: urllib.parse.quote(team),
             },
             timeout=REPLY_TIMEOUT,
         )
-        asked.pending.add(number)
         self.fire(transport.call_http(call), ENTRY_CALLS)
+        return number
 
     def _record_reply(
-        self, number: int, state: _requests.JobState | None, unknown: bool
+        self,
+        number: int,
+        reply: str,
+        state: _requests.JobState | None,
+        unknown: bool,
     ) -> None:
         for asked in self._asked:
             if number in asked.pending:
-                asked.pending.remove(number)
+                asked.replies[asked.pending.pop(number)] = reply
                 asked.state = asked.state or state
                 asked.unknown |= unknown
                 self._answer_when_complete(asked)
@@ -258,9 +371,13 @@
     def _answer_when_complete(self, asked: _Asked) -> None:
         if asked.pending or asked.local is not None:
             return
+        if asked.stored_by is not None:
+            return
         self._asked.remove(asked)
         inquiry = asked.inquiry
-        if RESOURCE_HEADER.lower() not in inquiry.exchange.headers:
+        if not _is_relayed(inquiry):
+            if inquiry.cancels and asked.state is None:
+                self._log_unmatched(asked)
             event = _events.inquiry_answered(
                 inquiry, asked.state, asked.unknown
             )
@@ -273,6 +390,16 @@
         event = transport.answer_http(inquiry.exchange, answer)
         self.fire(event, _events.GATEWAY)
 
+    def _log_unmatched(self, asked: _Asked) -> None:
+        replies = tuple(
+            f"{address} {reply}"
+            for address, reply in sorted(asked.replies.items())
+        )
+        change = _changes.CancellationUnmatched(
+            asked.inquiry.resource, replies, asked.unknown, asked.stored
+        )
+        self.fire(transport.changed(change), "logs")
+
     def _find_state(
         self, inquiry: _requests.Inquiry
     ) -> _requests.JobState | None:
@@ -283,39 +410,27 @@
         self, inquiry: _requests.Inquiry
     ) -> _requests.JobState | None:
         key = inquiry.team, inquiry.resource
-        was_here = self._find_cancelled(key)
+        was_here = self._cancelled.find(key, self._clock.now())
         return _requests.JobState.CANCELLED if was_here else None
 
-    def _find_cancelled(self, key: tuple[str, str]) -> bool | None:
-        """Return whether a cancelled job was in flight here.
-
-        It is None for a job that was not cancelled.
-        """
-        found = self._cancelled.get(key)
-        if found is None or self._clock.now() - found[0] > KEPT_CANCELLED:
-            return None
-        return found[1]
-
     def _remember(self, inquiry: _requests.Inquiry, was_here: bool) -> None:
         key = inquiry.team, inquiry.resource
-        now = self._clock.now()
-        was_here = was_here or bool(self._find_cancelled(key))
-        self._cancelled[key] = now, was_here
-        self._cancelled.move_to_end(key)
-        while self._cancelled:
-            oldest = next(iter(self._cancelled))
-            outdated = now - self._cancelled[oldest][0] > KEPT_CANCELLED
-            if not outdated and len(self._cancelled) <= MAX_CANCELLED:
-                return
-            del self._cancelled[oldest]
+        self._cancelled.add(key, was_here, self._clock.now())
 
-    def _list_others(self) -> tuple[str, ...]:
+    def _list_others(self) -> tuple[Process, ...]:
         now = self._clock.now()
         self._former = {
             address: left_at
             for address, left_at in self._former.items()
             if now - left_at <= KEPT_FORMER
         }
-        addresses = {member.http for member in self._members}
-        addresses |= self._former.keys()
-        return tuple(sorted(addresses - {self._member.http}))
+        others = {member.http: member.incarnation for member in self._members}
+        for address in self._former:
+            others.setdefault(address, 0)
+        others.pop(self._member.http, None)
+        return tuple(sorted(others.items()))
+
+
+def _is_relayed(inquiry: _requests.Inquiry) -> bool:
+    """Return whether another entry sent an inquiry, on behalf of a caller."""
+    return RESOURCE_HEADER.lower() in inquiry.exchange.headers
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -209,6 +209,34 @@
     """Every fault of the configuration."""
 
 
+@attrs.frozen
+class FeatureEnabled(Change):
+    """A feature is on at this entry."""
+
+    feature: str
+    """Name of the feature."""
+
+    reason: str
+    """Why it is on."""
+
+
+@attrs.frozen
+class CancellationUnmatched(Change):
+    """A caller cancelled a job that no entry is known to hold."""
+
+    resource: str
+    """Host and path by which the caller names the job."""
+
+    replies: tuple[str, ...]
+    """Address of each entry that was asked, and what it replied."""
+
+    unknown: bool
+    """Whether an entry that may hold the job has not replied."""
+
+    stored: bool
+    """Whether the cancellation was stored before the caller was answered."""
+
+
 @attrs.frozen
 class JobRefused(Change):
     """A job was refused; none of its tasks ran."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -17,6 +17,9 @@
     refusals: transport.Counter
     """Jobs refused, by type."""
 
+    cancellations: transport.Counter
+    """Rows of cancellations and submissions refused by them, by action."""
+
     response: transport.Summary
     """Response time of complete jobs, in seconds."""
 
@@ -88,6 +91,13 @@
             "Jobs refused before anything was sent, by type.",
             "type",
         ),
+        cancellations=counter(
+            "cowslipgate_cancellations_total",
+            "Rows of cancellations written to the store, removed from it or "
+            "read at the start, and submissions refused since their job had "
+            "been cancelled.",
+            "action",
+        ),
         response=summary(
             "cowslipgate_response_seconds",
             "Time from acceptance to answer of complete jobs.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -6,6 +6,7 @@
 import cowslipgate_core as core
 from cowslipgate_entry import _events
 from cowslipgate_entry.agents import _dispatcher
+from cowslipgate_entry.callers import _cancelled_jobs
 from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.observation import _families
 from cowslipgate_entry.observation import _minutes
@@ -86,6 +87,12 @@
     ) -> None:
         self._families.refusals.add(answer.failure.value)
 
+    @circuits.handler("cancellations_counted", channel=_events.GATEWAY)
+    def _on_cancellations_counted(
+        self, action: _cancelled_jobs.CancellationAction, count: int
+    ) -> None:
+        self._families.cancellations.add(action.value, amount=count)
+
     @circuits.handler("job_answered", channel=_events.GATEWAY)
     def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
         use = self._uses.pop(job.id, None)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -13,6 +13,7 @@
 import cowslipgate_transport as transport
 
 CHANNEL = "members"
+CANCELLATIONS_CHANNEL = "stored-cancellations"
 
 RENEW_INTERVAL = datetime.timedelta(seconds=5)
 """Time between two renewals of an entry's row: one write and one read each."""
@@ -41,6 +42,8 @@
         self._leaving = False
         self._store_failed = False
         self._next_renewal = clock.now()
+        self._refresh: core.TableRead | None = None
+        self._stored = False
         self._passed_over = transport.RowsPassedOver(self)
 
     @circuits.handler("started", channel="*")
@@ -57,9 +60,16 @@
         self._leaving = True
         self._write(self._member, b"")
 
+    @circuits.handler("refresh_members")
+    def _on_refresh_members(self) -> None:
+        self._refresh = core.TableRead(CHANNEL, core.ENTRIES_TABLE)
+        self.fire(transport.call_table(self._refresh), "store")
+
     @circuits.handler("table_answered")
     def _on_table_answered(self, answer: core.TableAnswer) -> None:
-        if answer.result is core.TableResult.CONFLICT:
+        if answer.call is self._refresh:
+            self._finish_refresh(answer)
+        elif answer.result is core.TableResult.CONFLICT:
             # The entry whose row was to be removed is back.
             self._busy = False
         elif answer.result is not core.TableResult.DONE:
@@ -70,6 +80,10 @@
             self._busy = False
             self._handle_rows(answer.rows)
         elif not self._leaving:
+            if not self._stored:
+                self._stored = True
+                event = _events.member_stored()
+                self.fire(event, CANCELLATIONS_CHANNEL)
             call = core.TableRead(CHANNEL, core.ENTRIES_TABLE)
             self.fire(transport.call_table(call), "store")
 
@@ -94,16 +108,39 @@
         )
         self.fire(transport.call_table(call), "store")
 
-    def _handle_rows(self, rows: tuple[core.TableRow, ...]) -> None:
+    def _finish_refresh(self, answer: core.TableAnswer) -> None:
+        self._refresh = None
+        members = None
+        if answer.result is core.TableResult.DONE:
+            others = self._decode_others(answer.rows)
+            members = (self._member, *self._list_live(others))
+            if self._store_failed:
+                members += self._list_unseen(members)
+            self._replace_members(members)
+        event = _events.members_refreshed(members)
+        self.fire(event, CANCELLATIONS_CHANNEL)
+
+    def _list_live(
+        self, others: tuple[core.Lease, ...]
+    ) -> tuple[core.Member, ...]:
+        """Return the other entries whose leases have not expired."""
+        live = self._expiry_detector.filter_live(others, self._clock.now())
+        return tuple(lease.member for lease in live)
+
+    def _decode_others(
+        self, rows: tuple[core.TableRow, ...]
+    ) -> tuple[core.Lease, ...]:
         decoded = core.decode_leases(rows)
         self._passed_over.log(core.ENTRIES_TABLE, decoded.faults)
-        others = tuple(
+        return tuple(
             lease
             for lease in decoded.leases
             if lease.member.address != self._member.address
         )
-        live = self._expiry_detector.filter_live(others, self._clock.now())
-        members = (self._member, *(lease.member for lease in live))
+
+    def _handle_rows(self, rows: tuple[core.TableRow, ...]) -> None:
+        others = self._decode_others(rows)
+        members = (self._member, *self._list_live(others))
         if self._store_failed:
             self._store_failed = False
             members += self._list_unseen(members)
@@ -111,6 +148,9 @@
         else:
             versions = {row.key: row.version for row in rows}
             self._remove_abandoned(others, members, versions)
+        self._replace_members(members)
+
+    def _replace_members(self, members: tuple[core.Member, ...]) -> None:
         if set(members) != set(self._members):
             self._members = members
             event = _events.members_changed(members)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
@@ -39,6 +39,7 @@
         self.versions: list[int] = []
         self.rejected: list[core.ConfigurationError] = []
         self.members: list[set[core.Member]] = []
+        self.refreshed: list[tuple[core.Member, ...] | None] = []
         _configuration_follower.ConfigurationFollower(
             "op", "config", _read, self.clock
         ).register(self)
@@ -61,6 +62,10 @@
     def _on_members(self, members: tuple[core.Member, ...]) -> None:
         self.members.append(set(members))
 
+    @circuits.handler("members_refreshed", channel="stored-cancellations")
+    def _on_refreshed(self, members: tuple[core.Member, ...] | None) -> None:
+        self.refreshed.append(members)
+
     def send(self, event: circuits.Event, *channels: str) -> None:
         """Fire an event and process events until none is queued."""
         self.fire(event, *channels)
@@ -213,6 +218,31 @@
     assert harness.members == [{OWN, OTHER}]
 
 
+# Guards against a cancellation that is answered for a list read before it.
+def test_list_of_entries_is_read_on_command(harness: StoreHarness) -> None:
+    harness.answer("members")
+    harness.answer("members")
+    harness.send(_events.refresh_members(), "members")
+    assert harness.refreshed == []
+    harness.answer("members", rows=(_lease(OTHER, 1),))
+    assert harness.refreshed == [(OWN, OTHER)]
+    assert harness.members[-1] == {OWN, OTHER}
+
+
+# Guards against members that are lost, and renewals that end, by such a read.
+def test_read_on_command_that_fails_changes_no_member(
+    harness: StoreHarness,
+) -> None:
+    harness.answer("members")
+    harness.answer("members", rows=(_lease(OTHER, 1),))
+    harness.send(_events.refresh_members(), "members")
+    harness.answer("members", core.TableResult.UNREACHABLE)
+    assert harness.refreshed == [None]
+    assert harness.members == [{OWN, OTHER}]
+    harness.pass_time(_stored_members.RENEW_INTERVAL.total_seconds())
+    assert isinstance(harness.last("members"), core.TableWrite)
+
+
 def test_row_is_written_within_two_seconds_of_the_stores_recovery(
     harness: StoreHarness,
 ) -> None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_held_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_held_requests.py
@@ -60,6 +60,10 @@
         )
         self.fire(_events.configuration_adopted(configuration))
 
+    def read_cancellations(self) -> None:
+        """Read the stored cancellations, of which there are none."""
+        self.fire(_events.cancellations_read(()))
+
     def advance(self, milliseconds: int) -> None:
         """Advance the clock and fire a tick."""
         self.clock.advance(datetime.timedelta(milliseconds=milliseconds))
@@ -67,10 +71,41 @@
 
 
 @pytest.fixture
-def harness() -> HeldRequestsHarness:
+def starting() -> HeldRequestsHarness:
     return HeldRequestsHarness()
 
 
+@pytest.fixture
+def harness(starting: HeldRequestsHarness) -> HeldRequestsHarness:
+    starting.read_cancellations()
+    return starting
+
+
+# Guards against a job that runs though the store says that it was cancelled.
+@pytest.mark.parametrize("configured_first", [True, False])
+def test_requests_wait_for_the_cancellations_as_well(
+    starting: HeldRequestsHarness, configured_first: bool
+) -> None:
+    exchange = starting.request()
+    steps = [starting.adopt, starting.read_cancellations]
+    for step in steps if configured_first else reversed(steps):
+        assert starting.gateway.received == []
+        step()
+    assert starting.gateway.received == [(exchange, True)]
+
+
+# Guards against requests that wait for a store that is down.
+def test_requests_wait_for_the_cancellations_until_the_timeout(
+    starting: HeldRequestsHarness,
+) -> None:
+    exchange = starting.request()
+    starting.adopt()
+    starting.advance(290)
+    assert starting.gateway.received == []
+    starting.advance(20)
+    assert starting.gateway.received == [(exchange, True)]
+
+
 def test_early_requests_are_forwarded_once_configured(
     harness: HeldRequestsHarness,
 ) -> None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -12,6 +12,7 @@
 from cowslipgate_entry import _events
 from cowslipgate_entry.agents import _dispatcher
 from cowslipgate_entry.agents import _sender_check
+from cowslipgate_entry.callers import _cancelled_jobs
 from cowslipgate_entry.callers import _requests
 from cowslipgate_entry.observation import _changes
 from cowslipgate_entry.observation import _metrics
@@ -114,8 +115,13 @@
     refusal = core.JobAnswer("j", failure=core.Failure.OVERLOADED)
     submission = observer_builders.build_submission()
     _fire(root, _events.job_refused(submission, refusal), "gateway")
+    action = _cancelled_jobs.CancellationAction
+    for done, count in ((action.WRITTEN, 2), (action.WRITTEN, 3)):
+        counted = _events.cancellations_counted(done, count)
+        _fire(root, counted, "gateway")
     values = _read_metrics(metrics)
     expected = {
+        'cowslipgate_cancellations_total{action="row_written"}': 5,
         'cowslipgate_jobs_total{outcome="complete"}': 1,
         'cowslipgate_refusals_total{type="overloaded"}': 1,
         'cowslipgate_sends_total{purpose="dispatch",work="useful"}': 2,
