Find jobs in progress whose route was removed

Change: a GET or DELETE without a route is looked up by host and path: at this entry, and for DELETE also at the others, like any cancellation.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
@@ -143,7 +143,10 @@
 
     @circuits.handler("inquire")
     def _on_inquire(self, inquiry: _requests.Inquiry) -> None:
-        self._start(inquiry, self._list_others())
+        if inquiry.cancels or inquiry.routed:
+            self._start(inquiry, self._list_others())
+        else:
+            self._start(inquiry, ())
 
     @circuits.handler("cancellation_stored")
     def _on_cancellation_stored(
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requests.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requests.py
@@ -89,6 +89,9 @@
     cancels: bool
     """Whether the job is to be cancelled."""
 
+    routed: bool = True
+    """Whether a route of the present configuration matches the path."""
+
 
 @attrs.frozen(eq=False)
 class Claim:
