Let services choose admission by forecast and routes have shares

Change: the service's field admission (deadline or forecast, default deadline) and the route's field share (0 to 1, default 0). Nothing reads the fields yet.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -72,6 +72,7 @@
 choose_target = _quotas.choose_target
 Clock = _clock.Clock
 compress_document = _compression.compress_document
+Admission = _configuration.Admission
 Configuration = _configuration.Configuration
 ConfigurationAcknowledge = _documents.ConfigurationAcknowledge
 RelayedConfiguration = _documents.RelayedConfiguration
--- a/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
@@ -1,6 +1,7 @@
 """The operators' configuration: records, validation, merge patches."""
 
 import datetime
+import enum
 import hashlib
 import hmac
 import json
@@ -22,6 +23,13 @@
 _Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 
 
+class Admission(enum.StrEnum):
+    """How a service decides whether a job can be done in time."""
+
+    DEADLINE = "deadline"
+    FORECAST = "forecast"
+
+
 @attrs.frozen
 class Service:
     """A pool of targets, with the limits and weights of its jobs."""
@@ -41,6 +49,10 @@
     default_deadline_ms: _Milliseconds = 30_000
     """Deadline in milliseconds of jobs that declare none."""
 
+    admission: Admission = Admission.DEADLINE
+    """``deadline`` lets a job wait until its own size makes it too late;
+    ``forecast`` refuses it once the work ahead of it does."""
+
     @property
     def default_deadline(self) -> datetime.timedelta:
         """Deadline of jobs that declare none."""
@@ -109,7 +121,24 @@
     faults = list(_find_faults(raw))
     if faults:
         raise _exceptions.ConfigurationError(tuple(faults))
-    return Configuration(version, msgspec.convert(raw, Document), raw)
+    document = msgspec.convert(raw, Document)
+    faults = _find_share_faults(document)
+    if faults:
+        raise _exceptions.ConfigurationError(tuple(faults))
+    return Configuration(version, document, raw)
+
+
+def _find_share_faults(document: Document) -> "list[_exceptions.Fault]":
+    totals = _routes.sum_shares(document.routes)
+    return [
+        _exceptions.Fault(
+            f"$.routes.{name}.share",
+            f"the shares of service {route.service!r} sum to "
+            f"{totals[route.service]:g}, above 1",
+        )
+        for name, route in document.routes.items()
+        if route.share and totals[route.service] > 1
+    ]
 
 
 def _find_faults(raw: Any) -> "list[_exceptions.Fault]":
--- a/packages/cowslipgate-core/src/cowslipgate_core/configuration/_routes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/_routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import datetime
+import math
 from typing import Annotated
 
 import attrs
@@ -11,8 +12,12 @@
 _Positive = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 _Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
 _Factor = Annotated[float, msgspec.Meta(ge=0.0, le=1_000.0)]
+_Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 _Text = Annotated[str, msgspec.Meta(max_length=256)]
 
+SHARE_DIGITS = 9
+"""Decimal places of a sum of shares; binary fractions are inexact."""
+
 
 @attrs.frozen
 class Route:
@@ -47,6 +52,10 @@
     """Feature that the route needs and that is not supported; its jobs are
     refused. Empty when there is none."""
 
+    share: _Share = 0.0
+    """Share of an entry's started work that the route gets under overload;
+    zero for none. The shares of a service's routes sum to at most 1."""
+
     @property
     def timeout(self) -> datetime.timedelta:
         """Time after which a request times out."""
@@ -69,6 +78,17 @@
     """Definition of the route."""
 
 
+def sum_shares(routes: Mapping[str, Route]) -> dict[str, float]:
+    """Return the sum of the shares of each service's routes, by service."""
+    shares: dict[str, list[float]] = {}
+    for route in routes.values():
+        shares.setdefault(route.service, []).append(route.share)
+    return {
+        service: round(math.fsum(each), SHARE_DIGITS)
+        for service, each in shares.items()
+    }
+
+
 class RouteTable:
     """Routes by host, each host's routes with the longest prefix first."""
 
