Forecast waiting jobs and give routes their shares

Cause: a job waits until its deadline although the work ahead of it shows earlier that it cannot be done in time.

Change: placement/_overload.py forecasts start and end of waiting jobs from the work ahead and the rate at which it is started. placement/_shares.py lets routes with credit go first. jobs/_overloaded_jobs.py walks the backlog of a service at most once in a tick, while no target has room. The assigner records starts; the answer to a job gets retry_after, forecast and rate. All of it is unused unless a service has admission by forecast or a route has a share.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -115,6 +115,15 @@
     claimed_status: str = ""
     """State of that job as this entry knows it, or empty."""
 
+    retry_after: datetime.timedelta | None = None
+    """Time after which the job may be sent again, or None if unknown."""
+
+    forecast: datetime.timedelta | None = None
+    """Time that the job would have taken, or None without a forecast."""
+
+    rate: float = 0.0
+    """Rate of the forecast, in seconds of work at speed one per second."""
+
 
 @attrs.frozen
 class JobTerms:
@@ -163,6 +172,12 @@
     copies: bool = False
     """Whether a task may have a speculative copy; the first result counts."""
 
+    route: str = ""
+    """Name of the route of its request, or empty."""
+
+    share: float = 0.0
+    """Share of the started work that the route is due under overload."""
+
     def name_task(self, index: int) -> str:
         """Return the name that all attempts of a task share, or empty."""
         return f"{self.request}.{self.step}.{index}" if self.request else ""
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -17,6 +17,7 @@
 from cowslipgate_core.jobs import _late_jobs
 from cowslipgate_core.jobs import _ledger_actions
 from cowslipgate_core.jobs import _ledger_counters
+from cowslipgate_core.jobs import _overloaded_jobs
 from cowslipgate_core.jobs import _own_pauses
 from cowslipgate_core.jobs import _stalled_runs
 from cowslipgate_core.jobs import _timing
@@ -80,6 +81,9 @@
         self._assigner = _assignment.Assigner(
             policy, self._roster, self.estimates
         )
+        self.overload = _overloaded_jobs.OverloadedJobs(
+            self._jobs, self._assigner, self._roster, self.estimates
+        )
         self.counters = _ledger_counters.LedgerCounters()
         self._inquiries = _inquiries.Inquiries(
             self._attempts, timing, self.counters
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -11,10 +11,14 @@
 from cowslipgate_core.placement import _backlog
 from cowslipgate_core.placement import _copies
 from cowslipgate_core.placement import _estimates
+from cowslipgate_core.placement import _overload
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _prospects
+from cowslipgate_core.placement import _ready_jobs
 from cowslipgate_core.placement import _roster
+from cowslipgate_core.placement import _shares
 from cowslipgate_core.placement import _stalls
+from cowslipgate_core.placement import _targets
 from cowslipgate_core.placement import _weights
 
 
@@ -53,6 +57,20 @@
         self._waiting_tasks: collections.Counter[str] = collections.Counter()
         self._suspended: set[str] = set()
         self._active_by_team: collections.Counter[str] = collections.Counter()
+        self._shares = _shares.Shares()
+        self._start_rates: dict[str, _overload.StartRate] = {}
+        self._allowances: dict[str, int] = {}
+        self._entries = 1
+
+    @property
+    def policy(self) -> _placement.Policy:
+        """Policy without the weights of services."""
+        return self._policy
+
+    @property
+    def entries(self) -> int:
+        """Number of entries that shared the targets at the last choice."""
+        return self._entries
 
     @property
     def has_assignable_tasks(self) -> bool:
@@ -63,6 +81,32 @@
         """Return the number of waiting tasks of a service."""
         return self._waiting_tasks[service]
 
+    def find_start_rate(self, service: str) -> _overload.StartRate | None:
+        """Return the rate of a service that is admitted by forecasts.
+
+        None if no task of it waits.
+        """
+        return self._start_rates.get(service)
+
+    def list_ready(self, service: str) -> list[_backlog.WaitingJob]:
+        """Return the waiting jobs that only lack room."""
+        waiting = self._waiting.get(service, {}).values()
+        return [
+            job
+            for job in _ready_jobs.list_ready(list(waiting), self._allowances)
+            if job.job not in self._suspended
+        ]
+
+    def build_waiting_job(self, job: _jobs.Job) -> _backlog.WaitingJob:
+        """Return a job as policies see it, all of whose tasks wait."""
+        return _backlog.WaitingJob(
+            job.id,
+            job.team,
+            job.submitted_at,
+            list(self._build_tasks(job)),
+            terms=job.terms,
+        )
+
     @property
     def services(self) -> set[str]:
         """Services with waiting tasks."""
@@ -78,6 +122,7 @@
         self._states[job.id] = state
         if job.terms.copies:
             self._copyable[job.id] = state
+        self._shares.add_job(job.service, waiting_job)
         for task in tasks:
             self._roster.record_needs(job.service, task.needs)
         self._waiting.setdefault(job.service, {})[job.id] = waiting_job
@@ -196,6 +241,8 @@
             team: quota - self._active_by_team.get(team, 0)
             for team, quota in quotas.items()
         }
+        self._allowances = allowances
+        self._entries = entries
         chosen: list[_placement.Assignment] = []
         for service, waiting in self._waiting.items():
             pool = self._roster.get_pool(service, now)
@@ -206,8 +253,10 @@
             ]
             if pool is None or not jobs:
                 continue
-            assignments = _placement.choose_assignments(
-                self._weigh_policy(services.get(service)),
+            definition = services.get(service)
+            assignments = self._shares.choose_assignments(
+                service,
+                self._weigh_policy(definition),
                 jobs,
                 pool,
                 allowances,
@@ -215,6 +264,9 @@
                 entries,
             )
             self._waiting_tasks[service] -= len(assignments)
+            self._observe_starts(
+                service, definition, assignments, jobs, pool, now
+            )
             chosen.extend(assignments)
         self._drop_empty(chosen)
         return chosen + self._choose_copies(allowances, now)
@@ -237,6 +289,28 @@
             )
         return chosen
 
+    def _observe_starts(
+        self,
+        service: str,
+        definition: _configuration.Service | None,
+        assignments: list[_placement.Assignment],
+        jobs: list[_backlog.WaitingJob],
+        pool: _targets.Pool,
+        now: datetime.datetime,
+    ) -> None:
+        forecasts = _configuration.Admission.FORECAST
+        if definition is None or definition.admission is not forecasts:
+            self._start_rates.pop(service, None)
+            return
+        work = sum(
+            self._states[each.job].tasks[each.index].seconds
+            for each in assignments
+        )
+        ready = (job for job in jobs if self._allowances.get(job.team, 0) > 0)
+        full = _overload.is_full(pool, ready, now)
+        rate = self._start_rates.setdefault(service, _overload.StartRate())
+        rate.observe(work, full, now)
+
     def _weigh_policy(
         self, service: _configuration.Service | None
     ) -> _placement.Policy:
@@ -257,6 +331,7 @@
         waiting.pop(job_id, None)
         if not waiting:
             self._waiting.pop(service, None)
+            self._start_rates.pop(service, None)
             del self._waiting_tasks[service]
 
     def _build_tasks(self, job: _jobs.Job) -> tuple[_backlog.WaitingTask, ...]:
