Refuse jobs by forecast at submission and in ticks

Cause: the forecasts were not used, and all refused callers were told to come back after one second.

Change: admission and dispatcher refuse jobs of services with admission by forecast. JobRefused has forecast_ms and rate; FeatureEnabled is logged; gauges of rate and wait and a counter of refusals by route are rendered.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_dispatcher.py
@@ -116,13 +116,16 @@
         job = self._make_job(submission)
         refusal = self._find_refusal(job)
         if refusal is not None:
-            self._admission.forget_job(job)
             answer = core.JobAnswer(
                 job.id,
                 failure=refusal.failure,
                 message=refusal.message,
                 path=refusal.path,
             )
+            answer = self._admission.complete_answer(
+                job, answer, job.submitted_at
+            )
+            self._admission.forget_job(job)
             self.fire(_events.job_refused(submission, answer), "gateway")
             return
         self.fire(_events.job_accepted(submission, job), "gateway")
@@ -217,6 +220,7 @@
         now = self._clock.now()
         self._perform(self._ledger.tick(now))
         self._fail_infeasible(now)
+        self._fail_overloaded(now)
         expired = [
             c.job for c in self._claims.values() if c.job.deadline <= now
         ]
@@ -387,6 +391,15 @@
                 self._ledger.fail(job, refusal.failure, refusal.message, now)
             )
 
+    def _fail_overloaded(self, now: datetime.datetime) -> None:
+        if self._configuration is None:
+            return
+        services = self._configuration.document.services
+        for job, refusal in self._admission.list_overloaded(services, now):
+            self._perform(
+                self._ledger.fail(job, refusal.failure, refusal.message, now)
+            )
+
     def _get_version(self) -> int:
         configuration = self._configuration
         return configuration.version if configuration is not None else 0
@@ -439,6 +452,9 @@
             self._end_job(job, answer)
 
     def _end_job(self, job: core.Job, answer: core.JobAnswer) -> None:
+        answer = self._admission.complete_answer(
+            job, answer, self._clock.now()
+        )
         self._admission.forget_job(job)
         self.fire(_events.job_answered(job, answer), "gateway")
         self._ended.add(job, answer)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_admission.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_admission.py
@@ -7,6 +7,7 @@
 import attrs
 
 import cowslipgate_core as core
+from cowslipgate_entry.callers import _retry_after
 
 MICROSECONDS_PER_SECOND = 1_000_000
 
@@ -53,6 +54,8 @@
         self._feasibility = core.UncheckedJobs()
         self._work: dict[str, float] = {}
         self._in_flight = WorkInFlight()
+        # Forecasts for which jobs are refused, until they are answered.
+        self._forecasts: dict[str, core.Forecast] = {}
 
     @property
     def unverified(self) -> int:
@@ -77,10 +80,13 @@
                 f"there is no service {job.service!r}",
             )
         waiting = self._ledger.count_waiting(job.service)
+        check_wait = self._check_wait
+        if service.admission is core.Admission.FORECAST:
+            check_wait = self._check_forecast
         return (
             core.check_limits(service, len(job.request.tasks), waiting)
             or self._find_infeasible(job)
-            or self._check_wait(job)
+            or check_wait(job)
         )
 
     def add_job(self, job: core.Job) -> None:
@@ -92,6 +98,7 @@
     def forget_job(self, job: core.Job) -> None:
         """Remove the records of a job that was answered or refused."""
         self._work.pop(job.id, None)
+        self._forecasts.pop(job.id, None)
         self._in_flight.remove(job)
         self._feasibility.remove(job.id)
 
@@ -102,6 +109,62 @@
         found = self._feasibility.pop_infeasible(self._offers, now)
         return [(job, _refuse_infeasible(index)) for job, index in found]
 
+    def list_overloaded(
+        self, services: dict[str, core.Service], now: datetime.datetime
+    ) -> list[tuple[core.Job, core.Refusal]]:
+        """Return the waiting jobs to refuse for their forecasts."""
+        forecast_services = {
+            name
+            for name, service in services.items()
+            if service.admission is core.Admission.FORECAST
+        }
+        self._ledger.overload.retain_services(forecast_services)
+        overloaded = []
+        for name in sorted(forecast_services):
+            for job, forecast in self._ledger.overload.list_overloaded(
+                name, now
+            ):
+                self._forecasts[job.id] = forecast
+                overloaded.append((job, _refuse_overloaded(forecast)))
+        return overloaded
+
+    def complete_answer(
+        self, job: core.Job, answer: core.JobAnswer, now: datetime.datetime
+    ) -> core.JobAnswer:
+        """Return the answer to a refused job with the time to come back.
+
+        Answers of services that are not admitted by forecasts, and while
+        targets have room, are returned unchanged.
+        """
+        if (
+            answer.failure is not core.Failure.OVERLOADED
+            or answer.started is not core.Started.NONE
+        ):
+            return answer
+        forecast = self._forecasts.get(job.id)
+        if forecast is None:
+            forecast = self._ledger.overload.find_forecast(job, now)
+        if forecast is None:
+            return answer
+        return attrs.evolve(
+            answer,
+            retry_after=_retry_after.choose_retry_after(
+                forecast.start_seconds, job.terms.request or job.id
+            ),
+            forecast=datetime.timedelta(seconds=forecast.end_seconds),
+            rate=forecast.rate,
+        )
+
+    def _check_forecast(self, job: core.Job) -> core.Refusal | None:
+        overload = self._ledger.overload
+        forecast = overload.find_forecast(job, job.submitted_at)
+        if forecast is None or not overload.is_overloaded(
+            job, forecast, job.submitted_at
+        ):
+            return None
+        self._forecasts[job.id] = forecast
+        return _refuse_overloaded(forecast)
+
     def _find_infeasible(self, job: core.Job) -> core.Refusal | None:
         index = self._offers.find_infeasible(
             job.service, job.request, job.submitted_at
@@ -154,6 +217,10 @@
         )
 
 
+def _refuse_overloaded(forecast: core.Forecast) -> core.Refusal:
+    return core.Refusal(core.Failure.OVERLOADED, forecast.reason)
+
+
 def _refuse_infeasible(index: int) -> core.Refusal:
     return core.Refusal(
         core.Failure.INFEASIBLE,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_answers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_answers.py
@@ -1,9 +1,12 @@
 """Encoding of HTTP answers to callers and operators."""
 
+import datetime
+
 import msgspec
 
 import cowslipgate_core as core
 from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.callers import _retry_after
 import cowslipgate_transport as transport
 
 RETRY_AFTER_SECONDS = "1"
@@ -51,6 +54,7 @@
             answer.job,
             answer.path,
             further=_describe_claim(answer),
+            retry_after=answer.retry_after,
         )
     body = {
         "job": answer.job,
@@ -74,10 +78,12 @@
     job: str = "",
     path: str = "",
     further: dict[str, object] | None = None,
+    retry_after: datetime.timedelta | None = None,
 ) -> transport.Answer:
     """Return the HTTP answer for a failed or refused job.
 
     :param further: additional top-level fields of the body
+    :param retry_after: time after which it may be sent again, if known
     """
     error = {
         "type": failure.value,
@@ -93,14 +99,21 @@
         status = HTTP_BAD_GATEWAY
     headers = {}
     if status in (429, 503):
-        headers["Retry-After"] = choose_retry_seconds(failure)
+        headers["Retry-After"] = choose_retry_seconds(failure, retry_after)
     return transport.Answer(status, msgspec.json.encode(body), headers)
 
 
-def choose_retry_seconds(failure: core.Failure) -> str:
-    """Return the Retry-After header of a job that was refused."""
+def choose_retry_seconds(
+    failure: core.Failure, retry_after: datetime.timedelta | None = None
+) -> str:
+    """Return the Retry-After header of a job that was refused.
+
+    :param retry_after: time after which it may be sent again, if known
+    """
     if failure is core.Failure.STOPPING:
         return RETRY_NOW
+    if retry_after is not None:
+        return _retry_after.format_seconds(retry_after)
     return RETRY_AFTER_SECONDS
 
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -27,6 +27,17 @@
     """Version now in force."""
 
 
+@attrs.frozen
+class FeatureEnabled(Change):
+    """A feature that is off by default is on."""
+
+    feature: str
+    """Name of the feature."""
+
+    reason: str
+    """What enables it."""
+
+
 @attrs.frozen
 class ConfigurationAsked(Change):
     """A newer version could not be read from the store; an agent was asked."""
@@ -237,6 +248,12 @@
     agents: int
     """Agents known to this entry."""
 
+    forecast_ms: int | None = None
+    """Time that it would have taken, or None without a forecast."""
+
+    rate: float = 0.0
+    """Seconds of work at speed one that this entry starts in a second."""
+
 
 @attrs.frozen
 class RunStalled(Change):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -17,6 +17,15 @@
     refusals: transport.Counter
     """Jobs refused, by type."""
 
+    overloads: transport.Counter
+    """Jobs refused because of overload, by route."""
+
+    start_rate: transport.Gauge
+    """Rate at which waiting work is started, by service."""
+
+    forecast_wait: transport.Gauge
+    """Forecast wait of a new job, by service and priority."""
+
     response: transport.Summary
     """Response time of complete jobs, in seconds."""
 
@@ -88,6 +97,26 @@
             "Jobs refused before anything was sent, by type.",
             "type",
         ),
+        overloads=counter(
+            "cowslipgate_overload_refusals_total",
+            "Jobs refused as overloaded of which nothing ran, by route.",
+            "route",
+        ),
+        start_rate=gauge(
+            "cowslipgate_start_rate",
+            "Seconds of work at speed one that the entry starts in a second, "
+            "of services with admission by forecast and no room.",
+            readings.list_rates,
+            "service",
+        ),
+        forecast_wait=gauge(
+            "cowslipgate_forecast_wait_seconds",
+            "Forecast time until a new job would start, by priority, of "
+            "services with admission by forecast and no room.",
+            readings.list_waits,
+            "service",
+            "priority",
+        ),
         response=summary(
             "cowslipgate_response_seconds",
             "Time from acceptance to answer of complete jobs.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_job_log.py
@@ -94,6 +94,8 @@
             answer.message,
             ledger.count_waiting(submission.service),
             len(ledger.agents),
+            _measure_forecast(answer),
+            round(answer.rate, 3),
         )
         self._log_change(change)
 
@@ -183,6 +185,11 @@
         progress.slowest_agent = agent
 
 
+def _measure_forecast(answer: core.JobAnswer) -> int | None:
+    forecast = answer.forecast
+    return None if forecast is None else _count_milliseconds(forecast)
+
+
 def _measure_elapsed(
     at: datetime.datetime | None, since: datetime.datetime
 ) -> int | None:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -16,6 +16,9 @@
 CHANNEL = "metrics"
 USEFUL = "useful"
 WASTED = "wasted"
+NO_ROUTE = "none"
+"""Label of jobs that came without a route."""
+
 MILLISECONDS_PER_SECOND = 1000
 STARTED_OUTCOMES = frozenset(
     (core.Outcome.FINISHED, core.Outcome.FAILED, core.Outcome.STOPPED)
@@ -73,6 +76,9 @@
         self, configuration: core.Configuration
     ) -> None:
         self._readings.version = configuration.version
+        self._readings.priorities = frozenset(
+            route.priority for route in configuration.document.routes.values()
+        )
 
     @circuits.handler("job_accepted", channel=_events.GATEWAY)
     def _on_job_accepted(
@@ -85,9 +91,11 @@
         self, submission: _requests.Submission, answer: core.JobAnswer
     ) -> None:
         self._families.refusals.add(answer.failure.value)
+        self._count_overload(submission.terms, answer)
 
     @circuits.handler("job_answered", channel=_events.GATEWAY)
     def _on_job_answered(self, job: core.Job, answer: core.JobAnswer) -> None:
+        self._count_overload(job.terms, answer)
         use = self._uses.pop(job.id, None)
         if use is None:
             return
@@ -151,6 +159,15 @@
     ) -> None:
         self._families.errors.add(kind.__name__)
 
+    def _count_overload(
+        self, terms: core.JobTerms, answer: core.JobAnswer
+    ) -> None:
+        if (
+            answer.failure is core.Failure.OVERLOADED
+            and answer.started is core.Started.NONE
+        ):
+            self._families.overloads.add(terms.route or NO_ROUTE)
+
     def _record_orders(self, message: core.Dispatch) -> None:
         now = self._clock.now()
         attempts = self._dispatcher.ledger.attempts
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
@@ -25,6 +25,7 @@
         self._minutes = minutes
         self._states = frozenset(core.load_chart("target").states)
         self.version = 0
+        self.priorities: frozenset[int] = frozenset()
 
     def count_agents(self) -> Values:
         """Return the number of known agents by state of their target."""
@@ -46,6 +47,21 @@
             ("sent",): sum(len(job.active) for job in jobs),
         }
 
+    def list_rates(self) -> Values:
+        """Return the rate of starts of each service without room."""
+        rates = self._dispatcher.ledger.overload.list_rates()
+        return {(service,): rate for service, rate in rates.items()}
+
+    def list_waits(self) -> Values:
+        """Return the forecast wait by service and priority, in seconds."""
+        overload = self._dispatcher.ledger.overload
+        return {
+            (service, str(priority)): seconds
+            for (service, priority), seconds in overload.list_waits(
+                self.priorities
+            ).items()
+        }
+
     def get_version(self) -> Values:
         """Return the configuration version in force."""
         return {(): self.version}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -44,6 +44,7 @@
         self._store_reachable = True
         self._logged_failures: set[tuple[str, str]] = set()
         self._passed_over = transport.MessagesPassedOver(self)
+        self._features: set[_changes.FeatureEnabled] = set()
         self._ticks = itertools.count(1)
 
     @circuits.handler("configuration_adopted", channel=_events.GATEWAY)
@@ -52,6 +53,10 @@
     ) -> None:
         change = _changes.ConfigurationAdopted(configuration.version)
         self._log_change(change)
+        enabled = _find_features(configuration.document)
+        for feature in sorted(enabled - self._features, key=str):
+            self._log_change(feature)
+        self._features = enabled
 
     @circuits.handler("members_changed", channel=_events.GATEWAY)
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
@@ -182,3 +187,22 @@
 
     def _log_change(self, change: _changes.Change) -> None:
         self.fire(transport.changed(change), "logs")
+
+
+def _find_features(
+    document: core.Document,
+) -> set[_changes.FeatureEnabled]:
+    """Return the features that a configuration enables."""
+    features = {
+        _changes.FeatureEnabled(
+            "admission by forecast", f"$.services.{name}.admission"
+        )
+        for name, service in document.services.items()
+        if service.admission is core.Admission.FORECAST
+    }
+    features |= {
+        _changes.FeatureEnabled("shares", f"$.routes.{name}.share")
+        for name, route in document.routes.items()
+        if route.share
+    }
+    return features
