--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/overload_builders.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/overload_builders.py
@@ -7,6 +7,7 @@
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
 
+SECOND = datetime.timedelta(seconds=1)
 STEP = datetime.timedelta(milliseconds=100)
 SERVICE = "print"
 QUOTAS = {"hall": 1_000}
@@ -35,13 +36,17 @@
         slots: int,
         admission: core.Admission = core.Admission.FORECAST,
         entries: int = 1,
+        room: core.Resources | None = None,
     ) -> None:
         self.now = builders.NOW
-        self.ledger = core.Ledger(core.Matching())
+        self.ledger = core.Ledger(
+            core.Matching(), timing=core.Timing(caller_lost_after=SECOND)
+        )
         self.outcomes = Outcomes()
         self.started_work: dict[str, float] = {}
         self._slots = slots
         self._entries = entries
+        self._room = room
         self._services = {SERVICE: core.Service(admission=admission)}
         self._numbers = itertools.count(1)
         self._ends: dict[int, tuple[datetime.datetime, float]] = {}
@@ -62,9 +67,11 @@
         allowed_seconds: float,
         priority: int = 0,
         share: float = 0.0,
+        millicores: int = 0,
     ) -> core.Job:
         """Return a job of equal tasks with an objective."""
-        task = core.TaskRequest(kind=route, size_ms=milliseconds)
+        needs = core.Resources(millicores=millicores)
+        task = core.TaskRequest(kind=route, size_ms=milliseconds, needs=needs)
         terms = core.JobTerms(
             priority=priority,
             objective=datetime.timedelta(milliseconds=61),
@@ -167,6 +174,10 @@
 
     def _report(self) -> None:
         report = builders.build_report(slots=self._slots)
+        if self._room is not None:
+            report = attrs.evolve(
+                report, resources=self._room, room=self._room
+            )
         self.ledger.handle_report(report, self.now)
 
     def _record(self, actions: list[core.LedgerAction]) -> None:
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_overload.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_overload.py
@@ -73,15 +73,22 @@
     assert not entry.ledger.overload.list_rates()
 
 
-# Guards against a refusal while a target has room.
-def test_no_job_is_refused_while_there_is_room() -> None:
-    entry = overload_builders.Entry(8)
+# Guards against a refusal while a target has room, also behind jobs that do
+# not fit it.
+def test_no_job_is_refused_while_there_is_room_for_it() -> None:
+    room = core.Resources(0, 0, 8_000)
+    entry = overload_builders.Entry(core.UNBOUNDED_SLOTS, room=room)
     entry.learn("long", 1_800)
-    for _ in range(7):
-        assert entry.submit(entry.build_job("long", 1, 1_800, 0.5))
+    for _ in range(40):
+        entry.submit(entry.build_job("long", 1, 1_800, 30.0, millicores=3_000))
     entry.tick()
-    job = entry.build_job("long", 1, 1_800, 0.5)
-    assert entry.ledger.overload.find_forecast(job, entry.now) is None
+    accepted = [
+        entry.submit(
+            entry.build_job("long", 1, 1_800, 3.0, millicores=millicores)
+        )
+        for millicores in (3_000, 1_500, 1_500)
+    ]
+    assert accepted == [False, True, False]
 
 
 # Guards against work that is counted although nobody waits for it any more.
@@ -105,13 +112,22 @@
 def test_work_of_unseen_callers_does_not_count() -> None:
     entry = overload_builders.Entry(1)
     entry.learn("long", 1_000)
+    entry.learn("running", 60_000)
+    entry.submit(entry.build_job("running", 1, 60_000, 90.0))
     for _ in range(30):
         job = entry.build_job("long", 1, 1_000, 60.0)
+        # Without an objective it stays ahead of later jobs.
+        job.terms = core.DEFAULT_TERMS
         job.caller_seen_at = entry.now
         entry.submit(job)
-    entry.tick()
-    assert not entry.submit(entry.build_job("long", 1, 1_000, 5.0))
-    entry.run(2)
+    entry.run(0.5)
+    late = entry.build_job("long", 1, 1_000, 5.0)
+    assert not entry.submit(late)
+    entry.run(1)
+    suspended = [job for job in entry.ledger.jobs.values() if job.suspended]
+    assert len(suspended) == 30
+    entry.submit(entry.build_job("long", 1, 1_000, 60.0))
+    entry.run(0.5)
     assert entry.submit(entry.build_job("long", 1, 1_000, 5.0))
 
 
