--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -74,6 +74,7 @@
 choose_target = _quotas.choose_target
 Clock = _clock.Clock
 compress_document = _compression.compress_document
+Admission = _configuration.Admission
 Configuration = _configuration.Configuration
 ConfigurationAcknowledge = _documents.ConfigurationAcknowledge
 RelayedConfiguration = _documents.RelayedConfiguration
@@ -273,6 +274,12 @@
     "ACKNOWLEDGE_WITHIN": "jobs._acknowledgements",
     "Acknowledgements": "jobs._acknowledgements",
     "AGEING": "placement._job_order",
+    "Forecast": "placement._overload",
+    "compute_share": "placement._overload",
+    "Queue": "placement._overload",
+    "QueuedJob": "placement._overload",
+    "Shares": "placement._shares",
+    "StartRate": "placement._overload",
     "AgentRecord": "placement._roster",
     "AnswerJob": "jobs._ledger_actions",
     "Assigner": "placement._assignment",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -318,6 +318,12 @@
     agents: int
     """Agents known to this entry."""
 
+    forecast_ms: int | None = None
+    """Time that it would have taken, or None without a forecast."""
+
+    rate: float = 0.0
+    """Seconds of work at speed one that this entry starts in a second."""
+
 
 @attrs.frozen
 class RunStalled(Change):
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -47,6 +47,7 @@
         self._preempting: set[str] = set()
         self._logged_failures: set[tuple[str, str]] = set()
         self._passed_over = transport.MessagesPassedOver(self)
+        self._features: set[transport.FeatureEnabled] = set()
         self._ticks = itertools.count(1)
 
     @circuits.handler("configuration_adopted", channel=_events.GATEWAY)
@@ -56,6 +57,10 @@
         change = _changes.ConfigurationAdopted(configuration.version)
         self._log_change(change)
         self._log_preemption(configuration.document)
+        enabled = _find_features(configuration.document)
+        for feature in sorted(enabled - self._features, key=str):
+            self._log_change(feature)
+        self._features = enabled
 
     @circuits.handler("members_changed", channel=_events.GATEWAY)
     def _on_members_changed(self, members: tuple[core.Member, ...]) -> None:
@@ -213,3 +218,22 @@
 
     def _log_change(self, change: _changes.Change) -> None:
         self.fire(transport.changed(change), "logs")
+
+
+def _find_features(
+    document: core.Document,
+) -> set[transport.FeatureEnabled]:
+    """Return the features that a configuration enables."""
+    features = {
+        transport.FeatureEnabled(
+            "admission by forecast", f"$.services.{name}.admission"
+        )
+        for name, service in document.services.items()
+        if service.admission is core.Admission.FORECAST
+    }
+    features |= {
+        transport.FeatureEnabled("shares", f"$.routes.{name}.share")
+        for name, route in document.routes.items()
+        if route.share
+    }
+    return features
