Keep estimates in the store for entries that start

Cause: when all entries lose power, what they had learned of sizes and speeds is lost, and the first seconds are as bad as after the very first start.

--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import datetime
+import heapq
 import math
 
 import attrs
@@ -50,6 +51,26 @@
 """Trend beyond which a speed is corrected at once, as a natural log."""
 
 
+@attrs.frozen
+class StoredSpeed:
+    """The speed of a target outside the estimates that learn it."""
+
+    agent: str
+    """Name of the agent."""
+
+    log_speed: float
+    """Natural logarithm of the speed, from its own runs alone."""
+
+    runs: float
+    """Number of runs that it was learned from."""
+
+    def add(self, other: "StoredSpeed") -> "StoredSpeed":
+        """Return the speed from the runs of both."""
+        runs = self.runs + other.runs
+        total = self.log_speed * self.runs + other.log_speed * other.runs
+        return StoredSpeed(self.agent, total / runs, runs)
+
+
 @attrs.define
 class _TargetSpeed:
     """The speed of one target, learned from residuals."""
@@ -71,6 +92,13 @@
         """Weight of its own runs against the prior, from 0 to 1."""
         return self.runs / (self.runs + PRIOR_RUNS)
 
+    def add_stored(self, stored: StoredSpeed) -> None:
+        """Add the runs of a stored speed to the own ones."""
+        total = self.log_speed * (self.runs + PRIOR_RUNS)
+        self.runs += stored.runs
+        total += stored.log_speed * stored.runs
+        self.log_speed = total / (self.runs + PRIOR_RUNS)
+
     @property
     def model_share(self) -> float:
         """Part of the log speed that comes from the target's model."""
@@ -126,8 +154,10 @@
         self._kind_speeds: dict[tuple[str, str], _KindSpeed] = {}
         self._sizes = _sizes.SizeTable()
         self._log_sum = 0.0
+        self._names: Mapping[str, str] = {}
         self._labelled = _model_speeds.LabelledTargets()
         self._models: dict[str, _model_speeds.ModelSpeed] = {}
+        self.observed = 0
         self.overdue = _overdue.OverdueTasks()
 
     @property
@@ -205,6 +235,7 @@
         :param size_ms: declared size in milliseconds
         :param run_ms: run time at the target in milliseconds
         """
+        self.observed += 1
         run_log = math.log(max(run_ms, 0.1) / 1000)
         size = self._sizes.estimate(team, kind, size_ms)
         speed_log = self._get_log_speed(agent, kind)
@@ -215,6 +246,47 @@
         speed_log = self._get_log_speed(agent, kind)
         self._sizes.observe(team, kind, size_ms, run_log + speed_log)
 
+    def list_histories(self, count: int) -> list[_sizes.StoredHistory]:
+        """Return the histories with the most runs, the largest first."""
+        return self._sizes.list_largest(count)
+
+    def list_speeds(self, count: int) -> list[StoredSpeed]:
+        """Return the speeds with the most runs, the largest first.
+
+        They are relative to their mean, as the sizes are.
+        """
+        mean = self._log_sum / len(self._speeds) if self._speeds else 0.0
+        learned = (item for item in self._speeds.items() if item[1].runs)
+        return [
+            StoredSpeed(
+                agent,
+                target_speed.log_speed / target_speed.weight - mean,
+                target_speed.runs,
+            )
+            for agent, target_speed in heapq.nlargest(
+                count, learned, key=lambda item: item[1].runs
+            )
+        ]
+
+    def add_stored(
+        self,
+        histories: Iterable[_sizes.StoredHistory],
+        speeds: Iterable[StoredSpeed],
+    ) -> None:
+        """Add what was learned before, as if its runs had been observed."""
+        for stored in speeds:
+            target_speed = self._speeds.get(stored.agent)
+            if target_speed is None:
+                if len(self._speeds) >= MAX_SPEEDS:
+                    continue
+                target_speed = self._speeds[stored.agent] = _TargetSpeed()
+            target_speed.add_stored(stored)
+        self._group_targets()
+        # The speeds became relative to a mean, so the sizes do too.
+        mean = self._log_sum / len(self._speeds) if self._speeds else 0.0
+        for history in histories:
+            self._sizes.add(history.shift(-mean))
+
     def _get_log_speed(self, agent: str, kind: str | None) -> float:
         target_speed = self._speeds.get(agent)
         if target_speed is None:
@@ -280,6 +352,11 @@
         """
         if not names and not self._models:
             return
+        self._names = names
+        self._group_targets()
+
+    def _group_targets(self) -> None:
+        names = self._names
         self._models = {
             name: _model_speeds.ModelSpeed(name)
             for name in sorted(set(names.values()))
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_sizes.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_sizes.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+import heapq
 import itertools
 import math
 
@@ -39,6 +40,9 @@
 
 BINS = LONGEST_BIN - SHORTEST_BIN + 1
 
+MAX_KEY_PARTS = 3
+"""Parts of the longest key of a history: range of sizes, kind and team."""
+
 
 @attrs.frozen
 class SizeEstimate:
@@ -57,6 +61,53 @@
     """Weight of finished tasks against the declaration, from 0 to 1."""
 
 
+@attrs.frozen
+class StoredHistory:
+    """A history outside the table that learns it."""
+
+    key: tuple[str, ...]
+    """Range of sizes, and kind and team if it is restricted to them."""
+
+    runs: float
+    """Number of tasks."""
+
+    seconds: float
+    """Sum of their run times in seconds."""
+
+    log_sum: float
+    """Sum of the natural logarithms of their run times."""
+
+    bins: tuple[tuple[int, float], ...]
+    """Bins of the histogram that are not empty, with their counts."""
+
+    def scale(self, factor: float) -> "StoredHistory":
+        """Return the history of ``factor`` times as many tasks."""
+        return StoredHistory(
+            self.key,
+            self.runs * factor,
+            self.seconds * factor,
+            self.log_sum * factor,
+            tuple((bin_, count * factor) for bin_, count in self.bins),
+        )
+
+    def shift(self, log_factor: float) -> "StoredHistory":
+        """Return the history of tasks that take longer by a factor.
+
+        :param log_factor: natural logarithm of the factor
+        """
+        bins = round(log_factor / math.log(2) * BINS_PER_OCTAVE)
+        return StoredHistory(
+            self.key,
+            self.runs,
+            self.seconds * math.exp(log_factor),
+            self.log_sum + self.runs * log_factor,
+            tuple(
+                (max(0, min(BINS - 1, bin_ + bins)), count)
+                for bin_, count in self.bins
+            ),
+        )
+
+
 @attrs.define(eq=False)
 class _History:
     """Run times at speed one of tasks with similar declarations."""
@@ -95,6 +146,15 @@
         self.log_sum += log_seconds
         self.bins[position] += 1
 
+    def add_stored(self, stored: StoredHistory) -> None:
+        """Add the run times of a stored history."""
+        self.outdated_at_runs = 0.0
+        self.runs += stored.runs
+        self.seconds += stored.seconds
+        self.log_sum += stored.log_sum
+        for position, count in stored.bins:
+            self.bins[position] += count
+
     def estimate(self) -> SizeEstimate:
         """Return this history's estimate, cached until it grows by 5 %."""
         if self.latest is None or self.runs >= self.outdated_at_runs:
@@ -156,6 +216,35 @@
                 history = self._histories[key] = _History()
             history.add(log_seconds, seconds, position)
 
+    def list_largest(self, count: int) -> list[StoredHistory]:
+        """Return the histories with the most runs, the largest first."""
+        largest = heapq.nlargest(
+            count, self._histories.items(), key=lambda item: item[1].runs
+        )
+        return [
+            StoredHistory(
+                key,
+                history.runs,
+                history.seconds,
+                history.log_sum,
+                tuple(
+                    (bin_, number)
+                    for bin_, number in enumerate(history.bins)
+                    if number
+                ),
+            )
+            for key, history in largest
+        ]
+
+    def add(self, stored: StoredHistory) -> None:
+        """Add the run times of a stored history to that with its key."""
+        history = self._histories.get(stored.key)
+        if history is None:
+            if len(self._histories) >= MAX_HISTORIES:
+                return
+            history = self._histories[stored.key] = _History()
+        history.add_stored(stored)
+
 
 def _list_keys(
     team: str, kind: str, size_ms: float
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/__init__.py
@@ -18,6 +18,7 @@
     "JobLog": "observation._job_log",
     "ConfigurationRelay": "store._configuration_relay",
     "RENEW_INTERVAL": "peers._stored_members",
+    "StoredEstimates": "store._stored_estimates",
     "StoredMembers": "peers._stored_members",
     "stop_at": "_events",
     "submit_job": "_events",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_process.py
@@ -84,9 +84,15 @@
 ) -> _shutdown.EntryProcess:
     """Return the root component with all components registered.
 
+    :raises SettingsError: when a setting needs a store that this entry lacks
     :raises zmq.ZMQError: when the internal address cannot be bound
     :raises OSError: when the HTTP address cannot be bound
     """
+    if settings.keep_estimates == "on":
+        # The table service returns single rows, not those of a table.
+        allowed = "off with the table service"
+        fault = core.SettingFault("--keep-estimates", "on", allowed)
+        raise core.SettingsError((fault,))
     process = _shutdown.EntryProcess(clock, settings, logs)
     logs.register(process)
     poller = pollers.EPoll().register(process)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/_settings.py
@@ -107,6 +107,15 @@
     )
     """Placement policy, one of ``POLICIES``."""
 
+    keep_estimates: str = core.setting(
+        core.parse_choice("off", "on"),
+        "off or on",
+        "whether sizes and speeds are kept in a store that has tables of "
+        "rows, for entries that start",
+        "off",
+    )
+    """Whether estimates are kept in the store, ``on`` or ``off``."""
+
     drain_timeout: datetime.timedelta = core.setting(
         core.parse_duration,
         _DURATION,
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -30,6 +30,23 @@
     """Number of targets that have one of these models."""
 
 
+@attrs.frozen
+class EstimatesRestored(Change):
+    """Stored sizes and speeds are in use as a prior."""
+
+    rows: int
+    """Number of snapshots, one for each failure domain."""
+
+    histories: int
+    """Number of histories of run times."""
+
+    speeds: int
+    """Number of targets whose speed was stored."""
+
+    age_ms: int
+    """Age of the newest snapshot in milliseconds."""
+
+
 @attrs.frozen
 class EntryStateChanged(Change):
     """The entry's state changed."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -74,6 +74,9 @@
     denials: transport.Counter
     """Internal connections refused for an unknown key."""
 
+    estimate_calls: transport.Counter
+    """Calls of the store for estimates, by call and result."""
+
     errors: transport.Counter
     """Unhandled exceptions, by type."""
 
@@ -196,6 +199,12 @@
             "cowslipgate_key_denials_total",
             "Internal connections refused because their key is not known.",
         ),
+        estimate_calls=counter(
+            "cowslipgate_estimate_calls_total",
+            "Calls of the store for stored estimates, by call and result.",
+            "call",
+            "result",
+        ),
         errors=counter(
             "cowslipgate_internal_errors_total",
             "Exceptions that a handler did not expect, by type.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -145,6 +145,11 @@
     def _on_key_denied(self, address: str) -> None:
         self._families.denials.add()
 
+    @circuits.handler("table_answered", channel="stored-estimates")
+    def _on_table_answered(self, answer: core.TableAnswer) -> None:
+        call = "write" if isinstance(answer.call, core.TableWrite) else "read"
+        self._families.estimate_calls.add(call, answer.result.value)
+
     @circuits.handler("exception", channel="*", priority=20)
     def _on_exception(
         self, kind: type, *arguments: object, **details: object
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_main.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_main.py
@@ -74,6 +74,11 @@
         (["serve", "--domain=d", *_ADDRESSES, "--check-settings"], 0, ""),
         (["serve", *_ADDRESSES, "--check-settings"], 2, "--domain"),
         (["serve", "--domain=d", *_ADDRESSES, _UNBINDABLE], 1, "StartFailed"),
+        (
+            ["serve", "--domain=d", *_ADDRESSES, "--keep-estimates=on"],
+            1,
+            "--keep-estimates",
+        ),
         (["status", "--address=x", "--token=t"], 2, "x"),
     ],
 )
