Use idle domains for urgent jobs, and wait for data only if that ends first

Cause: the first job in order took the slow rest of a busy domain, and later, less urgent ones used the idle domain. A job that names a label of its data stayed near it while any place there was free, however slow, and left at once when none was, however soon one would be.

Change: tasks for which the near targets have no room may use far targets of the same or a better speed in the first pass, so that urgent jobs choose first. For data, the forecast end near it (free places, running tasks, tasks of jobs ahead) is compared with the end elsewhere.

Short notice is not built.

--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -206,6 +206,7 @@
             ]
             if pool is None or not jobs:
                 continue
+            pool.running = self._estimates.overdue
             assignments = _placement.choose_assignments(
                 self._weigh_policy(services.get(service)),
                 jobs,
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable
 import datetime
 import functools
+import itertools
 import math
 
 import attrs
 
 from cowslipgate_core.messages import _resources
 from cowslipgate_core.placement import _backlog
+from cowslipgate_core.placement import _data_distance
+from cowslipgate_core.placement import _near_room
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _ready_jobs
-from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _targets
 
 AGEING = datetime.timedelta(seconds=10)
@@ -117,8 +119,8 @@
         fitting[:] = _ready_jobs.list_ready(fitting, allowances)
     assignments += fill(find)
     if any(job.terms.preferred_label for job in fitting):
-        # The first pass skipped targets for them while one near their data
-        # had room.
+        # The first pass skipped targets for them while they would end first
+        # near their data.
         assignments += fill(find)
     return assignments
 
@@ -135,15 +137,19 @@
     """Fill targets of the entry's failure domain that meet an objective.
 
     Bytes between domains cost more, and a job with an objective gains nothing
-    from a target that is faster still.
+    from a target that is faster still. Tasks for which there is no room here
+    go elsewhere in the same pass, so that the most urgent jobs choose first.
     """
     jobs = [
         job
         for job in fitting
         if job.due_at is not None and not is_late(job, pool, now)
     ]
+    far_use = _near_room.NO_FAR_USE
+    if jobs and now - fitting[0].submitted_at <= policy.ageing:
+        far_use = _near_room.plan_far_use(jobs, pool, now)
     return _fill_targets(
-        policy, jobs, jobs, pool, allowances, now, entries, find, True
+        policy, jobs, jobs, pool, allowances, now, entries, find, far_use
     )
 
 
@@ -156,19 +162,20 @@
     now: datetime.datetime,
     entries: int,
     find: TaskFinder,
-    near_only: bool = False,
+    far_use: _near_room.FarUse | None = None,
 ) -> list[_placement.Assignment]:
     """Fill the open targets in one pass, the fastest first.
 
-    :param near_only: whether to pass over targets of other failure domains
+    :param far_use: use of targets of other failure domains, or None for any
     """
     assignments = []
+    far_tasks = 0
     # No task fits these offers here, nor on slower targets.
     exhausted: set[_resources.Resources] = set()
     for target in pool.iterate_open(now):
         if not fitting:
             break
-        if near_only and not target.near:
+        if far_use is not None and not far_use.allows(target, far_tasks):
             continue
         if policy.max_backlog_time:
             waiting = _ready_jobs.list_ready(ordered, allowances)
@@ -180,7 +187,7 @@
             if target.occupied and is_probed(policy, target, pool):
                 break
             found = _find_task(fitting, target, pool, find, now)
-            if found is None and not near_only:
+            if found is None and far_use is None:
                 found = _find_any_task(fitting, target, pool, now)
             if found is None:
                 if not any(job.is_selective for job in fitting):
@@ -191,6 +198,10 @@
                 _placement.take_task(job, position, target, pool, allowances)
             )
             _ready_jobs.drop_done(fitting, job, allowances)
+            if far_use is not None and not target.near:
+                far_tasks += 1
+                if not far_use.allows(target, far_tasks):
+                    break
     return assignments
 
 
@@ -266,7 +277,9 @@
     for job in jobs[: _ready_jobs.MAX_JOBS_TRIED]:
         if not job.may_use(target):
             continue
-        if _has_room_near_data(job, target, pool, now):
+        if not job.is_near(target) and _data_distance.ends_first_near(
+            job, target, pool, _count_ahead(jobs, job), now
+        ):
             continue
         position = find(job, target)
         if position is not None:
@@ -286,20 +299,15 @@
     return _find_task(jobs, target, pool, _find_longest, now)
 
 
-def _has_room_near_data(
-    job: _backlog.WaitingJob,
-    target: _targets.TargetView,
-    pool: _targets.Pool,
-    now: datetime.datetime,
-) -> bool:
-    """Return whether another target, near the job's data, has room for it."""
-    if job.is_near(target):
-        return False
-    return any(
-        job.is_near(near)
-        and job.may_use(near)
-        and any(_room.covers_needs(near.offer, need) for need in job.needs)
-        for near in pool.iterate_open(now)
+def _count_ahead(
+    jobs: list[_backlog.WaitingJob], job: _backlog.WaitingJob
+) -> int:
+    """Return how many tasks of earlier jobs wait for the data of a job."""
+    label = job.terms.preferred_label
+    return sum(
+        len(other.tasks)
+        for other in itertools.takewhile(lambda other: other is not job, jobs)
+        if other.terms.preferred_label == label
     )
 
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_overdue.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_overdue.py
@@ -55,6 +55,21 @@
         if not running:
             del self._running[agent]
 
+    def list_remaining(
+        self, agent: str, speed: float, now: datetime.datetime
+    ) -> list[float]:
+        """Return the seconds that each task at a target is expected to run.
+
+        A task that is late is expected to take as long again as it is late,
+        so that nothing waits for a stalled one for long.
+
+        :param speed: speed of the target
+        """
+        return [
+            abs(task.seconds / speed - (now - task.sent_at).total_seconds())
+            for task in self._running.get(agent, {}).values()
+        ]
+
     def lower_speed(
         self, agent: str, speed: float, now: datetime.datetime
     ) -> float:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_targets.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cowslipgate_core.messages import _resources
+from cowslipgate_core.placement import _overdue
 from cowslipgate_core.placement import _room
 
 PROBATION = "probation"
@@ -97,6 +98,7 @@
         self._all_near = True
         self._fastest_speeds: dict[_resources.Resources, float] = {}
         self._queue_allowance = queue_allowance
+        self.running: _overdue.OverdueTasks | None = None
         self.typical_needs = _resources.Resources()
         self.capacity = 0.0
         self.slots = 0
@@ -203,6 +205,14 @@
         target.used = _room.add_resources(target.used, needs)
         self.update(target)
 
+    def list_remaining(
+        self, target: TargetView, now: datetime.datetime
+    ) -> list[float]:
+        """Return the seconds that each task known to run there will take."""
+        if self.running is None:
+            return []
+        return self.running.list_remaining(target.agent, target.speed, now)
+
     def has_open(self, now: datetime.datetime) -> bool:
         """Return whether any target may take a task."""
         return next(self.iterate_open(now), None) is not None
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
@@ -104,6 +104,91 @@
     assert _place(0, waited_ms=waited_ms, terms=terms) == ["far-fast"]
 
 
+def _place_two(
+    views: list[core.TargetView], waited: datetime.timedelta
+) -> dict[str, list[str]]:
+    """Return the agents of the tasks of an urgent job and of another.
+
+    Each has four equal tasks; the urgent one has come last.
+
+    :param waited: age of the other job, which has no objective if aged
+    """
+    pool = core.Pool(views)
+    pool.typical_needs = NEEDS
+    pool.rank_targets()
+    jobs = []
+    for name, priority, age in (("other", 2, waited), ("urgent", 0, None)):
+        tasks = [
+            core.WaitingTask(name, number, SECONDS, NEEDS, SECONDS)
+            for number in range(4)
+        ]
+        terms = core.JobTerms(
+            objective=TERMS.objective, slowdown=1.6, priority=priority
+        )
+        submitted_at = builders.NOW - (age or datetime.timedelta())
+        jobs.append(
+            core.WaitingJob(name, "hall", submitted_at, tasks, terms=terms)
+        )
+    chosen = core.choose_assignments(
+        core.Matching(), jobs, pool, {"hall": 100}, builders.NOW
+    )
+    agents: dict[str, list[str]] = {"urgent": [], "other": []}
+    for assignment in chosen:
+        agents[assignment.job].append(assignment.agent)
+    return agents
+
+
+NO_WAIT = datetime.timedelta()
+
+
+def test_urgent_job_is_the_first_to_use_an_idle_domain() -> None:
+    """Otherwise it takes the slow rest of a busy one, as the first job."""
+    agents = _place_two(
+        [
+            _build_view("near-slow", SLOW, True, TASKS_A_TARGET - 2),
+            _build_view("far-fast", FAST, False),
+        ],
+        NO_WAIT,
+    )
+    assert agents["urgent"] == ["far-fast"] * 4
+    assert sorted(agents["other"]) == ["far-fast"] * 2 + ["near-slow"] * 2
+
+
+def test_slower_targets_of_an_idle_domain_are_used_last() -> None:
+    agents = _place_two(
+        [
+            _build_view("near-fast", FAST, True, TASKS_A_TARGET - 4),
+            _build_view("far-slow", SLOW, False),
+        ],
+        NO_WAIT,
+    )
+    assert agents["urgent"] == ["near-fast"] * 4
+    assert agents["other"] == ["far-slow"] * 4
+
+
+def test_near_targets_with_room_for_all_are_used_alone() -> None:
+    agents = _place_two(
+        [
+            _build_view("near-slow", SLOW, True),
+            _build_view("near-slow-2", SLOW, True, TASKS_A_TARGET - 2),
+            _build_view("far-fast", FAST, False),
+        ],
+        NO_WAIT,
+    )
+    assert "far-fast" not in agents["urgent"] + agents["other"]
+
+
+def test_aged_job_is_not_overtaken_in_an_idle_domain() -> None:
+    agents = _place_two(
+        [
+            _build_view("near-slow", SLOW, True, TASKS_A_TARGET - 2),
+            _build_view("far-fast", FAST, False, TASKS_A_TARGET - 4),
+        ],
+        core.AGEING + datetime.timedelta(seconds=1),
+    )
+    assert agents["other"] == ["far-fast"] * 4
+
+
 _TARGETS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from((0.3, SLOW, 1.0, FAST)),
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -77,6 +77,9 @@
     estimate_calls: transport.Counter
     """Calls of the store for estimates, by call and result."""
 
+    domain_sends: transport.Counter
+    """Tasks sent, by whether the target is in the entry's failure domain."""
+
     errors: transport.Counter
     """Unhandled exceptions, by type."""
 
@@ -205,6 +208,11 @@
             "call",
             "result",
         ),
+        domain_sends=counter(
+            "cowslipgate_domain_sends_total",
+            "Tasks sent to targets of the own failure domain and of others.",
+            "domain",
+        ),
         errors=counter(
             "cowslipgate_internal_errors_total",
             "Exceptions that a handler did not expect, by type.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -166,9 +166,16 @@
             use = self._uses.get(attempt.job.id)
             if use is not None:
                 use.sent += 1
+            self._record_domain(attempt)
             wait = now - attempt.job.submitted_at
             self._families.queue_wait.observe(wait.total_seconds())
 
+    def _record_domain(self, attempt: core.Attempt) -> None:
+        pool = self._dispatcher.ledger.find_pool(attempt.job.service)
+        view = pool.get(attempt.agent) if pool is not None else None
+        if view is not None:
+            self._families.domain_sends.add("own" if view.near else "other")
+
     def _record_report(self, report: core.AttemptReport, agent: str) -> None:
         attempt = self._dispatcher.ledger.attempts.get(report.attempt)
         if attempt is None or attempt.agent != agent:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_observers.py
@@ -152,6 +152,7 @@
         'cowslipgate_sends_total{purpose="acknowledge",work="wasted"}': 1,
         'cowslipgate_sends_total{purpose="beat",work="wasted"}': 1,
         'cowslipgate_sends_total{purpose="release",work="wasted"}': 1,
+        'cowslipgate_domain_sends_total{domain="own"}': 2,
         'cowslipgate_attempts_total{outcome="finished"}': 2,
         "cowslipgate_starts_total": 2,
         'cowslipgate_slot_seconds_total{use="used"}': 4,
