--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -333,6 +333,7 @@
             ]
             if pool is None or not jobs:
                 continue
+            pool.running = self._estimates.overdue
             definition = services.get(service)
             assignments = self._shares.choose_assignments(
                 service,
