Raise the version with rows that change no evacuated domain

Callers saw: a failure domain stayed evacuated for good after the request was revoked. An entry or agent that read the request and its removal in one answer, or the removal alone, kept the version from before both. It then adopted the set of a process that had seen only the request and was cut off from the store, as that one had the higher version. The store's later answers never exceeded it.

Cause: StoredEvacuations raised the version only if the set changed.

Fix: every answer with a row that names a domain raises it. Agents are told such a version with their next reports, as before.

--- a/packages/cowslipgate-core/src/cowslipgate_core/configuration/_evacuations.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/_evacuations.py
@@ -71,11 +71,11 @@
                 domains.add(domain)
         versions = [row.version for row in rows]
         version = max([answer.version] if is_read else versions)
-        known = self._evacuations
-        if is_read or domains != known.domains:
-            self._evacuations = Evacuations(
-                max(version, known.version), frozenset(domains)
-            )
+        # The version rises without another set as well. Otherwise an older
+        # set, received from another process, would replace this one.
+        self._evacuations = Evacuations(
+            max(version, self._evacuations.version), frozenset(domains)
+        )
         return faults
 
     def _names_domain(self, row: _tables.TableRow) -> bool:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/evacuation_builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/evacuation_builders.py
@@ -67,6 +67,14 @@
         answer = core.TableAnswer(call, done, rows, version)
         self.fire(_events.operator_rows_read(answer), "evacuations")
 
+    def follow(self, *rows: core.TableRow) -> None:
+        """Let the store return changes of the table."""
+        call = core.TableFollow("", "op", 0, BOUND)
+        done = core.TableResult.DONE
+        version = max(row.version for row in rows)
+        answer = core.TableAnswer(call, done, rows, version)
+        self.fire(_events.operator_rows_read(answer), "evacuations")
+
     def pass_time(self, seconds: float) -> None:
         """Advance the clock and fire a tick."""
         self.clock.advance(datetime.timedelta(seconds=seconds))
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_evacuations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_evacuations.py
@@ -95,6 +95,20 @@
     assert harness.evacuations.evacuations.domains == frozenset()
 
 
+# Guards against an evacuation that stays in force for ever, as it was revoked
+# before this entry heard of it, and an agent that missed that still holds it.
+def test_set_of_an_agent_that_was_revoked_before_is_answered(
+    harness: evacuation_builders.EvacuationHarness,
+) -> None:
+    harness.read(9)
+    key = f"{evacuation_builders.PREFIX}{DOMAIN}"
+    harness.follow(core.TableRow(key, b"", 12, removed=True))
+    harness.hold(10, DOMAIN)
+    assert harness.evacuations.evacuations == core.Evacuations(12)
+    own = builders.MEMBER.incarnation
+    assert harness.take_notices() == [core.EvacuationNotice(own, 12, ())]
+
+
 # Guards against an agent that refuses for ever, as it was cut off when the
 # evacuation was revoked, by an entry that never knew of the evacuation.
 def test_older_set_of_an_agent_is_answered(
