Keep members through reads on command after an outage

Callers saw: after an outage of the store that was longer than a lease, a DELETE within 2 s made its entry drop live entries from its list. Agents that took this list left these entries, and jobs there waited.

Cause: entries have RECOVERY_GRACE to renew their rows after an outage, and the next renewal waits for it. The read on command, which cancellations added, judged the leases during this time.

Fix: members whose lease has expired stay until the grace ends, for this read as well.

Run: pytest of test_configuration_follower (the new test failed before), and the platform's test_stored_cancellations, test_odd_rows and test_odd_entries: all passed; ruff format and flake8 of the files clean.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/peers/_stored_members.py
@@ -42,6 +42,8 @@
         self._leaving = False
         self._store_failed = False
         self._next_renewal = clock.now()
+        # End of RECOVERY_GRACE after the last outage.
+        self._grace_ends = clock.now()
         self._refresh: core.TableRead | None = None
         self._stored = False
         self._passed_over = transport.RowsPassedOver(self)
@@ -114,7 +116,7 @@
         if answer.result is core.TableResult.DONE:
             others = self._decode_others(answer.rows)
             members = (self._member, *self._list_live(others))
-            if self._store_failed:
+            if self._store_failed or self._clock.now() < self._grace_ends:
                 members += self._list_unseen(members)
             self._replace_members(members)
         event = _events.members_refreshed(members)
@@ -144,7 +146,8 @@
         if self._store_failed:
             self._store_failed = False
             members += self._list_unseen(members)
-            self._next_renewal = self._clock.now() + RECOVERY_GRACE
+            self._grace_ends = self._clock.now() + RECOVERY_GRACE
+            self._next_renewal = self._grace_ends
         else:
             versions = {row.key: row.version for row in rows}
             self._remove_abandoned(others, members, versions)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_configuration_follower.py
@@ -373,6 +373,26 @@
     assert harness.members[-1] == {OWN, OTHER}
 
 
+# Guards against live entries that lose their agents, since a cancellation
+# reads the list before they have renewed their rows.
+def test_read_on_command_soon_after_an_outage_drops_no_member(
+    harness: StoreHarness,
+) -> None:
+    _simulate_outage(harness)
+    harness.answer("members", rows=(_lease(OTHER, 1),))
+    for _ in range(2):
+        harness.pass_time(0.8)
+        harness.send(_events.refresh_members(), "members")
+        harness.answer("members", rows=(_lease(OTHER, 1),))
+    assert harness.refreshed == [(OWN, OTHER)] * 2
+    assert harness.members == [{OWN, OTHER}]
+    # From then on, it counts as gone.
+    harness.pass_time(0.4)
+    harness.answer("members")
+    harness.answer("members", rows=(_lease(OTHER, 1),))
+    assert harness.members[-1] == {OWN}
+
+
 def test_entry_missing_after_an_outage_expires_two_seconds_later(
     harness: StoreHarness,
 ) -> None:
