Cancel jobs of removed routes of any host at other entries

Callers saw: a DELETE of a job whose route matched any host and was removed was answered 404 while the job went on, if it reached an entry that did not hold the job.

Cause: such jobs are named by the path alone. Only the entry that the caller reached tried that name, among its own jobs; the others were asked for host and path.

Fix: inquiries without a route carry a header, and each entry that is asked looks for either name. Inquiries with a route name the job exactly, as before.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/callers/_requested_jobs.py
@@ -29,6 +29,9 @@
 TEAM_HEADER = "X-Cowslipgate-Team"
 """Names the caller's team, percent-encoded, in such an inquiry."""
 
+UNROUTED_HEADER = "X-Cowslipgate-Unrouted"
+"""Present in an inquiry of an entry that has no route for the resource."""
+
 REPLY_TIMEOUT = datetime.timedelta(milliseconds=1_200)
 """Time for another entry's reply: it answers a cancellation when the runs
 have ended, after 1 s at the latest (``Timing.resolve_timeout``), at a tick."""
@@ -138,6 +141,7 @@
             urllib.parse.unquote(team),
             urllib.parse.unquote(resource),
             exchange.method == "DELETE",
+            routed=UNROUTED_HEADER.lower() not in exchange.headers,
         )
         self._start(inquiry, ())
 
@@ -275,6 +279,7 @@
     def _start(
         self, inquiry: _requests.Inquiry, others: tuple[Process, ...]
     ) -> None:
+        inquiry = self._resolve(inquiry)
         asked = _Asked(inquiry, state=self._find_state(inquiry))
         self._asked.append(asked)
         if inquiry.cancels:
@@ -326,13 +331,22 @@
         address, _ = other
         inquiry = asked.inquiry
         number = self._call(
-            address, inquiry.team, inquiry.resource, inquiry.cancels
+            address,
+            inquiry.team,
+            inquiry.resource,
+            inquiry.cancels,
+            inquiry.routed,
         )
         if number is not None:
             asked.pending[number] = address
 
     def _call(
-        self, other: str, team: str, resource: str, cancels: bool
+        self,
+        other: str,
+        team: str,
+        resource: str,
+        cancels: bool,
+        routed: bool = True,
     ) -> int | None:
         """Send an inquiry; return the number of the call, or None."""
         try:
@@ -342,15 +356,18 @@
             return None
         number = next(self._numbers)
         _, _, path = resource.partition("/")
+        headers = {
+            RESOURCE_HEADER: urllib.parse.quote(resource),
+            TEAM_HEADER: urllib.parse.quote(team),
+        }
+        if not routed:
+            headers[UNROUTED_HEADER] = "1"
         call = transport.Call(
             number,
             address,
             "DELETE" if cancels else "GET",
             "/" + urllib.parse.quote(path),
-            {
-                RESOURCE_HEADER: urllib.parse.quote(resource),
-                TEAM_HEADER: urllib.parse.quote(team),
-            },
+            headers,
             timeout=REPLY_TIMEOUT,
         )
         self.fire(transport.call_http(call), ENTRY_CALLS)
@@ -403,6 +420,17 @@
         )
         self.fire(transport.changed(change), "logs")
 
+    def _resolve(self, inquiry: _requests.Inquiry) -> _requests.Inquiry:
+        """Name the job of an inquiry without a route as this entry does.
+
+        Routes of any host name their jobs by the path alone.
+        """
+        if inquiry.routed or self._find_state(inquiry) is not None:
+            return inquiry
+        _, slash, path = inquiry.resource.partition("/")
+        by_path = attrs.evolve(inquiry, resource=f"{slash}{path}")
+        return inquiry if self._find_state(by_path) is None else by_path
+
     def _find_state(
         self, inquiry: _requests.Inquiry
     ) -> _requests.JobState | None:
