Bound the cancellations that await the list of entries

Callers saw nothing at first: an entry's memory grew with each DELETE while the store wrote rows and could not return the list of entries.

Cause: a cancellation with a row waited for the read of the list without a bound, unlike those without a row.

Fix: at most MAX_CANCELLED wait, and the oldest goes first.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+import itertools
 
 import circuits
 
@@ -68,6 +69,11 @@
         """Number of cancellations whose row is not written."""
         return len(self._unwritten) + len(self._writing)
 
+    @property
+    def unlisted(self) -> int:
+        """Number of cancellations that await a read of the list of entries."""
+        return len(self._unlisted) + len(self._listing)
+
     @circuits.handler("started", channel="*")
     def _on_started(self, *arguments: object) -> None:
         change = transport.FeatureEnabled("cancellations", "always on")
@@ -98,6 +104,7 @@
         written_at = self._ages.get_written(row_key)
         if written_at is not None and now - written_at < RENEW_AFTER:
             self._unlisted[key] = None
+            self._limit_unlisted()
             self._list_entries()
             return
         self._unwritten[key] = now
@@ -112,6 +119,7 @@
         listed, self._listing = self._listing, {}
         if members is None:
             self._unlisted = listed | self._unlisted
+            self._limit_unlisted()
             self._next_list = self._clock.now() + RETRY_INTERVAL
             return
         for team, resource in listed:
@@ -216,11 +224,17 @@
         for key in written:
             self._ages.record_write(_cancellation_rows.name_row(key), now)
             self._unlisted[key] = None
+        self._limit_unlisted()
         self._count(_cancelled_jobs.CancellationAction.WRITTEN, len(written))
         self._schedule_removal()
         self._write_rows()
         self._list_entries()
 
+    def _limit_unlisted(self) -> None:
+        excess = self.unlisted - _cancelled_jobs.MAX_CANCELLED
+        for key in list(itertools.islice(self._unlisted, max(0, excess))):
+            del self._unlisted[key]
+
     def _list_entries(self) -> None:
         """Read the list of entries for all whose rows are written by now."""
         if self._listing or not self._unlisted:
