Store a repeated cancellation for two minutes from its repetition

Callers saw: after an outage of the store of more than 2 minutes, a late copy of a job's submission could run at an entry that had started since, though its DELETE had been repeated seconds before the store was back.

Cause: a row that was due kept the time of the first DELETE and was given up 2 minutes after it.

Fix: a repeated DELETE renews the time.

Run: pytest of the platform's test_stored_cancellations (the new test failed before) and test_requested_jobs: all passed; ruff format and flake8 of the files clean.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
@@ -96,10 +96,14 @@
     @circuits.handler("store_cancellation")
     def _on_store_cancellation(self, team: str, resource: str) -> None:
         key = team, resource
-        known = (self._unwritten, self._writing, self._unlisted, self._listing)
-        if any(key in keys for keys in known):
-            return
         now = self._clock.now()
+        for waiting in (self._unwritten, self._writing):
+            if waiting.pop(key, None) is not None:
+                # Its row is due for as long as that of a new one.
+                waiting[key] = now
+                return
+        if key in self._unlisted or key in self._listing:
+            return
         row_key = _cancellation_rows.name_row(key)
         written_at = self._ages.get_written(row_key)
         if written_at is not None and now - written_at < RENEW_AFTER:
