Forget agents that are gone without an evacuation as well

Callers saw nothing: the memory of an entry grew with each agent name that came and went, where evacuations are enabled and none was ever requested.

Cause: agents that the ledger had dropped were only forgotten after the first evacuation.

Fix: they are forgotten at each tick.

Run: pytest of the entry's test_evacuations (the new test failed before): all passed; ruff format and flake8 of the files clean.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_evacuations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/agents/_evacuations.py
@@ -90,6 +90,11 @@
         """The set that is in force at this entry."""
         return self._evacuations
 
+    @property
+    def remembered(self) -> int:
+        """Number of agents that are remembered."""
+        return len(self._agents)
+
     def render(self) -> bytes:
         """Return the text exposition of the metrics."""
         return transport.render_families(
@@ -135,11 +140,11 @@
 
     @circuits.handler("tick")
     def _on_tick(self) -> None:
+        for name in self._agents.keys() - self._ledger.agents:
+            del self._agents[name]
         if not self._ever_evacuated:
             return
         now = self._clock.now()
-        for name in self._agents.keys() - self._ledger.agents:
-            del self._agents[name]
         for name in self.list_unconfirmed():
             told = self._get_told(name)
             if told.sent_at is None or now - told.sent_at >= RESEND_AFTER:
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_evacuations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_evacuations.py
@@ -189,6 +189,17 @@
     assert _changes.EvacuationConfirmed in _list_kinds(harness)
 
 
+# Guards against memory that grows with each agent that comes and goes where
+# nothing was ever evacuated.
+def test_agents_that_are_gone_are_forgotten_without_an_evacuation(
+    harness: evacuation_builders.EvacuationHarness,
+) -> None:
+    assert harness.evacuations.remembered == 1
+    harness.deliver(core.Goodbye("agent-1", 1, 1))
+    harness.pass_time(0.1)
+    assert harness.evacuations.remembered == 0
+
+
 def test_requests_are_logged_while_evacuations_are_not_enabled() -> None:
     recorders = control_builders.ComponentHarness("logs")
     _evacuations.IgnoredEvacuations(
