Pause between reads of a store that keeps no history

Operators saw: an agent called a store whose history had always expired as fast as it answered, about 100 times a second at 8 ms a call; 77 agents exceed what the store allows.

Cause: the agent's read after EXPIRED waited for nothing, however often it happened.

Fix: the first such read is sent at once, later ones 0.5 s apart.

The rate of 100 calls a second is computed, not measured.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_evacuation_follower.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_evacuation_follower.py
@@ -21,7 +21,8 @@
 which an evacuation has to be in force."""
 
 RETRY_INTERVAL = datetime.timedelta(milliseconds=500)
-"""Least time between a call that failed and the next."""
+"""Least time between a call that failed and the next, and between two reads
+since the history has expired."""
 
 
 class EvacuationFollower(circuits.BaseComponent):
@@ -43,6 +44,8 @@
         self._position: int | None = None
         self._busy = False
         self._next_call = clock.now()
+        # Earliest time of a read since the history has expired.
+        self._next_expiry = clock.now()
 
     @circuits.handler("started", channel="*")
     def _on_started(self, *arguments: object) -> None:
@@ -65,8 +68,13 @@
             # The same changes would be returned again, or are gone.
             if answer.result is not core.TableResult.UNREACHABLE:
                 self._position = None
+            now = self._clock.now()
             if answer.result is not core.TableResult.EXPIRED:
-                self._next_call = self._clock.now() + RETRY_INTERVAL
+                self._next_call = now + RETRY_INTERVAL
+            else:
+                # A store without history would cause calls without a pause.
+                self._next_call = max(now, self._next_expiry)
+                self._next_expiry = self._next_call + RETRY_INTERVAL
         event = _events.evacuations_read(evacuations)
         self.fire(event, _evacuation.CHANNEL)
         self._send_call()
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_evacuation.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_evacuation.py
@@ -220,3 +220,22 @@
     linked.root.fire(_events.send_reports(), _links.CHANNEL)
     linked.run_until(lambda: len(entry.received) > 2, "another report")
     assert len(entry.pop_messages(core.EvacuationHeld)) == 1
+
+
+# Guards against calls without a pause to a store that keeps no history, from
+# every agent.
+def test_store_without_history_is_not_called_without_a_pause(
+    harness: EvacuationHarness,
+) -> None:
+    before = answered = len(harness.calls)
+    harness.answer(0, result=core.TableResult.EXPIRED)
+    for version in range(9, 109):
+        if len(harness.calls) > answered:
+            answered = len(harness.calls)
+            if isinstance(harness.calls[-1], core.TableFollow):
+                harness.answer(0, result=core.TableResult.EXPIRED)
+            else:
+                harness.answer(version)
+        harness.clock.advance(_evacuation_follower.RETRY_INTERVAL / 50)
+        harness.run_event(_events.tick(), _evacuation_follower.CHANNEL)
+    assert len(harness.calls) - before <= 6
