Check a configuration without an entry

cowslipgate check-configuration FILE [--against VERSION-FILE] prints what is wrong in a document, routes that never match, limits that contradict each other, and what differs from the document in force. Exit status 0 for none, 1 for findings, 2 for an unreadable file; differences are no findings.

The decisions are in the core and are loaded by this command alone.

--- a/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/__init__.py
@@ -379,9 +379,16 @@
 }
 """Module of each public name that only entries use."""
 
+_COMMAND_NAMES = {
+    "check_document": "configuration._checks",
+    "compare_documents": "configuration._checks",
+    "Difference": "configuration._checks",
+}
+"""Module of each public name that only commands use."""
+
 
 def __getattr__(name: str) -> object:
-    module = _ENTRY_NAMES.get(name)
+    module = _ENTRY_NAMES.get(name) or _COMMAND_NAMES.get(name)
     if module is None:
         raise AttributeError(name)
     value = getattr(importlib.import_module(f"{__name__}.{module}"), name)
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/commands/_command_line.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/commands/_command_line.py
@@ -15,7 +15,8 @@
 EXIT_STATUSES = """Exit status:
 
 0 complete, 1 failed after it may have started, 2 wrong arguments or
-settings, 3 refused with nothing run or stored, 4 no answer.
+settings, 3 refused with nothing run or stored, 4 no answer. Of
+check-configuration: 0 clean, 1 findings, 2 unreadable file.
 """
 
 app = cyclopts.App(
@@ -79,3 +80,9 @@
     app.command(
         f"cowslipgate_entry.commands._commands:{_name}", name=_name, help=_help
     )
+
+app.command(
+    "cowslipgate_entry.commands._configuration_check:check_configuration",
+    name="check-configuration",
+    help="Check a configuration and print what is wrong and what differs.",
+)
