Remove no row whose write is not answered yet

Callers saw: a late copy of a job's submission could run at an entry that started after the DELETE was answered. The row of the cancellation had been removed milliseconds after it was written.

Cause: a removal reads the table, and takes rows of this process that it has no time for as excess. A row whose write was carried out, while its answer was slower than that of the read, has no time yet. One that was written anew had the time of its first write.

Fix: rows that await their write or its answer are not removed.

Run: pytest of the platform's test_stored_cancellations (the new test failed before with both rows removed) and test_requested_jobs: all passed; ruff format and flake8 of the files clean.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
@@ -313,9 +313,17 @@
         return tuple(
             (row, value)
             for row, value in rows
-            if value.writer == own_key or (others and value.writer not in live)
+            if (
+                value.writer == own_key
+                or (others and value.writer not in live)
+            )
+            and not self._awaits_write((value.team, value.resource))
         )
 
+    def _awaits_write(self, key: _cancelled_jobs.Key) -> bool:
+        """Return whether a row awaits its write, or the answer to it."""
+        return key in self._writing or key in self._unwritten
+
     def _remove_next(self) -> None:
         batch = self._expired[: core.MAX_TRANSACTION_ROWS]
         self._expired = self._expired[core.MAX_TRANSACTION_ROWS :]
