--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_evacuations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/test_evacuations.py
@@ -95,6 +95,20 @@
     assert harness.evacuations.evacuations.domains == frozenset()
 
 
+# Guards against an evacuation that stays in force for ever, as it was revoked
+# before this entry heard of it, and an agent that missed that still holds it.
+def test_set_of_an_agent_that_was_revoked_before_is_answered(
+    harness: evacuation_builders.EvacuationHarness,
+) -> None:
+    harness.read(9)
+    key = f"{evacuation_builders.PREFIX}{DOMAIN}"
+    harness.follow(core.TableRow(key, b"", 12, removed=True))
+    harness.hold(10, DOMAIN)
+    assert harness.evacuations.evacuations == core.Evacuations(12)
+    own = builders.MEMBER.incarnation
+    assert harness.take_notices() == [core.EvacuationNotice(own, 12, ())]
+
+
 # Guards against an agent that refuses for ever, as it was cut off when the
 # evacuation was revoked, by an entry that never knew of the evacuation.
 def test_older_set_of_an_agent_is_answered(
@@ -175,6 +189,17 @@
     assert _changes.EvacuationConfirmed in _list_kinds(harness)
 
 
+# Guards against memory that grows with each agent that comes and goes where
+# nothing was ever evacuated.
+def test_agents_that_are_gone_are_forgotten_without_an_evacuation(
+    harness: evacuation_builders.EvacuationHarness,
+) -> None:
+    assert harness.evacuations.remembered == 1
+    harness.deliver(core.Goodbye("agent-1", 1, 1))
+    harness.pass_time(0.1)
+    assert harness.evacuations.remembered == 0
+
+
 def test_requests_are_logged_while_evacuations_are_not_enabled() -> None:
     recorders = control_builders.ComponentHarness("logs")
     _evacuations.IgnoredEvacuations(
