Remove rows whose writes were never answered

Callers saw nothing: rows of cancellations stayed in the store for as long as their writer lived, if the store had carried out their writes and lost the answers until the writer gave them up after 2 minutes.

Cause: nothing was due by the writer's knowledge, and others leave the rows of a live entry alone.

Fix: giving up a row schedules a read for its removal.

Run: pytest of the platform's test_stored_cancellations (the new test failed before) and test_requested_jobs: all passed; ruff format and flake8 of the files clean.

--- a/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/store/_stored_cancellations.py
@@ -56,7 +56,8 @@
         self._start_read_due = False
         self._next_start_read = clock.now()
         self._ages = _cancellation_rows.RowAges(member.incarnation)
-        # Whether rows of an earlier process at this address may be left.
+        # Whether rows of an earlier process at this address may be left, or
+        # rows of this one whose writes were not answered.
         self._has_former_rows = False
         self._next_removal: datetime.datetime | None = None
         self._removal_read: core.TableRead | None = None
@@ -185,11 +186,16 @@
         if self._write is not None or now < self._next_write:
             return
         limit = now - _cancelled_jobs.KEPT_CANCELLED
-        self._unwritten = {
+        kept = {
             key: since
             for key, since in self._unwritten.items()
             if since >= limit
         }
+        if len(kept) < len(self._unwritten):
+            # The others may be written, with their answers lost.
+            self._has_former_rows = True
+            self._schedule_removal()
+        self._unwritten = kept
         batch = list(self._unwritten)[: core.MAX_TRANSACTION_ROWS]
         if not batch:
             return
