Detect routes that slow each other down and keep them apart

Tasks of some routes are slower beside those of others on one target, and placement did not know.

An entry compares, for each ordered pair of routes, the run times with the other route present and without it, among runs with as many neighbours. A neighbour counts as present if it was there for at least half of the run, from integrals over time that each start and end advances. In the choice of a target a pair is a tie-break among targets as near and about as fast, for which the policy finds the same task. All of it is off unless the service sets separate_kinds; then nothing is observed.

--- a/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/configuration/_configuration.py
@@ -56,6 +56,10 @@
     """``deadline`` lets a job wait until its own size makes it too late;
     ``forecast`` refuses it once the work ahead of it does."""
 
+    separate_kinds: bool = False
+    """Whether tasks of routes that slow each other down are sent to different
+    targets where targets are equally good otherwise."""
+
     @property
     def default_deadline(self) -> datetime.timedelta:
         """Deadline of jobs that declare none."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -11,6 +11,7 @@
 from cowslipgate_core import _charts
 from cowslipgate_core.configuration import _configuration
 from cowslipgate_core.messages import _resources
+from cowslipgate_core.placement import _interference
 
 _Size = Annotated[float, msgspec.Meta(gt=0.0, le=3_600_000.0)]
 _Name = Annotated[str, msgspec.Meta(max_length=128)]
@@ -224,6 +225,9 @@
     preempted: bool = False
     """Whether it was told to stop so that a more urgent job gets its room."""
 
+    neighbours: _interference.Neighbours | None = None
+    """What ran beside it, once it is final; None unless it was observed."""
+
     @property
     def task_id(self) -> str:
         """Id that the target echoes."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_ledger.py
@@ -27,6 +27,7 @@
 from cowslipgate_core.messages import _reports
 from cowslipgate_core.placement import _assignment
 from cowslipgate_core.placement import _estimates
+from cowslipgate_core.placement import _interference
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _room
 from cowslipgate_core.placement import _roster
@@ -106,6 +107,11 @@
         """Jobs not yet answered, by id."""
         return self._jobs
 
+    @property
+    def interference(self) -> _interference.Interference:
+        """Routes whose tasks slow each other down."""
+        return self._assigner.interference
+
     @property
     def heartbeat(self) -> datetime.timedelta:
         """Interval of reports that agents should use on idle links."""
@@ -391,6 +397,7 @@
         self, now: datetime.datetime
     ) -> list[_ledger_actions.LedgerAction]:
         """Handle passed deadlines, lost peers and overdue or stalled runs."""
+        self.interference.review(now)
         actions = self._fail_late_jobs(now)
         actions.extend(self._suspend_unseen_jobs(now))
         for job in list(self._jobs.values()):
@@ -560,15 +567,17 @@
         if not attempt.machine.final:
             attempt.unanswered = max(0, attempt.unanswered - 1)
             return []
-        self._close_attempt(attempt)
+        self._close_attempt(attempt, now)
         actions = self._resolve_attempt(attempt, report, now)
         return actions + self._resolve_failed_job(attempt.job, now)
 
-    def _close_attempt(self, attempt: _jobs.Attempt) -> None:
+    def _close_attempt(
+        self, attempt: _jobs.Attempt, now: datetime.datetime
+    ) -> None:
         job = attempt.job
         del self._attempts[attempt.sequence]
         job.active.pop(attempt.sequence, None)
-        self._assigner.close_attempt(attempt)
+        self._assigner.close_attempt(attempt, now)
         self._preempted_runs.record_end(attempt)
         record = self._agents.get(attempt.agent)
         if record is not None:
@@ -635,7 +644,7 @@
         request = job.request.tasks[attempt.index]
         if attempt.index not in job.checkpoints:
             # A run from a checkpoint does only part of the declared size.
-            self.estimates.observe(
+            ratio = self.estimates.observe(
                 attempt.agent,
                 job.team,
                 request.kind,
@@ -643,6 +652,8 @@
                 report.run_ms,
                 self._get_excess(attempt),
             )
+            if attempt.neighbours is not None and ratio is not None:
+                self.interference.observe(attempt.neighbours, ratio, now)
         if attempt.unneeded:
             return []
         self._assigner.finish_task(attempt)
@@ -725,7 +736,7 @@
         for sequence in sorted(record.outstanding):
             attempt = self._attempts[sequence]
             attempt.machine.fire("lose")
-            self._close_attempt(attempt)
+            self._close_attempt(attempt, now)
             has_other = attempt.job.has_result_or_copy(attempt.index)
             if attempt.job.terms.rerun_lost or has_other:
                 self.counters.rerun += 1
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -11,12 +11,14 @@
 from cowslipgate_core.placement import _backlog
 from cowslipgate_core.placement import _copies
 from cowslipgate_core.placement import _estimates
+from cowslipgate_core.placement import _interference
 from cowslipgate_core.placement import _overload
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _preemption
 from cowslipgate_core.placement import _prospects
 from cowslipgate_core.placement import _ready_jobs
 from cowslipgate_core.placement import _roster
+from cowslipgate_core.placement import _separation
 from cowslipgate_core.placement import _shares
 from cowslipgate_core.placement import _stalls
 from cowslipgate_core.placement import _targets
@@ -63,6 +65,7 @@
         self._start_rates: dict[str, _overload.StartRate] = {}
         self._allowances: dict[str, int] = {}
         self._entries = 1
+        self.interference = _interference.Interference()
 
     @property
     def policy(self) -> _placement.Policy:
@@ -162,9 +165,26 @@
         self._estimates.overdue.start(
             attempt.agent, attempt.sequence, task.seconds, attempt.sent_at
         )
+        if self.interference.observes(attempt.job.service):
+            self.interference.start(
+                attempt.agent,
+                attempt.sequence,
+                attempt.job.terms.route,
+                self._count_others(attempt.agent),
+                attempt.sent_at,
+            )
 
-    def close_attempt(self, attempt: _jobs.Attempt) -> None:
+    def close_attempt(
+        self, attempt: _jobs.Attempt, now: datetime.datetime
+    ) -> None:
         """Record that an attempt is final."""
+        if self.interference.observes(attempt.job.service):
+            attempt.neighbours = self.interference.end(
+                attempt.agent,
+                attempt.sequence,
+                self._count_others(attempt.agent),
+                now,
+            )
         state = self._states.get(attempt.job.id)
         if state is not None:
             state.runs.pop(attempt.sequence, None)
@@ -192,6 +212,10 @@
                 state.waiting_job
             )
 
+    def _count_others(self, agent: str) -> int:
+        record = self._roster.agents.get(agent)
+        return record.load.others if record is not None else 0
+
     def finish_task(self, attempt: _jobs.Attempt) -> None:
         """Record that a task has finished."""
         state = self._states.get(attempt.job.id)
@@ -326,6 +350,10 @@
         chosen: list[_placement.Assignment] = []
         for service, waiting in self._waiting.items():
             pool = self._roster.get_pool(service, now)
+            definition = services.get(service)
+            self.interference.observe_service(
+                service, definition is not None and definition.separate_kinds
+            )
             jobs = [
                 each
                 for each in waiting.values()
@@ -333,7 +361,6 @@
             ]
             if pool is None or not jobs:
                 continue
-            definition = services.get(service)
             assignments = self._shares.choose_assignments(
                 service,
                 self._weigh_policy(definition),
@@ -399,6 +426,9 @@
         policy = self._policy
         if service.preemption:
             policy = _weights.order_late_by_age(policy)
+        if service.separate_kinds and self.interference.pairs:
+            separation = _separation.Separation(self.interference)
+            policy = _weights.separate_kinds(policy, separation)
         return _weights.tune_policy(
             policy, service.response_weight, service.waste_weight
         )
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_estimates.py
@@ -205,9 +205,12 @@
         size_ms: float,
         run_ms: float,
         excess: float = 1.0,
-    ) -> None:
+    ) -> float | None:
         """Learn from a finished task.
 
+        Return the natural logarithm of its run time over the expected one,
+        or None while nothing reliable is expected.
+
         :param size_ms: declared size in milliseconds
         :param run_ms: run time at the target in milliseconds
         :param excess: factor by which the target was slower than usual; if
@@ -218,10 +221,12 @@
         speed_log = self._get_log_speed(agent, kind)
         residual = size.log_mean - run_log - speed_log
         residual = max(-MAX_RESIDUAL, min(MAX_RESIDUAL, residual))
-        if size.confidence >= MIN_CONFIDENCE and excess <= 1.0:
+        reliable = size.confidence >= MIN_CONFIDENCE and excess <= 1.0
+        if reliable:
             self._learn_speed(agent, kind, residual)
         speed_log = self._get_log_speed(agent, kind)
         self._sizes.observe(team, kind, size_ms, run_log + speed_log)
+        return -residual if reliable else None
 
     def _get_log_speed(self, agent: str, kind: str | None) -> float:
         target_speed = self._speeds.get(agent)
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -13,6 +13,7 @@
 from cowslipgate_core.placement import _placement
 from cowslipgate_core.placement import _ready_jobs
 from cowslipgate_core.placement import _room
+from cowslipgate_core.placement import _separation
 from cowslipgate_core.placement import _targets
 
 TaskFinder = Callable[[_backlog.WaitingJob, _targets.TargetView], int | None]
@@ -37,6 +38,11 @@
     """A target stays unused if faster ones clear the backlog in this time;
     zero uses every target."""
 
+    separation: _separation.Separation | None = attrs.field(
+        default=None, eq=False
+    )
+    """Choice among equally good targets in this pass, or None."""
+
 
 @_placement.choose_assignments.register
 def choose_late_binding(
@@ -155,8 +161,13 @@
                     exhausted.add(target.offer)
                 break
             job, position = found
+            chosen = target
+            if policy.separation is not None:
+                chosen = policy.separation.choose_target(
+                    job, position, target, pool, find, now
+                )
             assignments.append(
-                _placement.take_task(job, position, target, pool, allowances)
+                _placement.take_task(job, position, chosen, pool, allowances)
             )
             _ready_jobs.drop_done(fitting, job, allowances)
     return assignments
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_weights.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_weights.py
@@ -7,6 +7,7 @@
 
 from cowslipgate_core.placement import _late_binding
 from cowslipgate_core.placement import _placement
+from cowslipgate_core.placement import _separation
 
 MAX_BACKLOG_TIME = datetime.timedelta(milliseconds=500)
 """Backlog time of a service to which only waste matters."""
@@ -25,6 +26,21 @@
     return attrs.evolve(policy, late_by_age=True)
 
 
+@functools.singledispatch
+def separate_kinds(
+    policy: _placement.Policy, separation: _separation.Separation
+) -> _placement.Policy:
+    """Return the policy with a tie-break, if it chooses among targets."""
+    return policy
+
+
+@separate_kinds.register
+def _separate_kinds_in_late_binding(
+    policy: _late_binding.LateBinding, separation: _separation.Separation
+) -> _placement.Policy:
+    return attrs.evolve(policy, separation=separation)
+
+
 @functools.singledispatch
 def tune_policy(
     policy: _placement.Policy, response_weight: float, waste_weight: float
