--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_separation.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_separation.py
@@ -89,10 +89,6 @@
             or len(similar) >= MAX_TRIED
         ):
             break
-        if (
-            view.near == target.near
-            and not view.on_probation
-            and pool.has_free_place(view)
-        ):
+        if view.near == target.near and not view.on_probation:
             similar.append(view)
     return similar
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_interference.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_interference.py
@@ -4,6 +4,8 @@
 tasks slow each other down by 30%, or do not.
 """
 
+import random
+
 import attrs
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
@@ -75,6 +77,57 @@
     assert not interference.pairs
 
 
+# Guards against blaming a kind that comes in wide jobs for the load of them.
+def test_kind_that_is_there_when_targets_are_full_is_not_blamed() -> None:
+    interference = core.Interference()
+    interference.start("agent-9", 1, "tag", 0, builders.NOW)
+    generator = random.Random(2)
+    for number in range(4_000):
+        wide = number % 2
+        count = generator.choice((2, 3) if wide else (1, 2))
+        neighbours = attrs.evolve(
+            interference_builders.build_neighbours(
+                f"agent-{number % 7}", "tag", "wide" if wide else "draw"
+            ),
+            count=count,
+        )
+        now = interference_builders.make_time(number / 1_000)
+        ratio = 0.3 * count + generator.gauss(0, 0.3)
+        interference.observe(neighbours, ratio, now)
+    interference.review(now)
+    assert not interference.pairs
+
+
+# Guards against a pair that rests on too little, or is hidden by a few runs.
+@pytest.mark.parametrize(
+    ("runs", "agents", "outlier", "found"),
+    [
+        pytest.param(100, 4, 0.0, True, id="enough"),
+        pytest.param(50, 4, 0.0, False, id="too few runs"),
+        pytest.param(100, 2, 0.0, False, id="too few targets"),
+        pytest.param(100, 4, 20.0, True, id="one run takes very long"),
+    ],
+)
+def test_pair_needs_runs_on_several_targets(
+    runs: int, agents: int, outlier: float, found: bool
+) -> None:
+    interference = core.Interference()
+    interference.start("agent-9", 1, "tag", 0, builders.NOW)
+    generator = random.Random(4)
+    # The means of the targets need some runs first.
+    for number in range(-5 * agents, runs):
+        slow = number % (2 * agents) >= agents
+        neighbours = interference_builders.build_neighbours(
+            f"agent-{number % agents}", "tag", "print" if slow else "draw"
+        )
+        now = interference_builders.make_time(number / 1_000)
+        ratio = outlier if number == runs - 1 and outlier else 0.4 * slow
+        ratio += generator.gauss(0, 0.2)
+        interference.observe(neighbours, ratio, now)
+    interference.review(now)
+    assert (("tag", "print") in interference.pairs) is found
+
+
 # Guards against entries that keep tasks apart for good.
 def test_pair_is_forgotten_once_it_no_longer_interferes() -> None:
     targets = _build(MIDDLE, entries=1)
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_separation.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_separation.py
@@ -95,6 +95,9 @@
     "other",
     [
         pytest.param(_build_target("agent-2", used=4), id="no room"),
+        pytest.param(
+            core.TargetView("agent-2", ROOM, 1, 1, 1.0), id="no slot"
+        ),
         pytest.param(_build_target("agent-2", 0.8, 0), id="slower"),
         pytest.param(_build_target("agent-2", used=0, near=False), id="far"),
     ],
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_changes.py
@@ -19,6 +19,40 @@
     """Number of targets that have one of these models."""
 
 
+@attrs.frozen
+class InterferenceFound(Change):
+    """Tasks of a route are slower beside those of another one."""
+
+    kind: str
+    """Route whose tasks are slower."""
+
+    beside: str
+    """Route beside whose tasks they are."""
+
+    slowdown: float
+    """Part by which their run time is longer; 0.3 is 30%."""
+
+    runs: int
+    """Runs beside the other route that show it; older ones count less."""
+
+
+@attrs.frozen
+class InterferenceGone(Change):
+    """Recent runs no longer show an interference that was found."""
+
+    kind: str
+    """Route whose tasks were slower."""
+
+    beside: str
+    """Route beside whose tasks they were."""
+
+    slowdown: float
+    """Part by which their run time was longer when last found."""
+
+    runs: int
+    """Runs beside the other route that showed it then."""
+
+
 @attrs.frozen
 class EntryStateChanged(Change):
     """The entry's state changed."""
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_families.py
@@ -56,6 +56,12 @@
     preempted_work: transport.Counter
     """Core-seconds of the runs that were stopped."""
 
+    separated: transport.Counter
+    """Tasks sent elsewhere because of an interfering pair."""
+
+    interfering: transport.Gauge
+    """Pairs of routes that interfere."""
+
     slot_seconds: transport.Counter
     """Slot-seconds, used and needed."""
 
@@ -188,6 +194,17 @@
             "cowslipgate_preempted_core_seconds_total",
             "Work of the runs that were stopped, which is done again.",
         ),
+        separated=counter(
+            "cowslipgate_separated_placements_total",
+            "Tasks sent to another target, equally good otherwise, since "
+            "tasks of routes that slow each other down would have met.",
+        ),
+        interfering=gauge(
+            "cowslipgate_interfering_pairs",
+            "Ordered pairs of routes of which the first is slower beside "
+            "the second.",
+            readings.count_interfering,
+        ),
         slot_seconds=counter(
             "cowslipgate_slot_seconds_total",
             "Slot time used by tasks that ended, and needed by complete jobs.",
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_metrics.py
@@ -172,11 +172,14 @@
         self._families.errors.add(kind.__name__)
 
     def _copy_counters(self) -> None:
-        # The ledger alone knows how a preempted run ended.
-        counters = self._dispatcher.ledger.counters
+        # The ledger alone knows how a preempted run ended, and which
+        # placements were changed.
+        ledger = self._dispatcher.ledger
+        counters = ledger.counters
         for family, total in (
             (self._families.preempted_finished, counters.preempted_finished),
             (self._families.preempted_work, counters.preempted_core_seconds),
+            (self._families.separated, ledger.interference.separated),
         ):
             family.add(amount=total - family.get())
 
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_readings.py
@@ -75,6 +75,10 @@
         models = self._dispatcher.ledger.estimates.models
         return {(): sum(model.targets for model in models)}
 
+    def count_interfering(self) -> Values:
+        """Return the number of ordered pairs of routes that interfere."""
+        return {(): len(self._dispatcher.ledger.interference.pairs)}
+
     def count_connections(self) -> Values:
         """Return the number of open caller connections."""
         return {(): self._server.connections}
--- a/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/observation/_state_change_log.py
@@ -43,6 +43,7 @@
         self._departing: set[str] = set()
         self._models: tuple[str, ...] = ()
         self._models_enabled = False
+        self._pairs: dict[tuple[str, str], core.InterferingPair] = {}
         self._store_reachable = True
         self._preempting: set[str] = set()
         self._logged_failures: set[tuple[str, str]] = set()
@@ -193,6 +194,7 @@
         if next(self._ticks) % AGENT_CHECK_TICKS == 0:
             self._log_missing_agents()
             self._log_models()
+            self._log_interference()
 
     def _log_models(self) -> None:
         models = self._dispatcher.ledger.estimates.models
@@ -207,6 +209,26 @@
         targets = sum(model.targets for model in models)
         self._log_change(_changes.ModelsChanged(names, targets))
 
+    def _log_interference(self) -> None:
+        pairs = dict(self._dispatcher.ledger.interference.pairs)
+        for name, pair in pairs.items():
+            if name not in self._pairs:
+                self._log_pair(_changes.InterferenceFound, pair)
+        for name, pair in self._pairs.items():
+            if name not in pairs:
+                self._log_pair(_changes.InterferenceGone, pair)
+        self._pairs = pairs
+
+    def _log_pair(
+        self,
+        make: type[_changes.InterferenceFound | _changes.InterferenceGone],
+        pair: core.InterferingPair,
+    ) -> None:
+        change = make(
+            pair.kind, pair.beside, round(pair.slowdown, 3), round(pair.runs)
+        )
+        self._log_change(change)
+
     def _log_missing_agents(self) -> None:
         for name in self._agents.keys() - self._dispatcher.ledger.agents:
             missing = self._agents.pop(name)
@@ -236,4 +258,11 @@
         for name, route in document.routes.items()
         if route.share
     }
+    features |= {
+        transport.FeatureEnabled(
+            "separate-kinds", f"$.services.{name}.separate_kinds"
+        )
+        for name, service in document.services.items()
+        if service.separate_kinds
+    }
     return features
