--- a/packages/cowslipgate-entry/src/cowslipgate_entry/tests/observer_builders.py
+++ b/packages/cowslipgate-entry/src/cowslipgate_entry/tests/observer_builders.py
@@ -3,10 +3,12 @@
 import datetime
 
 import attrs
+import circuits
 
 import cowslipgate_core as core
 from cowslipgate_entry.agents import _dispatcher
 from cowslipgate_entry.callers import _requests
+from cowslipgate_entry.observation import _changes
 import cowslipgate_transport as transport
 
 MEMBER = core.Member(7, "tcp://127.0.0.1:1", "127.0.0.1:2", "kaai-zuid")
@@ -27,6 +29,26 @@
     """Dispatcher, not started."""
 
 
+class Server:
+    """Stub of an HTTP server without connections."""
+
+    connections = 0
+
+
+class Lines(circuits.BaseComponent):
+    """Keeps the changes that would be logged."""
+
+    channel = "logs"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.changes: list[_changes.Change] = []
+
+    @circuits.handler("changed")
+    def _on_changed(self, change: _changes.Change) -> None:
+        self.changes.append(change)
+
+
 def build_harness() -> ObserverHarness:
     """Return a harness with one agent of two slots."""
     clock = core.ManualClock()
