--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_separation.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_separation.py
@@ -50,45 +50,33 @@
     return [each.agent for each in chosen], interference.separated
 
 
-SPARE = _build_target("agent-2", 0.95, 0)
-TIGHT = datetime.timedelta(milliseconds=122)
-"""Objective that is met at full speed alone."""
+SPARE = (0.95, 0)
+TIGHT = {"objective": datetime.timedelta(milliseconds=122)}
+"""Terms with an objective that is met at full speed alone."""
 
 
 # Guards against tasks that meet where there is room, and against a wait, a
 # late job or a far target for the sake of separation.
 @pytest.mark.parametrize(
-    ("other", "job", "moved"),
+    ("other", "route", "terms", "moved"),
     [
-        pytest.param(SPARE, _build_job("draw", 3), 3, id="room"),
-        pytest.param(
-            _build_target("agent-2", 0.95, 2), _build_job("draw", 3), 2, id="2"
-        ),
-        pytest.param(
-            _build_target("agent-2", used=4), _build_job("draw", 3), 0, id="no"
-        ),
-        pytest.param(
-            _build_target("agent-2", 0.8, 0),
-            _build_job("draw", 3),
-            0,
-            id="slower",
-        ),
-        pytest.param(
-            _build_target("agent-2", used=0, near=False),
-            _build_job("draw", 3),
-            0,
-            id="far",
-        ),
-        pytest.param(
-            SPARE, _build_job("draw", 3, objective=TIGHT), 0, id="late there"
-        ),
-        pytest.param(SPARE, _build_job("paint", 3), 0, id="no pair"),
+        pytest.param(SPARE, "draw", {}, 3, id="room for all"),
+        pytest.param((0.95, 2), "draw", {}, 2, id="room for two"),
+        pytest.param((0.95, 4), "draw", {}, 0, id="no room"),
+        pytest.param((0.8, 0), "draw", {}, 0, id="slower"),
+        pytest.param((1.0, 0, False), "draw", {}, 0, id="far"),
+        pytest.param(SPARE, "draw", TIGHT, 0, id="late there"),
+        pytest.param(SPARE, "paint", {}, 0, id="no pair"),
     ],
 )
 def test_tasks_are_separated_only_where_targets_are_equally_good(
-    other: core.TargetView, job: core.WaitingJob, moved: int
+    other: tuple[float | bool, ...],
+    route: str,
+    terms: dict[str, object],
+    moved: int,
 ) -> None:
-    agents, changed = _choose([_build_target("agent-1"), other], job)
+    targets = [_build_target("agent-1"), _build_target("agent-2", *other)]
+    agents, changed = _choose(targets, _build_job(route, 3, **terms))
     assert changed == moved
     assert agents.count("agent-2") == moved
     assert len(agents) == 3
