Take back the limit after which an answer is of no use

Cause of the try: callers count an answer after three objectives as none, and such work takes room. Jobs past it went last and were refused as not run.

A suspicion is that jobs of which some tasks have run lose that work when they go last. It is not kept.

--- a/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/jobs/_jobs.py
@@ -179,10 +179,6 @@
     share: float = 0.0
     """Share of the started work that the route is due under overload."""
 
-    latest_factor: float = 0.0
-    """Multiple of the objective after which the answer is of no use; zero if
-    it always is."""
-
     def name_task(self, index: int) -> str:
         """Return the name that all attempts of a task share, or empty."""
         return f"{self.request}.{self.step}.{index}" if self.request else ""
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_assignment.py
@@ -224,10 +224,9 @@
             state.waiting_job.remaining_seconds -= task.seconds
 
     def can_end(self, job: _jobs.Job, now: datetime.datetime) -> bool:
-        """Return whether a waiting job may end while its caller waits for it.
+        """Return whether a waiting job may end before its deadline.
 
-        That is until its deadline, or until an answer is of no use. Without
-        any target nothing is known.
+        Without any target nothing is known.
         """
         pool = self._roster.find_pool(job.service)
         state = self._states.get(job.id)
@@ -235,8 +234,7 @@
             return True
         needs = state.waiting_job.needs
         speed = min(pool.get_fastest(need) for need in needs)
-        until = state.waiting_job.useful_until or job.deadline
-        left = min(until, job.deadline) - now
+        left = job.deadline - now
         # With more time there is no need to estimate the sizes again.
         longest = state.waiting_job.longest_seconds
         if speed <= 0 or left.total_seconds() * speed > longest:
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_backlog.py
@@ -66,15 +66,11 @@
     due_at: datetime.datetime | None = attrs.field(init=False)
     """When the answer is due by the objective, or None without one."""
 
-    useful_until: datetime.datetime | None = attrs.field(init=False)
-    """When an answer is of no use any more, or None if it always is."""
-
     def __attrs_post_init__(self) -> None:
         self.tasks.sort(key=_get_order)
         self.needs = frozenset(task.needs for task in self.tasks)
         self.waiting_seconds = sum(task.seconds for task in self.tasks)
         self.due_at = self._compute_due_at()
-        self.useful_until = self._compute_useful_until()
         if not self.remaining_seconds:
             self.remaining_seconds = self.waiting_seconds
 
@@ -85,16 +81,6 @@
         allowed = datetime.timedelta(seconds=longest * self.terms.slowdown)
         return self.submitted_at + self.terms.objective + allowed
 
-    def _compute_useful_until(self) -> datetime.datetime | None:
-        if not self.terms.objective or not self.terms.latest_factor:
-            return None
-        # Few tasks exceed the upper run time, so a job that was declared too
-        # short is not given up for that.
-        allowed = self.terms.objective + datetime.timedelta(
-            seconds=self.longest_seconds * self.terms.slowdown
-        )
-        return self.submitted_at + allowed * self.terms.latest_factor
-
     @property
     def longest_seconds(self) -> float:
         """Upper run time of its longest waiting task at speed one."""
--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_job_order.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_job_order.py
@@ -21,8 +21,8 @@
     """Sort jobs in place by the order in which they get slots.
 
     Aged jobs go first, the oldest before the others. Then come jobs that can
-    meet their objective, those that cannot, and last those whose answer will
-    be of no use, each by priority and remaining run time.
+    meet their objective and last those that cannot, each by priority and
+    remaining run time.
 
     :param ageing: age after which a job goes before all younger ones
     :param late_by_age: whether jobs that have waited longer than their
@@ -34,8 +34,6 @@
     def rank(job: _backlog.WaitingJob) -> Rank:
         if job.submitted_at < aged_before:
             return (0, 0, 0, (job.submitted_at - now).total_seconds())
-        if is_useless(job, pool, now):
-            return (3, 0, job.terms.priority, job.remaining_seconds)
         if not is_late(job, pool, now):
             return (1, 0, job.terms.priority, job.remaining_seconds)
         if late_by_age and job.due_at < now:
@@ -45,30 +43,12 @@
     jobs.sort(key=rank)
 
 
-def is_useless(
-    job: _backlog.WaitingJob, pool: _targets.Pool, now: datetime.datetime
-) -> bool:
-    """Return whether the answer will come too late to be of any use."""
-    if job.useful_until is None:
-        return False
-    return _misses(job, job.useful_until, pool, now)
-
-
 def is_late(
     job: _backlog.WaitingJob, pool: _targets.Pool, now: datetime.datetime
 ) -> bool:
     """Return whether even the fastest target is too slow for the objective."""
     if job.due_at is None:
         return False
-    return _misses(job, job.due_at, pool, now)
-
-
-def _misses(
-    job: _backlog.WaitingJob,
-    until: datetime.datetime,
-    pool: _targets.Pool,
-    now: datetime.datetime,
-) -> bool:
     fastest = max(pool.get_fastest(needs) for needs in job.needs)
-    left = (until - now).total_seconds()
+    left = (job.due_at - now).total_seconds()
     return left * fastest < job.longest_seconds
