Use far targets in the first pass only where a policy asks for it

Change: the field plans_far_use of the policy, off by default. The property test runs with and without it.

--- a/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/placement/_late_binding.py
@@ -39,6 +39,10 @@
     """A target stays unused if faster ones clear the backlog in this time;
     zero uses every target."""
 
+    plans_far_use: bool = False
+    """Whether tasks for which the near targets have no room use far ones in
+    the first pass, so that the most urgent jobs choose first."""
+
     separation: _separation.Separation | None = attrs.field(
         default=None, eq=False
     )
@@ -119,7 +123,8 @@
         if job.due_at is not None and not _job_order.is_late(job, pool, now)
     ]
     far_use = _near_room.NO_FAR_USE
-    if jobs and now - fitting[0].submitted_at <= policy.ageing:
+    aged = bool(fitting) and now - fitting[0].submitted_at > policy.ageing
+    if policy.plans_far_use and jobs and not aged:
         far_use = _near_room.plan_far_use(jobs, pool, now)
     return _fill_targets(
         policy, jobs, jobs, pool, allowances, now, entries, find, far_use
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_near_targets.py
@@ -59,6 +59,7 @@
     tasks: int,
     waited_ms: int,
     terms: core.JobTerms,
+    policy: core.Matching = core.Matching(),
 ) -> list[str]:
     """Return the agents chosen for a job's equal tasks, in order."""
     pool = core.Pool(views)
@@ -70,7 +71,7 @@
     ]
     job = core.WaitingJob("job-1", "hall", builders.NOW, waiting, terms=terms)
     chosen = core.choose_assignments(
-        core.Matching(),
+        policy,
         [job],
         pool,
         {"hall": 100},
@@ -129,8 +130,9 @@
         jobs.append(
             core.WaitingJob(name, "hall", submitted_at, tasks, terms=terms)
         )
+    policy = core.Matching(plans_far_use=True)
     chosen = core.choose_assignments(
-        core.Matching(), jobs, pool, {"hall": 100}, builders.NOW
+        policy, jobs, pool, {"hall": 100}, builders.NOW
     )
     agents: dict[str, list[str]] = {"urgent": [], "other": []}
     for assignment in chosen:
@@ -205,15 +207,20 @@
     targets=_TARGETS,
     tasks=strategies.integers(1, 30),
     waited_ms=strategies.integers(0, 180),
+    plans_far_use=strategies.booleans(),
 )
 def test_near_room_that_keeps_the_objective_is_filled_and_none_is_stranded(
-    targets: list[tuple[float, bool, int]], tasks: int, waited_ms: int
+    targets: list[tuple[float, bool, int]],
+    tasks: int,
+    waited_ms: int,
+    plans_far_use: bool,
 ) -> None:
     views = [
         _build_view(f"agent-{number}", speed, near, used)
         for number, (speed, near, used) in enumerate(targets)
     ]
-    chosen = _choose(views, tasks, waited_ms, TERMS)
+    policy = core.Matching(plans_far_use=plans_far_use)
+    chosen = _choose(views, tasks, waited_ms, TERMS, policy)
     left = 0.06 + 1.6 * SECONDS - waited_ms / 1_000
     places = [
         (TASKS_A_TARGET - used) * (left * speed >= SECONDS)
