--- a/packages/cowslipgate-bench/src/cowslipgate_bench/model/_exact_estimates.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/model/_exact_estimates.py
@@ -28,6 +28,13 @@
         return core.SizeEstimate(seconds, seconds, math.log(seconds))
 
     def observe(
-        self, agent: str, team: str, kind: str, size_ms: float, run_ms: float
-    ) -> None:
+        self,
+        agent: str,
+        team: str,
+        kind: str,
+        size_ms: float,
+        run_ms: float,
+        excess: float = 1.0,
+    ) -> float | None:
         """Ignore the run: the estimates are exact."""
+        return None
