--- a/review/bed-4/bed.py
+++ b/review/bed-4/bed.py
@@ -41,7 +41,9 @@
         self.lines.append(f"{now():8.3f} {what} {text}".rstrip())
 
     def save(self):
-        """Write the lines."""
+        """Write the lines, if there is a file for them."""
+        if self.path is None:
+            return
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
@@ -759,7 +761,7 @@
 class Bed:
     """A small deployment."""
 
-    def __init__(self, record_path, net=None):
+    def __init__(self, record_path=None, net=None):
         self.record = Record(record_path)
         self.temp = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.temp.name)
