--- a/review/16/run.py
+++ b/review/bed-4/no_recovery.py
@@ -8,13 +8,9 @@
 import asyncio
 import itertools
 import os
-import pathlib
 import random
 import sys
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "bed-4"))
-
 import bed as beds
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -77,7 +73,7 @@
 
 async def main():
     """Play the case; return the exit status."""
-    bed = beds.Bed(HERE / "record.txt")
+    bed = beds.Bed(None)
     zones = ("kaai-zuid", "dokken-noord", "depot-berchem")
     entries = [bed.add_entry(f"edge-{z}-1", zone=z) for z in zones]
     for number in range(11):
--- a/review/18/run.py
+++ b/review/bed-4/unread_cancellations.py
@@ -6,12 +6,8 @@
 
 import asyncio
 import os
-import pathlib
 import sys
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "bed-4"))
-
 import bed as beds
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -28,7 +24,7 @@
 
 async def main():
     """Play the case; return the exit status."""
-    bed = beds.Bed(HERE / "record.txt")
+    bed = beds.Bed(None)
     link = bed.add_link()
     holder = bed.add_entry("edge-kaai-zuid-1")
     other = bed.add_entry(
