--- a/review/bed-4/no_recovery.py
+++ b/review/bed-4/no_recovery.py
@@ -73,7 +73,7 @@
 
 async def main():
     """Play the case; return the exit status."""
-    bed = beds.Bed(None)
+    bed = beds.Bed()
     zones = ("kaai-zuid", "dokken-noord", "depot-berchem")
     entries = [bed.add_entry(f"edge-{z}-1", zone=z) for z in zones]
     for number in range(11):
