--- a/review/bed-4/bed.py
+++ b/review/bed-4/bed.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -23,6 +24,22 @@
 T0 = time.monotonic()
 
 
+def find_free_ports(count):
+    """Return ports that nobody uses at any address now."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for each in held:
+            each.bind(("0.0.0.0", 0))
+        return [each.getsockname()[1] for each in held]
+    finally:
+        for each in held:
+            each.close()
+
+
+FRONT, READY, CONTROL, INTERNAL, STORE, WORKER = find_free_ports(6)
+"""Ports, the same on each machine. That of the metrics is the product's."""
+
+
 def now():
     """Return seconds since the start of the script."""
     return time.monotonic() - T0
@@ -611,9 +628,12 @@
         """Return the text of its settings file."""
         bed = self.bed
         edge = self.role == "entry"
-        listen = {"control": f"{self.ip}:8166"}
+        listen = {"control": f"{self.ip}:{CONTROL}"}
         if edge:
-            listen |= {"front": f"{self.ip}:8161", "ready": f"{self.ip}:8167"}
+            listen |= {
+                "front": f"{self.ip}:{FRONT}",
+                "ready": f"{self.ip}:{READY}",
+            }
         lines = {
             "node_name": self.name,
             "role": self.role,
@@ -622,9 +642,9 @@
             "ip": self.ip,
             "zone": "kaai-zuid",
             "region": "regio-antw",
-            "internal_ports": [7720, 7735],
+            "internal_ports": [INTERNAL, min(INTERNAL + 15, 65535)],
             "seeds": [
-                f"{m.ip}:8166" for m in bed.machines if m.role == "entry"
+                f"{m.ip}:{CONTROL}" for m in bed.machines if m.role == "entry"
             ][:3],
             "bootstrap": True,
             "fault_counted": False,
@@ -771,7 +791,7 @@
         self.machines = []
         self.workers = []
         self.links = []
-        self.store = Store(f"{self.net}.7", 8169, self.record)
+        self.store = Store(f"{self.net}.7", STORE, self.record)
         self.clients = []
 
     def add_entry(self, name, **fields):
@@ -790,10 +810,10 @@
         """Add a side machine with its worker."""
         ip = f"{self.net}.{10 + len(self.machines)}"
         worker = Worker(
-            f"i-{name}", ip, 8200, (ip, 8166), self.record, **fields
+            f"i-{name}", ip, WORKER, (ip, CONTROL), self.record, **fields
         )
         machine = Machine(
-            self, "agent", name, ip, app=f"{ip}:8200", service=SERVICE
+            self, "agent", name, ip, app=f"{ip}:{WORKER}", service=SERVICE
         )
         worker.machine = machine
         self.machines.append(machine)
@@ -803,7 +823,7 @@
     def add_link(self):
         """Add a path to the store; its address goes into settings."""
         host = f"{self.net}.{100 + len(self.links)}"
-        link = Link(host, 8169, self.store, self.record)
+        link = Link(host, STORE, self.store, self.record)
         self.links.append(link)
         return link
 
@@ -863,7 +883,7 @@
             self.record.add("post", entry=entry.name, job=name, count=count)
         answer = await call(
             entry.ip,
-            8161,
+            FRONT,
             "POST",
             f"/lohu930/{name}",
             {"X-Deadline-Ms": str(deadline)},
@@ -884,7 +904,7 @@
         """Cancel a job."""
         self.record.add("delete", entry=entry.name, job=name)
         answer = await call(
-            entry.ip, 8161, "DELETE", f"/lohu930/{name}", {}, None, timeout
+            entry.ip, FRONT, "DELETE", f"/lohu930/{name}", {}, None, timeout
         )
         self.record.add(
             "delete-answer",
--- a/review/bed-4/unread_list.py
+++ b/review/bed-4/unread_list.py
@@ -24,7 +24,7 @@
     """Cancel the job as a client does; return the time of the answer."""
     while beds.now() < until:
         status, _ = await beds.call(
-            entry.ip, 8167, "GET", "/cowslipgate/readyz", {}, None, 1
+            entry.ip, beds.READY, "GET", "/cowslipgate/readyz", {}, None, 1
         )
         if status == 200:
             answer, _ = await bed.delete(entry, JOB)
