Stop unseen runs at once when their entry's connection broke in a pause

What callers saw: nothing. If the caller's job came to another entry while a machine was suspended, and that entry ordered the task at another agent, the task ran there beside its earlier run for up to 0.34 s after the machine woke, though the entry of that run had been killed.

Cause: the agent that wakes asks the entries of its runs whether these are still wanted, and waits 0.2 s (CONFIRM_WITHIN) and a tick for the answer, also if the connection to the entry is gone. It dated the break by the moment at which it read of it, and gave the entry 0.5 s from then on. When a connection broke in a pause is not known, and whoever sits behind it can confirm nothing in time.

Mend: the executor knows which entries are disconnected. Their runs whose signs are older than the limit are stopped as soon as the break is read, in the first turn after the pause, and are not asked about. A run whose sign is valid goes on as before, and so does one whose entry has connected again. EntryDisconnected is logged, which tells a broken connection from a silent entry.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_agent_log.py
@@ -128,6 +128,15 @@
         change = _changes.EntryLinked(member.incarnation, member.address)
         self._log_change(change)
 
+    @circuits.handler("entry_disconnected", channel="*")
+    def _on_entry_disconnected(self, incarnation: int) -> None:
+        change = _changes.EntryDisconnected(
+            incarnation,
+            self._executor.measure_load(incarnation).own,
+            self._measure_unconfirmed_ms(incarnation),
+        )
+        self._log_change(change)
+
     @circuits.handler("entry_dropped", channel="runner", priority=5)
     def _on_entry_dropped(self, incarnation: int) -> None:
         # Runs before the runner, which stops the tasks.
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_changes.py
@@ -53,6 +53,21 @@
     """Address of the entry."""
 
 
+@attrs.frozen
+class EntryDisconnected(transport.Change):
+    """The connection to an entry broke; it may have done so in a pause."""
+
+    entry: int
+    """Incarnation of the entry."""
+
+    running: int
+    """Tasks of the entry that ran or were queued at the agent."""
+
+    unconfirmed_ms: int
+    """Time in milliseconds since the newest message was sent that the entry
+    has confirmed; -1 if it has confirmed none."""
+
+
 @attrs.frozen
 class EntryLost(transport.Change):
     """An entry was lost or left; its tasks are stopped."""
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_events.py
@@ -83,6 +83,10 @@
     """A link to an entry was opened; the argument is its Member."""
 
 
+class entry_disconnected(circuits.Event):
+    """The connection to an entry broke; the argument is its incarnation."""
+
+
 class entry_dropped(circuits.Event):
     """An entry was lost or left; the argument is its incarnation."""
 
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/_links.py
@@ -242,8 +242,15 @@
     @circuits.handler("peer_disconnected", channel="*")
     def _on_peer_disconnected(self, peer: bytes) -> None:
         link = self._links.get(int(peer))
-        if link is not None and link.disconnected_at is None:
-            link.disconnected_at = self._clock.now()
+        if link is None:
+            return
+        now = self._clock.now()
+        if link.disconnected_at is None:
+            link.disconnected_at = now
+            self.fire(_events.entry_disconnected(int(peer)))
+        stops = self._executor.lose_connection(int(peer), now)
+        if stops:
+            self.fire(_events.perform_actions(stops), "runner")
 
     @circuits.handler("message_received", channel="*")
     def _on_message_received(self, peer: bytes, message: object) -> None:
--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_agent_log.py
@@ -99,6 +99,14 @@
     assert [(c.entry, c.unconfirmed_ms) for c in lost] == [(7, 1_050), (8, -1)]
 
 
+# Guards against logs that don't tell a connection that broke from an entry
+# that is only silent.
+def test_broken_connection_is_logged(recorder: LogRecorder) -> None:
+    recorder.fire(_events.entry_disconnected(7), "links")
+    recorder.deliver()
+    assert _changes.EntryDisconnected(7, 0, -1) in recorder.changes
+
+
 def test_orders_that_wait_are_logged(recorder: LogRecorder) -> None:
     dispatch = core.Dispatch(7, 1, 0, (run_builders.build_order(4),))
     recorder.fire(_events.orders_held(dispatch), "links")
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -301,6 +301,21 @@
         session = self._sessions.get(entry) or self._open_session(entry)
         session.link = self._links
         session.connected = True
+        session.broken = False
+
+    def lose_connection(
+        self, entry: int, now: datetime.datetime
+    ) -> list[_executor_actions.ExecutorAction]:
+        """Record that the connection to an entry is known to be broken.
+
+        Until it connects again it can confirm nothing, so that its runs whose
+        signs are too old are stopped at once, also after a pause.
+        """
+        session = self._sessions.get(entry)
+        if session is None:
+            return []
+        session.broken = True
+        return self._stop_unseen(now)
 
     def announce(
         self,
@@ -525,7 +540,7 @@
         sign: datetime.datetime,
         now: datetime.datetime,
     ) -> bool:
-        if session is None:
+        if session is None or session.broken:
             return False
         return self._pauses.awaits_confirmation(
             sign, session.confirmed_at, self._entry_lost_after, now
--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_sessions.py
@@ -33,6 +33,9 @@
     connected: bool = False
     """Whether a connection was made since the entry was last dropped."""
 
+    broken: bool = False
+    """Whether the connection is known to be broken and was not made again."""
+
     dropped_at: datetime.datetime | None = None
     """Time at which the entry was dropped as lost, or None."""
 
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_pauses.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_pauses.py
@@ -87,3 +87,32 @@
     clock.advance(datetime.timedelta(seconds=1))
     assert clock.now() - now == datetime.timedelta(seconds=3)
     assert clock.read_steady() - steady == datetime.timedelta(seconds=1)
+
+
+# Guards against a run that goes on while its agent waits for an entry whose
+# connection broke during the pause, beside the next run of its task.
+def test_run_of_an_entry_whose_connection_broke_in_a_pause_is_stopped() -> (
+    None
+):
+    executor = _build_executor()
+    assert not _is_stopped(executor, 2_000)
+    (stop,) = executor.lose_connection(ENTRY, _later(2_001))
+    assert (stop.key, stop.unseen_for) == (KEY, _later(2_001) - NOW)
+
+
+def test_sign_that_is_valid_outlasts_a_broken_connection() -> None:
+    executor = _build_executor()
+    assert not _is_stopped(executor, 900)
+    assert executor.lose_connection(ENTRY, _later(900)) == []
+    assert not _is_stopped(executor, 1_000)
+    assert _is_stopped(executor, 1_001)
+
+
+def test_entry_that_connects_again_may_confirm_its_runs() -> None:
+    executor = _build_executor()
+    assert not _is_stopped(executor, 900)
+    executor.lose_connection(ENTRY, _later(900))
+    executor.connect(ENTRY)
+    assert not _is_stopped(executor, 1_050)
+    executor.confirm(ENTRY, _later(1_060), ages=[(1, 5)])
+    assert not _is_stopped(executor, 1_300)
