Wait by time, not by rounds, in the tests of HTTP connections

Cause: the test. circuits polls without a wait unless its root component runs as a process, so the 4,000 rounds that the harness allows take 0.03 s in all, not the 20 s that ROUND_SECONDS suggests. With all processors busy the kernel takes longer than that to deliver what was sent over the loopback interface.

Evidence: in a failed try the server had sent all 95 bytes, and a look into the client's socket (MSG_PEEK) found none of the 91 that were missing; 0.01 to 0.05 s later they were there, and the same client read them and returned the answer within 50 rounds. Ruled out: that the client misses an event of its socket, or that it stops reading (its socket was registered for reading all the while).

The harness now counts rounds from when the client's kernel has acknowledged the whole answer, within a limit of 20 s. The checks are the same, and a client that reads no more still fails. The same count stood in the harnesses of the server and of connecting; they have a limit of 10 s instead of 2,000 rounds.

--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/builders.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import threading
+import time
 from typing import Any
 
 import attrs
@@ -18,7 +19,10 @@
 from cowslipgate_transport import _caller_probes
 
 CHANNEL = "served"
-MAX_ROUNDS = 2_000
+LIMIT_SECONDS = 10.0
+"""Time for a condition, not counted in rounds: these do not wait, and the
+kernel may deliver late while other processes keep the processors busy."""
+
 READ_SIZE = 65_536
 ROUND_SECONDS = 0.005
 
@@ -124,8 +128,9 @@
         self.root.tick()
 
     def run_until(self, check: Callable[[], object], what: str) -> None:
-        """Run rounds until ``check`` is true; fail after ``MAX_ROUNDS``."""
-        for _ in range(MAX_ROUNDS):
+        """Run rounds until ``check`` is true; fail after the limit."""
+        deadline = time.monotonic() + LIMIT_SECONDS
+        while time.monotonic() < deadline:
             self.run_round(ROUND_SECONDS)
             if check():
                 return
@@ -167,7 +172,8 @@
 
     def run_until_fast(self, check: Callable[[], object]) -> None:
         """Run rounds that do not wait until ``check`` is true."""
-        for _ in range(MAX_ROUNDS * 20):
+        deadline = time.monotonic() + LIMIT_SECONDS
+        while time.monotonic() < deadline:
             if check():
                 return
             self.run_round()
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/client_builders.py
@@ -5,6 +5,7 @@
 import datetime
 import socket
 import threading
+import time
 import zlib
 
 import circuits
@@ -13,9 +14,16 @@
 
 import cowslipgate_core as core
 import cowslipgate_transport as transport
+from cowslipgate_transport import _caller_probes
 
 CHANNEL = "client"
+DELIVERY_SECONDS = 20.0
+"""Time for an answer to reach the client's kernel. A round does not wait, and
+the kernel may deliver late while other processes keep the processors busy."""
+
 ROUNDS = 4_000
+"""Rounds in which the client may read what its kernel has received."""
+
 ROUND_SECONDS = 0.005
 TIMEOUT = datetime.timedelta(hours=1)
 """Longer than a test; a call that waits for it counts as unanswered."""
@@ -144,6 +152,14 @@
         host, port = self._listener.getsockname()
         self.address = transport.Address(host, port)
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the client's kernel has the whole answer."""
+        return bool(self._unsent) and not any(
+            unsent or _caller_probes.count_unacknowledged(connection)
+            for connection, unsent in self._unsent.items()
+        )
+
     def poll(self) -> None:
         """Accept connections and answer on them."""
         with contextlib.suppress(BlockingIOError):
@@ -174,16 +190,20 @@
     """Make a call of a server that answers with some bytes.
 
     :param piece: number of bytes sent in each round, or 0 for all at once
-    :return: the harness, once the call has ended or ROUNDS have passed
+    :return: the harness, once the call has ended, or ROUNDS after the whole
+        answer was delivered
     """
     harness = ClientHarness(core.ManualClock())
+    deadline = time.monotonic() + DELIVERY_SECONDS
+    rounds = 0
     with serve(answer, piece) as server:
         harness.call(server.address)
-        for _ in range(ROUNDS):
+        while rounds < ROUNDS and time.monotonic() < deadline:
             server.poll()
             harness.run_round()
             if harness.results or harness.errors:
                 break
+            rounds += server.delivered
     return harness
 
 
--- a/packages/cowslipgate-transport/src/cowslipgate_transport/tests/connect_builders.py
+++ b/packages/cowslipgate-transport/src/cowslipgate_transport/tests/connect_builders.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import threading
+import time
 
 import circuits
 from circuits.core import events
@@ -14,7 +15,7 @@
 import cowslipgate_transport as transport
 
 CHANNEL = "called"
-ROUNDS = 2_000
+LIMIT_SECONDS = 10.0
 ROUND_SECONDS = 0.005
 
 
@@ -41,7 +42,8 @@
         address = transport.Address("127.0.0.1", port)
         call = transport.Call(1, address, "GET", "/")
         self.root.fire(transport.call_http(call), CHANNEL)
-        for _ in range(ROUNDS):
+        deadline = time.monotonic() + LIMIT_SECONDS
+        while time.monotonic() < deadline:
             if self.recorder.failures:
                 return self.recorder.failures.pop().problem
             if not len(self.root):
@@ -50,7 +52,7 @@
                 )
                 self.root.fire(event, "*")
             self.root.tick()
-        raise AssertionError(f"no failure in {ROUNDS} rounds")
+        raise AssertionError(f"no failure in {LIMIT_SECONDS} s")
 
 
 class _FailureRecorder(circuits.BaseComponent):
