Handle every tick before the idle link's intervals are measured

Cause: the test's harness. It advanced the clock by 20 ms, fired a tick and then looked whether the first report had arrived. If it had, the test went on with that tick unhandled; the next one came a second later. Where the first report was 0.98 s on its way and the unhandled tick was the one at which the next was due, the first interval was 2.0 s. In the other case of the test the wait for the entry's heartbeat handles the tick.

Ruled out: the link itself, which reports at each tick that finds the last report a second old.

The harness looks first and advances after that, so that every tick has been handled. The check is the same.

--- a/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_links.py
+++ b/packages/cowslipgate-agent/src/cowslipgate_agent/tests/test_links.py
@@ -60,12 +60,15 @@
         self.run_until(self._receive_report, "the first report")
 
     def _receive_report(self) -> bool:
+        # Every tick is handled before the test goes on.
+        if self.reports:
+            return True
         # A report is due by then. If the clock advanced further, the agent
         # would reconnect before a slow VM completes the first connection.
         if self.clock.now() < self._due_at:
             self.clock.advance(datetime.timedelta(milliseconds=20))
             self.root.fire(_events.tick(), _links.CHANNEL)
-        return bool(self.reports)
+        return False
 
     def _send_members(self) -> None:
         address = self.router.getsockopt(zmq.LAST_ENDPOINT).decode()
