Read the journals of targets by whole lines

Cause: the test reads the journals while targets append to them. A target writes each line with one call, but the file system copies it page by page and shows the new size after each, so a line over the end of a page is there by half for a moment.

Evidence: one process that appended 200,000 such lines, and another that looked at the size of the file: 2,480 of 195,550 sizes lie inside a line, and all of these are multiples of 4,096. Reading the end of the file found half a line in 519 of 71,061 reads.

The reader waits until the last line is complete. One that never is raises WaitTimeout, so that no start can be missed.

--- a/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
+++ b/packages/cowslipgate-bench/src/cowslipgate_bench/_cluster.py
@@ -367,10 +367,29 @@
         name = "*" if target is None else str(target)
         lines = []
         for path in sorted(self._folder.glob(f"target-{name}.jsonl")):
-            lines.extend(path.read_text().splitlines())
+            lines.extend(read_lines(path))
         return [json.loads(line) for line in lines]
 
 
+def read_lines(path: pathlib.Path) -> list[str]:
+    """Return the lines of a file that another process appends to.
+
+    The file system shows a write that goes over the end of a page in two
+    parts, so that a line may be there by half for a moment.
+
+    :raises WaitTimeout: if the last line is never completed
+    """
+    text = ""
+
+    def read_whole_lines() -> bool:
+        nonlocal text
+        text = path.read_text()
+        return not text or text.endswith("\n")
+
+    _waits.wait_until(read_whole_lines, f"the end of a line in {path.name}")
+    return text.splitlines()
+
+
 def call_http(
     port: int,
     method: str,
