Notice the pause before runs are judged by a broken connection

If the first thing that an agent read after a pause was a broken connection, it stopped the runs of all entries whose signs had grown old in the pause, not only those of the entry behind that connection: the executor had not noticed the pause yet, after which the other entries are asked.

Cause: Executor.lose_connection judged the runs without looking at the clock for a pause first, as all other calls of the executor do.

Test: test_broken_connection_leaves_runs_of_other_entries_alone in test_pauses.py. It failed before: the run of the other entry was stopped too.

--- a/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/execution/_executor.py
@@ -315,7 +315,8 @@
         if session is None:
             return []
         session.broken = True
-        return self._stop_unseen(now)
+        actions = self._handle_pause(now)
+        return actions + self._stop_unseen(now)
 
     def announce(
         self,
--- a/packages/cowslipgate-core/src/cowslipgate_core/tests/test_pauses.py
+++ b/packages/cowslipgate-core/src/cowslipgate_core/tests/test_pauses.py
@@ -2,12 +2,14 @@
 
 import datetime
 
+import attrs
 import cowslipgate_core as core
 from cowslipgate_core.tests import builders
 import pytest
 
 NOW = builders.NOW
 ENTRY = 7
+OTHER_ENTRY = 8
 KEY = core.AttemptKey(ENTRY, 1)
 ENTRY_LOST_AFTER = datetime.timedelta(seconds=1)
 LIMITS = core.PauseLimits(
@@ -116,3 +118,21 @@
     assert not _is_stopped(executor, 1_050)
     executor.confirm(ENTRY, _later(1_060), ages=[(1, 5)])
     assert not _is_stopped(executor, 1_300)
+
+
+# Guards against runs of other entries that are stopped, since the broken
+# connection is the first thing that the agent reads after a pause.
+def test_broken_connection_leaves_runs_of_other_entries_alone() -> None:
+    executor = _build_executor()
+    order = builders.build_order(1, "job-2")
+    other = attrs.evolve(builders.build_dispatch(order), entry=OTHER_ENTRY)
+    executor.dispatch(other, NOW)
+    executor.confirm(OTHER_ENTRY, NOW, ages=[(1, 0)])
+    stops = [
+        action.key
+        for action in executor.lose_connection(ENTRY, _later(2_000))
+        if isinstance(action, core.StopTask)
+    ]
+    assert stops == [KEY]
+    executor.confirm(OTHER_ENTRY, _later(2_001), ages=[(1, 5)])
+    assert not _is_stopped(executor, 2_300)
